--- /dev/null
+++ b/io/tackdisk/disk.go
@@ -0,0 +1,240 @@
+// Package tackdisk keeps what a voter must not forget in a data folder: its
+// term and vote, its log entries, and the newest snapshot.
+//
+// The folder holds one log file and at most one snapshot, besides a lock and
+// an identity. Opening the folder and saving a snapshot both write a new log
+// file, so that no file is ever written to by two processes in turn.
+package tackdisk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
+)
+
+const (
+	// DefaultMaxRecordBytes bounds one record of the log, and with it what
+	// one call of Save may carry.
+	DefaultMaxRecordBytes = 64 << 20
+	// DefaultMaxSnapshotBytes bounds a snapshot.
+	DefaultMaxSnapshotBytes = 1 << 30
+)
+
+type (
+	// Options says whose folder is opened. Only Peer is required.
+	Options struct {
+		// Peer is the VM that owns the folder.
+		Peer tackid.Peer
+		// Logger is told of torn records and failures; nil discards them.
+		Logger logrus.FieldLogger
+		// Files is where the folder lies; nil is the operating system.
+		Files Files
+		// MaxRecordBytes and MaxSnapshotBytes are bounds in bytes; zero takes
+		// the defaults.
+		MaxRecordBytes   int
+		MaxSnapshotBytes int
+	}
+
+	// Disk is an open data folder. Its methods may be called from several
+	// goroutines, and take effect one after the other.
+	Disk struct {
+		mu     sync.Mutex
+		folder string
+		opt    Options
+		files  Files
+		lock   io.Closer
+		id     identity
+		state  replay
+		log    *logFile
+		failed *FailedError
+		closed bool
+		syncs  uint64
+		bytes  uint64
+	}
+)
+
+// Open opens the data folder, creates it where there is none, and returns
+// what it holds. A torn last record is left out and logged: it was never
+// answered as durable. The error is a *CorruptError where anything else is
+// broken, an *InUseError where another process has the folder open, an
+// *IdentityError where the folder belongs to another VM.
+func Open(folder string, opt Options) (*Disk, tackreplica.Stored, error) {
+	d := &Disk{folder: folder, opt: opt.withDefaults()}
+	d.files = d.opt.Files
+	stored, err := d.open()
+	if err != nil {
+		d.release()
+		return nil, tackreplica.Stored{}, err
+	}
+	return d, stored, nil
+}
+
+// Save makes hard, unless it is nil, and entries durable with one write and
+// one sync. Entries that overlap earlier ones replace them and all that
+// follow. After any failed write or sync the disk has failed for good, and
+// this and every later call returns a *FailedError. A *TooLargeError or
+// *GapError says that nothing was written and the disk is still good.
+func (d *Disk) Save(hard *tackreplica.HardState, entries []tackreplica.Entry) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.usable(); err != nil {
+		return err
+	}
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	next := record{Hard: hard, Entries: entries}
+	if err := d.state.check(next); err != nil {
+		return err
+	}
+	framed, err := d.log.frame(next, d.opt.MaxRecordBytes)
+	if err != nil {
+		return err
+	}
+	if err := d.append(framed); err != nil {
+		return d.fail(err)
+	}
+	d.state.apply(next)
+	return nil
+}
+
+// SaveSnapshot makes s durable and then drops the log up to it. A snapshot
+// that is not newer than the one on disk changes nothing. Errors are those of
+// Save.
+func (d *Disk) SaveSnapshot(s tackreplica.Snapshot) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.usable(); err != nil {
+		return err
+	}
+	if s.Index <= d.state.mark.Index {
+		return nil
+	}
+	data, err := encodeSnapshot(s, d.id.salt(), d.opt.MaxSnapshotBytes)
+	if err != nil {
+		return err
+	}
+	if err := d.writeFile(snapshotName(s.Index), data); err != nil {
+		return d.fail(err)
+	}
+	d.state.compact(mark{Index: s.Index, Term: s.Term})
+	if err := d.rewrite(); err != nil {
+		return d.fail(err)
+	}
+	return nil
+}
+
+// Syncs returns the number of syncs of files and folders since Open.
+func (d *Disk) Syncs() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.syncs
+}
+
+// Bytes returns the number of bytes written since Open.
+func (d *Disk) Bytes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bytes
+}
+
+// Err returns the *FailedError of a disk that has failed, or nil.
+func (d *Disk) Err() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failed == nil {
+		return nil
+	}
+	return d.failed
+}
+
+// Close releases the folder. All that was saved is durable already.
+func (d *Disk) Close() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil
+	}
+	d.closed = true
+	return d.release()
+}
+
+func (d *Disk) usable() error {
+	if d.failed != nil {
+		return d.failed
+	}
+	if d.closed {
+		return &FailedError{Folder: d.folder, Err: errClosed}
+	}
+	return nil
+}
+
+// fail gives the disk up. After a failed sync the kernel may have marked the
+// lost pages as clean, so that a second sync of the same file succeeds with
+// nothing on the disk; a short write leaves half a record that a later one
+// would follow. One would notice either only at the next restart, as a vote
+// or an entry that was answered for and is gone.
+func (d *Disk) fail(err error) error {
+	d.failed = &FailedError{Folder: d.folder, Err: err}
+	d.opt.Logger.WithError(err).WithField("folder", d.folder).
+		Error("data folder failed, it is not used again before a restart")
+	return d.failed
+}
+
+func (d *Disk) release() error {
+	var errs []error
+	if d.log != nil {
+		errs = append(errs, d.log.file.Close())
+	}
+	if d.lock != nil {
+		errs = append(errs, d.lock.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// append writes one framed record and syncs it.
+func (d *Disk) append(framed []byte) error {
+	n, err := d.log.file.Write(framed)
+	d.bytes += uint64(max(n, 0))
+	if err == nil && n != len(framed) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", d.log.name, err)
+	}
+	d.syncs++
+	if err := d.log.file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", d.log.name, err)
+	}
+	d.log.offset += int64(len(framed))
+	return nil
+}
+
+func (d *Disk) path(name string) string {
+	return filepath.Join(d.folder, name)
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		o.Logger = silent
+	}
+	if o.Files == nil {
+		o.Files = osFiles{}
+	}
+	if o.MaxRecordBytes == 0 {
+		o.MaxRecordBytes = DefaultMaxRecordBytes
+	}
+	if o.MaxSnapshotBytes == 0 {
+		o.MaxSnapshotBytes = DefaultMaxSnapshotBytes
+	}
+	return o
+}
--- /dev/null
+++ b/io/tackdisk/files.go
@@ -0,0 +1,92 @@
+package tackdisk
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+type (
+	// Files is what a Disk needs of a file system. Tests put one in its place
+	// that fails, or that loses what was not synced.
+	Files interface {
+		// MkdirAll creates a folder and its parents.
+		MkdirAll(folder string) error
+		// Create creates or empties a file for writing.
+		Create(name string) (File, error)
+		// ReadFile returns the content of a file; the error is fs.ErrNotExist
+		// where there is none.
+		ReadFile(name string) ([]byte, error)
+		// List returns the names in a folder.
+		List(folder string) ([]string, error)
+		// Rename replaces the file at to, in one step.
+		Rename(from, to string) error
+		// Remove removes a file.
+		Remove(name string) error
+		// SyncFolder makes the names in a folder durable.
+		SyncFolder(folder string) error
+		// Lock takes the lock file for this process until it is closed.
+		Lock(name string) (io.Closer, error)
+	}
+
+	// File is an open file of Files.
+	File interface {
+		io.WriteCloser
+		// Sync makes what was written durable.
+		Sync() error
+	}
+
+	osFiles struct{}
+)
+
+func (osFiles) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o750) }
+
+func (osFiles) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o640)
+}
+
+func (osFiles) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+func (osFiles) List(folder string) ([]string, error) {
+	found, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(found))
+	for _, f := range found {
+		names = append(names, f.Name())
+	}
+	return names, nil
+}
+
+func (osFiles) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFiles) Remove(name string) error {
+	err := os.Remove(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+func (osFiles) SyncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+func (osFiles) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
--- /dev/null
+++ b/io/tackdisk/folder.go
@@ -0,0 +1,265 @@
+package tackdisk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
+)
+
+const (
+	lockName        = "lock"
+	identityName    = "identity"
+	logPrefix       = "log_"
+	snapshotPrefix  = "snapshot_"
+	temporarySuffix = ".tmp"
+	identityLimit   = 1 << 16
+)
+
+// identity says whose folder this is. Folder is random, so that no two
+// folders' records can be taken for each other's.
+type identity struct {
+	Version int         `cbor:"1,keyasint"`
+	Peer    tackid.Peer `cbor:"2,keyasint"`
+	Folder  uint64      `cbor:"3,keyasint"`
+}
+
+func (i identity) salt() uint64 { return i.Folder }
+
+// open takes the folder and reads it, then starts a new log file.
+func (d *Disk) open() (tackreplica.Stored, error) {
+	if err := d.enter(); err != nil {
+		return tackreplica.Stored{}, err
+	}
+	names, err := d.files.List(d.folder)
+	if err != nil {
+		return tackreplica.Stored{}, fmt.Errorf("tackdisk: list %s: %w", d.folder, err)
+	}
+	if err := d.identify(names); err != nil {
+		return tackreplica.Stored{}, err
+	}
+	snapshot, err := d.readSnapshot(names)
+	if err != nil {
+		return tackreplica.Stored{}, err
+	}
+	if err := d.readState(names, mark{Index: snapshot.Index, Term: snapshot.Term}); err != nil {
+		return tackreplica.Stored{}, err
+	}
+	if err := d.rewrite(); err != nil {
+		return tackreplica.Stored{}, fmt.Errorf("tackdisk: start a log file: %w", err)
+	}
+	return d.stored(snapshot), nil
+}
+
+// enter creates the folder where there is none, and locks it. Two processes
+// on one folder would each overwrite what the other answered for.
+func (d *Disk) enter() error {
+	if err := d.files.MkdirAll(d.folder); err != nil {
+		return fmt.Errorf("tackdisk: create folder: %w", err)
+	}
+	if err := d.files.SyncFolder(filepath.Dir(d.folder)); err != nil {
+		return fmt.Errorf("tackdisk: sync parent folder: %w", err)
+	}
+	lock, err := d.files.Lock(d.path(lockName))
+	if err != nil {
+		return &InUseError{Folder: d.folder, Err: err}
+	}
+	d.lock = lock
+	return nil
+}
+
+// identify reads the identity, or gives the folder one where it is new.
+func (d *Disk) identify(names []string) error {
+	data, err := d.files.ReadFile(d.path(identityName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return d.createIdentity(names)
+	}
+	if err != nil {
+		return fmt.Errorf("tackdisk: read identity: %w", err)
+	}
+	payload, ok := unframe(data, place{}, identityLimit)
+	if !ok {
+		return d.corrupt(identityName, 0, "length or checksum is wrong")
+	}
+	if err := decoding.Unmarshal(payload, &d.id); err != nil {
+		return d.corrupt(identityName, 0, err.Error())
+	}
+	if d.id.Peer != d.opt.Peer {
+		return &IdentityError{Folder: d.folder, Want: d.opt.Peer, Got: d.id.Peer}
+	}
+	return nil
+}
+
+func (d *Disk) createIdentity(names []string) error {
+	for _, name := range names {
+		_, isLog := parseName(name, logPrefix)
+		_, isSnapshot := parseName(name, snapshotPrefix)
+		if isLog || isSnapshot {
+			return d.corrupt(identityName, 0, "missing beside "+name)
+		}
+	}
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // never fails
+	d.id = identity{Version: formatVersion, Peer: d.opt.Peer, Folder: binary.LittleEndian.Uint64(random[:])}
+	payload, err := cbor.Marshal(d.id)
+	if err != nil {
+		return err
+	}
+	if err := d.writeFile(identityName, frame(payload, place{})); err != nil {
+		return fmt.Errorf("tackdisk: write identity: %w", err)
+	}
+	return nil
+}
+
+// readSnapshot returns the newest snapshot, or the zero value.
+func (d *Disk) readSnapshot(names []string) (tackreplica.Snapshot, error) {
+	index, ok := newest(names, snapshotPrefix)
+	if !ok {
+		return tackreplica.Snapshot{}, nil
+	}
+	name := snapshotName(tackid.Revision(index))
+	data, err := d.files.ReadFile(d.path(name))
+	if err != nil {
+		return tackreplica.Snapshot{}, fmt.Errorf("tackdisk: read snapshot: %w", err)
+	}
+	payload, ok := unframe(data, place{salt: d.id.salt()}, d.opt.MaxSnapshotBytes)
+	if !ok || len(data) != frameBytes+len(payload) {
+		return tackreplica.Snapshot{}, d.corrupt(name, 0, "length or checksum is wrong")
+	}
+	var s tackreplica.Snapshot
+	if err := decoding.Unmarshal(payload, &s); err != nil {
+		return tackreplica.Snapshot{}, d.corrupt(name, 0, err.Error())
+	}
+	return s, nil
+}
+
+func encodeSnapshot(s tackreplica.Snapshot, salt uint64, limit int) ([]byte, error) {
+	payload, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	if len(payload) > limit {
+		return nil, &TooLargeError{Bytes: len(payload), Limit: limit}
+	}
+	return frame(payload, place{salt: salt}), nil
+}
+
+// readState reads the newest log file and takes it together with the
+// snapshot. A process that ended between the two left a snapshot that is
+// newer than the log's header; the log is then dropped up to it here.
+func (d *Disk) readState(names []string, snapshot mark) error {
+	sequence, ok := newest(names, logPrefix)
+	if !ok {
+		d.state.mark = snapshot
+		return nil
+	}
+	content, err := d.readLog(sequence)
+	if err != nil {
+		return err
+	}
+	if content.torn >= 0 {
+		d.opt.Logger.WithField("file", d.path(logName(sequence))).WithField("offset", content.torn).
+			Warn("last record is torn and left out, it was never answered as durable")
+	}
+	d.state = content.state
+	d.log = &logFile{name: logName(sequence), sequence: sequence}
+	if d.state.mark.Index > snapshot.Index {
+		return d.corrupt(logName(sequence), 0, fmt.Sprintf("follows snapshot %d, which is missing", d.state.mark.Index))
+	}
+	if d.state.mark.Index < snapshot.Index {
+		d.state.compact(snapshot)
+	}
+	return nil
+}
+
+func (d *Disk) stored(snapshot tackreplica.Snapshot) tackreplica.Stored {
+	return tackreplica.Stored{
+		Hard:     d.state.hard,
+		Snapshot: snapshot,
+		Entries:  append([]tackreplica.Entry(nil), d.state.entries...),
+	}
+}
+
+// writeFile makes a whole file durable under its name.
+func (d *Disk) writeFile(name string, data []byte) error {
+	file, err := d.createFile(name, data)
+	if err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+// createFile writes a file under a temporary name, syncs it, gives it its
+// name and syncs the folder, so that after a crash the name stands for the
+// whole content or does not exist. The file is left open for appending.
+func (d *Disk) createFile(name string, data []byte) (File, error) {
+	temporary := d.path(name + temporarySuffix)
+	file, err := d.files.Create(temporary)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.fill(file, data); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	if err := d.files.Rename(temporary, d.path(name)); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	d.syncs++
+	if err := d.files.SyncFolder(d.folder); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return file, nil
+}
+
+func (d *Disk) fill(file File, data []byte) error {
+	n, err := file.Write(data)
+	d.bytes += uint64(max(n, 0))
+	if err == nil && n != len(data) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		return err
+	}
+	d.syncs++
+	return file.Sync()
+}
+
+func logName(sequence uint64) string {
+	return fmt.Sprintf("%s%020d", logPrefix, sequence)
+}
+
+func snapshotName(index tackid.Revision) string {
+	return fmt.Sprintf("%s%020d", snapshotPrefix, uint64(index))
+}
+
+func parseName(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
+
+func isTemporary(name string) bool { return strings.HasSuffix(name, temporarySuffix) }
+
+// newest returns the highest number among the names with prefix.
+func newest(names []string, prefix string) (uint64, bool) {
+	highest, found := uint64(0), false
+	for _, name := range names {
+		if n, ok := parseName(name, prefix); ok && (!found || n > highest) {
+			highest, found = n, true
+		}
+	}
+	return highest, found
+}
