--- /dev/null
+++ b/io/tackpeer/codec.go
@@ -0,0 +1,95 @@
+package tackpeer
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburntack/core/tackid"
+)
+
+// Version is the version of the protocol between peers. A peer that speaks a
+// later one goes on being understood as long as it only adds fields and kinds.
+const Version = 1
+
+var decoding = mustDecMode()
+
+type (
+	// Kind says what a message is for. A peer passes over kinds that it does
+	// not know.
+	Kind string
+
+	// Envelope is one message. Version and From are left out on the wire
+	// where they are those of the hello that opened the connection.
+	Envelope struct {
+		Version int             `cbor:"1,keyasint,omitempty"`
+		From    tackid.Peer     `cbor:"2,keyasint,omitempty"`
+		Kind    Kind            `cbor:"3,keyasint"`
+		Body    cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	}
+
+	// hello is the first frame in each direction of a connection.
+	hello struct {
+		Version int         `cbor:"1,keyasint"`
+		From    tackid.Peer `cbor:"2,keyasint"`
+		To      tackid.Peer `cbor:"3,keyasint"`
+		// Nonce is random for each life of a process.
+		Nonce uint64 `cbor:"4,keyasint"`
+		// Oldest is the oldest version that the sender understands.
+		Oldest int `cbor:"5,keyasint"`
+		// HeartbeatMS is how often the sender is heard at least.
+		HeartbeatMS int64 `cbor:"6,keyasint,omitempty"`
+	}
+)
+
+// encode returns the envelope of a message as it goes on the wire.
+func encode(kind Kind, body any) ([]byte, error) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("tackpeer: encode %s: %w", kind, err)
+	}
+	data, err := cbor.Marshal(Envelope{Kind: kind, Body: raw})
+	if err != nil {
+		return nil, fmt.Errorf("tackpeer: encode %s: %w", kind, err)
+	}
+	return data, nil
+}
+
+// decode calls f for each envelope of a batch, which is one after the other.
+// It stops at the first that is malformed or claims another sender than from;
+// the error is a *MalformedError or an *IdentityError.
+func decode(batch []byte, from tackid.Peer, f func(Envelope)) error {
+	for len(batch) > 0 {
+		var e Envelope
+		rest, err := decoding.UnmarshalFirst(batch, &e)
+		if err != nil {
+			return &MalformedError{Peer: from, Err: err}
+		}
+		if e.From != "" && e.From != from {
+			return &IdentityError{Want: from, Got: e.From, Reason: "envelope under another id"}
+		}
+		e.From = from
+		f(e)
+		batch = rest
+	}
+	return nil
+}
+
+func decodeHello(data []byte) (hello, error) {
+	var h hello
+	if err := decoding.Unmarshal(data, &h); err != nil {
+		return hello{}, &MalformedError{Err: err}
+	}
+	if h.From == "" || h.Version < 1 || h.Oldest > Version {
+		return h, &VersionError{Peer: h.From, Version: h.Version, Oldest: h.Oldest}
+	}
+	return h, nil
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 22, MaxMapPairs: 1 << 22}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/io/tackpeer/conn.go
@@ -0,0 +1,161 @@
+package tackpeer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"auburntack/core/tackclock"
+)
+
+const (
+	// silentAfter is how many heartbeats in a row nothing may arrive in. The
+	// last byte came up to one heartbeat before the first of them, so that a
+	// silent connection is found within three.
+	silentAfter = 2
+	// sendBufferBytes bounds what the kernel holds back for one connection,
+	// so that a heartbeat does not wait behind megabytes on a slow line.
+	sendBufferBytes = 256 << 10
+)
+
+type (
+	// counters are the metrics of one peer, or of all.
+	counters struct {
+		sentBytes, receivedBytes       metrics.Counter
+		sentMessages, receivedMessages metrics.Counter
+		dropped, foundSilent           metrics.Counter
+		refused, unknownKinds          metrics.Counter
+		total                          *counters
+	}
+
+	// countedConn counts the bytes that cross a connection.
+	countedConn struct {
+		net.Conn
+		clock         *tackclock.Clock
+		counters      atomic.Pointer[counters]
+		sent          atomic.Int64
+		received      atomic.Int64
+		onHeard       atomic.Pointer[atomic.Int64]
+		sendingLarge  atomic.Bool
+		largeProgress atomic.Int64
+	}
+)
+
+func newCounters(r metrics.Registry, prefix string, total *counters) *counters {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter(prefix+name, r)
+	}
+	return &counters{
+		sentBytes:        counter("sent_bytes"),
+		receivedBytes:    counter("received_bytes"),
+		sentMessages:     counter("sent_messages"),
+		receivedMessages: counter("received_messages"),
+		dropped:          counter("dropped_messages"),
+		foundSilent:      counter("found_silent"),
+		refused:          counter("refused_connections"),
+		unknownKinds:     counter("unknown_kinds"),
+		total:            total,
+	}
+}
+
+// add adds n to the counter that which picks, of the peer and of the total.
+func (c *counters) add(which func(*counters) metrics.Counter, n int) {
+	which(c).Inc(int64(n))
+	if c.total != nil {
+		which(c.total).Inc(int64(n))
+	}
+}
+
+func sentBytes(c *counters) metrics.Counter        { return c.sentBytes }
+func receivedBytes(c *counters) metrics.Counter    { return c.receivedBytes }
+func sentMessages(c *counters) metrics.Counter     { return c.sentMessages }
+func receivedMessages(c *counters) metrics.Counter { return c.receivedMessages }
+func dropped(c *counters) metrics.Counter          { return c.dropped }
+func foundSilent(c *counters) metrics.Counter      { return c.foundSilent }
+func refused(c *counters) metrics.Counter          { return c.refused }
+func unknownKinds(c *counters) metrics.Counter     { return c.unknownKinds }
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Add(int64(n))
+		if k := c.counters.Load(); k != nil {
+			k.add(receivedBytes, n)
+		}
+		if heard := c.onHeard.Load(); heard != nil {
+			heard.Store(int64(c.clock.Now()))
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.sent.Add(int64(n))
+		if k := c.counters.Load(); k != nil {
+			k.add(sentBytes, n)
+		}
+		if c.sendingLarge.Load() {
+			c.largeProgress.Add(int64(n))
+		}
+	}
+	return n, err
+}
+
+// belongsTo counts the connection's bytes, those so far among them, for the
+// link's peer.
+func (c *countedConn) belongsTo(k *link) {
+	k.counters.add(sentBytes, int(c.sent.Load()))
+	k.counters.add(receivedBytes, int(c.received.Load()))
+	c.counters.Store(k.counters)
+}
+
+// heardBy has what arrives from now on stamp the link's peer as heard.
+func (c *countedConn) heardBy(k *link) {
+	c.onHeard.Store(&k.lastHeard)
+	k.lastHeard.Store(int64(c.clock.Now()))
+}
+
+// moved counts the bytes that show that the other end is there: those
+// received, and those of a large message, which the kernel takes only as the
+// other end takes them.
+func (c *countedConn) moved() int64 {
+	return c.received.Load() + c.largeProgress.Load()
+}
+
+// watch calls beat at every heartbeat and returns errSilent once nothing has
+// moved on the connection, ctx's error once that ends.
+//
+// A connection can stay open for good with nothing arriving, when a device
+// between the two ends has forgotten it: writes go on succeeding, nobody
+// reads them, and the peer looks lost although a new connection would work.
+// Heartbeats are counted rather than time, so that a process that was itself
+// stopped for a while does not take its own pause for the other's silence.
+func (c *countedConn) watch(ctx context.Context, every tackclock.Duration, beat func()) error {
+	ticker := time.NewTicker(every.Std())
+	defer ticker.Stop()
+	last, missed := c.moved(), 0
+	for {
+		beat()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := c.moved()
+		missed++
+		if now != last {
+			missed = 0
+		}
+		last = now
+		if missed >= silentAfter {
+			return errSilent
+		}
+	}
+}
