--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -189,7 +189,7 @@
 }
 
 func (l *Links) refuse(ws *websocket.Conn, conn *countedConn, err error) {
-	l.total.refused.Inc(1)
+	l.total.add(refused, 1)
 	l.cfg.Logger.WithError(err).WithField("remote", conn.RemoteAddr().String()).Warn("peer connection refused")
 	reason := err.Error()
 	_ = ws.Close(websocket.StatusPolicyViolation, reason[:min(len(reason), 120)])
