--- /dev/null
+++ b/core/tacklimit/drain.go
@@ -0,0 +1,146 @@
+package tacklimit
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	// shortWork is how long work may hold a slot of the urgent reserve: an
+	// urgent request waits for it and still starts within 2.3 s.
+	shortWork = 2 * tackclock.Second
+	// generation is how many releases a span looks back, at least.
+	generation = 64
+	// fresh is how old the last release of the lower classes may be for its
+	// time of service to say something about the next.
+	fresh = tackclock.Second
+	// settled is how long a class must have waited before its own rate of
+	// starts is believed.
+	settled = tackclock.Second / 2
+	// window is how long starts count in the rate of a class, at least.
+	window = 4 * tackclock.Second
+	// meanShare is the part of the newest release in the mean.
+	meanShare = 1.0 / 16
+)
+
+type (
+	// drain measures how fast slots come free.
+	drain struct {
+		// mean is the time of service in milliseconds, zero before the first
+		// release.
+		mean float64
+		all  span
+		// lower is the span of normal and batch requests, lowerLast when the
+		// last of them was released.
+		lower     span
+		lowerLast tackclock.Time
+		rates     [classes]rate
+	}
+
+	// span is the least and the largest time of service of the last releases,
+	// kept in two generations so that old ones fade.
+	span struct {
+		now, old extremes
+		full     bool
+	}
+
+	extremes struct {
+		count          int
+		least, largest tackclock.Duration
+	}
+
+	// rate counts the starts of a class since it began to wait.
+	rate struct {
+		since  tackclock.Time
+		starts float64
+	}
+)
+
+// start counts a start of the class.
+func (d *drain) start(now tackclock.Time, class tackid.Class) {
+	r := &d.rates[class]
+	if r.since == 0 {
+		return
+	}
+	r.starts++
+	if elapsed := now.Sub(r.since); elapsed > 2*window {
+		r.since = now.Add(-elapsed / 2)
+		r.starts /= 2
+	}
+}
+
+// backlog notes that the class begins to wait.
+func (d *drain) backlog(now tackclock.Time, class tackid.Class) {
+	d.rates[class] = rate{since: now}
+}
+
+// idle notes that none of the class waits any more.
+func (d *drain) idle(class tackid.Class) {
+	d.rates[class] = rate{}
+}
+
+// released learns the time of service of a request.
+func (d *drain) released(now tackclock.Time, e *entry) {
+	took := max(now.Sub(e.started), 0)
+	if d.mean == 0 {
+		d.mean = float64(took)
+	}
+	d.mean += meanShare * (float64(took) - d.mean)
+	d.all.add(took)
+	if e.Class != tackid.ClassUrgent {
+		d.lower.add(took)
+		d.lowerLast = now
+	}
+}
+
+// typical is the time of service to expect, zero if nothing is known.
+func (d *drain) typical() tackclock.Duration {
+	return tackclock.Duration(d.mean)
+}
+
+// shortest is the least time of service to expect.
+func (d *drain) shortest() tackclock.Duration {
+	if !d.all.full {
+		return 0
+	}
+	return min(d.all.now.least, d.all.old.least)
+}
+
+// short reports whether the request, of a lower class, will give its slot back
+// soon: its deadline says so, or all recent work of the lower classes did.
+func (d *drain) short(now tackclock.Time, r Request) bool {
+	if r.Deadline != 0 && r.Deadline.Sub(now) <= shortWork {
+		return true
+	}
+	if !d.lower.full || now.Sub(d.lowerLast) > fresh {
+		return false
+	}
+	return max(d.lower.now.largest, d.lower.old.largest) <= shortWork/2
+}
+
+// timeFor is how long the given number of starts of the class will take. The
+// class's own rate counts if it has been waiting for a while, since higher
+// classes may leave it only a part; else the mean time of service does.
+func (d *drain) timeFor(now tackclock.Time, starts int, class tackid.Class, capacity int) tackclock.Duration {
+	interval := d.mean / float64(max(capacity, 1))
+	r := &d.rates[class]
+	if elapsed := now.Sub(r.since); r.since != 0 && elapsed >= settled {
+		interval = float64(elapsed) / max(r.starts, 1)
+	}
+	return tackclock.Duration(interval * float64(starts))
+}
+
+func (s *span) add(took tackclock.Duration) {
+	e := &s.now
+	if e.count == 0 || took < e.least {
+		e.least = took
+	}
+	e.largest = max(e.largest, took)
+	e.count++
+	if e.count < generation {
+		return
+	}
+	s.old = s.now
+	s.now = extremes{least: took, largest: took}
+	s.full = true
+}
