--- /dev/null
+++ b/io/tackclient/client_test.go
@@ -0,0 +1,158 @@
+package tackclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"auburntack/core/tackclock"
+)
+
+// system stands in for the VMs of the system behind several entries: it
+// remembers command ids as the replicated log does.
+type system struct {
+	mu      sync.Mutex
+	effects map[string]int
+	ids     []string
+}
+
+// Symptom: an operator drains a VM once and the history shows two drains, or
+// the client reports a failure though the drain took effect.
+// Sequence: the first VM carries the command out and its connection breaks
+// before the answer; the client goes on to the second.
+// Cause: a client that draws a new id for each try, or that takes a lost
+// answer for a refusal.
+func TestDoSendsTheSameIDThroughTheNextEntry(t *testing.T) {
+	Convey("Given an entry that loses its answer and one that keeps it", t, func() {
+		s := &system{effects: make(map[string]int)}
+		lost := s.entry(t, func(w http.ResponseWriter) { panic(http.ErrAbortHandler) })
+		kept := s.entry(t, func(w http.ResponseWriter) {
+			fmt.Fprint(w, `{"accepted":true,"revision":7,"not_in_force":["brest-1"]}`)
+		})
+		c := newClient(t, lost, kept)
+		done, err := c.Do(t.Context(), Command{Text: "drain vm w-17"})
+		So(err, ShouldBeNil)
+		So(done.Revision, ShouldEqual, 7)
+		So(done.NotInForce, ShouldResemble, []peer{"brest-1"})
+		Convey("Then both got one id, and it took effect once", func() {
+			So(s.ids, ShouldHaveLength, 2)
+			So(s.ids[0], ShouldEqual, s.ids[1])
+			So(s.ids[0], ShouldNotBeEmpty)
+			So(s.effects, ShouldResemble, map[string]int{s.ids[0]: 1})
+		})
+	})
+}
+
+// Symptom: a script is told "nothing was done", sends the command under a new
+// id, and a wave starts twice.
+// Sequence: the first entry loses its answer, all others say did_not_run.
+// Cause: a client that reports the last answer and forgets the lost one.
+func TestDoKeepsAnUnknownOutcomeUnknown(t *testing.T) {
+	s := &system{effects: make(map[string]int)}
+	lost := s.entry(t, func(w http.ResponseWriter) { panic(http.ErrAbortHandler) })
+	none := answering(t, http.StatusServiceUnavailable, `{"error":{"code":"no_leader","message":"no majority","did_not_run":true}}`)
+	c := newClient(t, lost, none)
+	_, err := c.Do(t.Context(), Command{Text: "start wave tuesday", ID: "mine"})
+	var unknown *UnknownOutcomeError
+	if !errors.As(err, &unknown) || unknown.ID != "mine" {
+		t.Fatalf("error %v, want an *UnknownOutcomeError with id mine", err)
+	}
+}
+
+func TestAnswersBecomeTypedErrors(t *testing.T) {
+	closed := closedAddress(t)
+	tests := []struct {
+		name  string
+		entry string
+		want  error
+	}{
+		{"refused", answering(t, http.StatusConflict, `{"error":{"code":"budget","message":"names-api needs 7","did_not_run":true}}`),
+			&RefusedError{Code: "budget", Message: "names-api needs 7"}},
+		{"syntax", answering(t, http.StatusBadRequest, `{"error":{"code":"syntax","message":"got vn","line":1,"column":7,"expected":["vm","wave"]}}`),
+			&SyntaxError{Line: 1, Column: 7, Message: "got vn, expected vm or wave"}},
+		{"no majority", answering(t, http.StatusServiceUnavailable, `{"error":{"code":"no_leader","message":"no majority","did_not_run":true}}`),
+			&UnavailableError{Answered: true}},
+		{"timeout", answering(t, http.StatusGatewayTimeout, `{"error":{"code":"unknown","message":"no answer in time"}}`),
+			&UnknownOutcomeError{ID: "mine"}},
+		{"not JSON", answering(t, http.StatusOK, `<html>`), &UnknownOutcomeError{ID: "mine"}},
+		{"nobody", closed, &UnavailableError{Answered: false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newClient(t, test.entry)
+			_, err := c.Do(t.Context(), Command{Text: "x", ID: "mine"})
+			assertSameError(t, err, test.want)
+		})
+	}
+}
+
+// Symptom: `ask` shows an old state while a VM that knows better is listed
+// next.
+// Sequence: the first entry is cut off and answers unconfirmed.
+// Cause: a client that takes the first answer.
+func TestAskPrefersAConfirmedAnswer(t *testing.T) {
+	Convey("Given a cut-off entry and one with a lease", t, func() {
+		old := answering(t, http.StatusOK, `{"confirmed":false,"revision":3,"columns":["vm"],"rows":[["w-1"]]}`)
+		newest := answering(t, http.StatusOK, `{"confirmed":true,"revision":18446744073709551615,"columns":["vm"],"rows":[["w-2"]]}`)
+		a, err := newClient(t, old, newest).Ask(t.Context(), "show vms")
+		So(err, ShouldBeNil)
+		So(a.Revision, ShouldEqual, uint64(18446744073709551615))
+		a, err = newClient(t, old).Ask(t.Context(), "show vms")
+		So(err, ShouldBeNil)
+		So(a.Confirmed, ShouldBeFalse)
+	})
+}
+
+// entry starts an entry of the system that answers a command by answer.
+func (s *system) entry(t *testing.T, answer func(w http.ResponseWriter)) string {
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Auburntack-Command-Id")
+		s.mu.Lock()
+		s.ids = append(s.ids, id)
+		if s.effects[id] == 0 {
+			s.effects[id]++
+		}
+		s.mu.Unlock()
+		answer(w)
+	})
+}
+
+func answering(t *testing.T, status int, body string) string {
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	})
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newClient(t *testing.T, entries ...string) *Client {
+	return &Client{
+		Entries: entries,
+		pause:   func(context.Context, tackclock.Duration) error { return t.Context().Err() },
+	}
+}
+
+// closedAddress returns an address at which nobody listens.
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/io/tackserve/advice.go
@@ -0,0 +1,31 @@
+package tackserve
+
+import (
+	"errors"
+	"syscall"
+)
+
+// advices says what an operator can do about an error of the system.
+var advices = []struct {
+	cause  error
+	advice string
+}{
+	{syscall.EADDRINUSE, "stop the process that holds the port, or give another one under [listen]"},
+	{syscall.EADDRNOTAVAIL, "give an address of this machine under [listen]"},
+	{syscall.EACCES, "let the daemon's user write to state.folder and use the ports under [listen]"},
+	{syscall.EPERM, "let the daemon's user write to state.folder and use the ports under [listen]"},
+	{syscall.EROFS, "mount the file system of state.folder for writing"},
+	{syscall.ENOSPC, "make room on the file system of state.folder"},
+	{syscall.EIO, "replace the disk of state.folder; see docs/OPERATING.md on a lost disk"},
+	{syscall.ENOTDIR, "give a folder as state.folder"},
+}
+
+// advice returns what to do about err.
+func advice(err error) string {
+	for _, a := range advices {
+		if errors.Is(err, a.cause) {
+			return a.advice
+		}
+	}
+	return "see docs/OPERATING.md, then start the daemon again"
+}
--- /dev/null
+++ b/io/tackserve/serve.go
@@ -0,0 +1,199 @@
+// Package tackserve is the daemon's command line: it checks the settings,
+// runs one VM of the system and turns signals into a graceful stop.
+package tackserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"auburntack/io/tackbuild"
+	"auburntack/io/tacklog"
+	"auburntack/io/tacksettings"
+)
+
+const (
+	exitDone  = 0
+	exitFail  = 1
+	exitUsage = 2
+)
+
+type (
+	// Run serves by cfg until ctx ends and then stops gracefully.
+	Run func(ctx context.Context, cfg tacksettings.Settings, log *logrus.Logger) error
+
+	// Daemon is the command line of auburntackd. Its fields are what it needs
+	// of the process; Stdout and Stderr must be set.
+	Daemon struct {
+		Stdout  io.Writer
+		Stderr  io.Writer
+		Signals <-chan os.Signal // each asks to stop, the second at once
+		Run     Run
+	}
+
+	// exitError carries an exit code out of a command that has already said
+	// what there is to say.
+	exitError struct {
+		code int
+	}
+)
+
+// Error implements error.
+func (e *exitError) Error() string {
+	return fmt.Sprintf("exit code %d", e.code)
+}
+
+// Main runs the command that args name and returns the exit code.
+func (d *Daemon) Main(args []string) int {
+	root := d.command()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return exitDone
+	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	fmt.Fprintf(d.Stderr, "auburntackd: %v\n", err)
+	return exitUsage
+}
+
+func (d *Daemon) command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "auburntackd",
+		Short:         "One VM of auburntack",
+		Long:          "auburntackd runs one VM of auburntack: it takes callers' requests to backend servers\nand carries pools of VMs through maintenance.",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetOut(d.Stdout)
+	root.SetErr(d.Stderr)
+	root.AddCommand(d.serveCommand(), d.checkCommand(), d.settingsCommand(), d.versionCommand())
+	return root
+}
+
+func (d *Daemon) serveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "serve --config FILE",
+		Short:   "Serve until SIGTERM or SIGINT",
+		Long:    "serve runs until SIGTERM or SIGINT, then stops gracefully and exits with 0.\nA second signal, or stop.deadline_ms, ends it with exit code 1.",
+		Example: "  auburntackd serve --config /etc/auburntack/rennes-a-1.ini",
+		Args:    cobra.NoArgs,
+		RunE:    func(*cobra.Command, []string) error { return d.serve(file) },
+	}
+	requireConfig(c, &file)
+	return c
+}
+
+func (d *Daemon) checkCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "check --config FILE",
+		Short:   "Check the settings and print every problem",
+		Long:    "check reads the settings and prints every problem, one a line. It exits with 2 if there\nis one, and says nothing otherwise.",
+		Example: "  auburntackd check --config /etc/auburntack/rennes-a-1.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			_, err := d.load(file, d.Stdout)
+			return err
+		},
+	}
+	requireConfig(c, &file)
+	return c
+}
+
+func (d *Daemon) settingsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "settings",
+		Short:   "Print every setting with unit, default and range",
+		Example: "  auburntackd settings",
+		Args:    cobra.NoArgs,
+		RunE:    func(*cobra.Command, []string) error { return tacksettings.WritePage(d.Stdout) },
+	}
+}
+
+func (d *Daemon) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  auburntackd version",
+		Args:    cobra.NoArgs,
+		Run:     func(*cobra.Command, []string) { fmt.Fprintln(d.Stdout, tackbuild.Version("auburntackd")) },
+	}
+}
+
+func requireConfig(c *cobra.Command, file *string) {
+	c.Flags().StringVar(file, "config", "", "settings file (INI)")
+	if err := c.MarkFlagRequired("config"); err != nil {
+		panic(err) // the flag was defined on the line before
+	}
+}
+
+// load reads the settings and prints what is wrong with them to w.
+func (d *Daemon) load(file string, w io.Writer) (tacksettings.Settings, error) {
+	cfg, err := tacksettings.Load(file)
+	if err != nil {
+		fmt.Fprintln(w, err)
+		return cfg, &exitError{code: exitUsage}
+	}
+	return cfg, nil
+}
+
+func (d *Daemon) serve(file string) error {
+	cfg, err := d.load(file, d.Stderr)
+	if err != nil {
+		return err
+	}
+	log := tacklog.New(cfg.Log, cfg.VM.ID, d.Stderr)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx, cfg, log) }()
+	select {
+	case err := <-ended:
+		return d.endedByItself(log, err)
+	case s := <-d.Signals:
+		log.WithField("signal", s.String()).Info("stopping")
+		cancel()
+	}
+	return d.awaitStop(cfg, log, ended)
+}
+
+// endedByItself reports a Run that came back without being asked to.
+func (d *Daemon) endedByItself(log *logrus.Logger, err error) error {
+	if err == nil {
+		err = errors.New("the daemon ended without being asked to")
+	}
+	log.WithField("advice", advice(err)).Errorf("cannot go on: %v", err)
+	return &exitError{code: exitFail}
+}
+
+// awaitStop waits for the graceful stop. A stop that hangs, on a caller that
+// reads its answer too slowly or on a disk that no longer answers, would
+// keep the VM from being rebooted for ever; the deadline and the second
+// signal end it.
+func (d *Daemon) awaitStop(cfg tacksettings.Settings, log *logrus.Logger, ended <-chan error) error {
+	deadline := time.NewTimer(cfg.Stop.Deadline.Std())
+	defer deadline.Stop()
+	select {
+	case err := <-ended:
+		if err == nil || errors.Is(err, context.Canceled) {
+			log.Info("stopped")
+			return nil
+		}
+		log.Errorf("stop failed: %v", err)
+	case s := <-d.Signals:
+		log.WithField("signal", s.String()).Error("stopped at once by a second signal; work may have been cut")
+	case <-deadline.C:
+		log.WithField("deadline", cfg.Stop.Deadline.String()).Error("stopped by the deadline; work may have been cut")
+	}
+	return &exitError{code: exitFail}
+}
--- /dev/null
+++ b/io/tacksettings/page.go
@@ -0,0 +1,91 @@
+package tacksettings
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// pageHead opens the page of settings.
+const pageHead = `# Settings
+
+Generated from the table in io/tacksettings by ` + "`go test ./io/tacksettings -update`" + `; don't edit by hand.
+
+A daemon reads one INI file, given by ` + "`--config`" + `. ` + "`auburntackd check --config FILE`" + ` lists every problem
+at once. A comment begins with ` + "`;` or `#`" + `, on a line of its own or after a value and a space; a value
+that holds either is put in double quotes. A key or section that is not listed here is a problem, and so is one
+given twice. Settings are read at the start; to change one, restart the VM.
+
+Addresses are IP numbers with a port: a host name would have to be looked up at the very moment at which the
+network may be cut. Where a section's keys all have defaults, the section may be left out.
+
+Any number of replicas is accepted. Use 3 or 5, spread so that the loss of one data centre leaves a majority: an
+even number tolerates no more losses than the odd one below it, and with 1 or 2 the loss of one stops every change.
+`
+
+// pageTail closes the page.
+const pageTail = `
+## What must fit together
+
+- A replica needs a ` + "`state.folder`" + `.
+- Each ` + "`[peer.ID]`" + ` is another VM, with an address that no other VM has.
+- The three ` + "`[listen]`" + ` addresses are different.
+- ` + "`replica.lease_ms`" + ` is below ` + "`replica.election_ms`" + ` and at least twice ` + "`replica.heartbeat_ms`" + `; all
+  three are the same on every VM.
+- ` + "`stop.linger_ms`" + ` is below ` + "`stop.deadline_ms`" + `.
+- ` + "`caller.body_limit_bytes`" + ` is at most ` + "`caller.buffer_limit_bytes`" + `.
+`
+
+// WritePage writes every setting with its unit, default and range, in
+// Markdown. docs/SETTINGS.md is this page.
+func WritePage(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString(pageHead)
+	section := ""
+	for i := range table {
+		e := &table[i]
+		if e.section != section {
+			section = e.section
+			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | allowed | what it does |\n| --- | --- | --- | --- | --- |\n", title(section))
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", e.key, e.unit(), e.defaultText(), e.rangeText(), e.doc)
+	}
+	b.WriteString(pageTail)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func title(section string) string {
+	if section == peerSection {
+		return peerSection + ".ID"
+	}
+	return section
+}
+
+func (e *entry) unit() string {
+	switch e.kind {
+	case kindMillis:
+		return "ms"
+	case kindBytes:
+		return "bytes"
+	case kindPercent:
+		return "percent"
+	default:
+		return "-"
+	}
+}
+
+func (e *entry) defaultText() string {
+	switch {
+	case e.must:
+		return "must be given"
+	case e.initial == "":
+		return "left out"
+	default:
+		return "`" + e.initial + "`"
+	}
+}
+
+func (e *entry) rangeText() string {
+	return strings.TrimPrefix(e.allowed(), "allowed is ")
+}
--- /dev/null
+++ b/io/tacksettings/settings.go
@@ -0,0 +1,157 @@
+// Package tacksettings reads the settings of one VM of the system from an
+// INI file. Every setting is typed and checked before the daemon opens
+// anything, and every problem is reported at once.
+package tacksettings
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	// PreferBuffer makes waves save buffer VMs at the cost of time.
+	PreferBuffer Preference = "buffer"
+	// PreferTime makes waves end early at the cost of buffer VMs.
+	PreferTime Preference = "time"
+)
+
+const (
+	// LogText writes a log line as key=value pairs.
+	LogText LogFormat = "text"
+	// LogJSON writes a log line as a JSON object.
+	LogJSON LogFormat = "json"
+)
+
+type (
+	// Settings is all that a daemon is told by its file. Durations are in
+	// milliseconds, sizes in bytes. Default returns it with every default.
+	Settings struct {
+		VM       VM
+		Listen   Listen
+		State    State
+		Peers    []Peer
+		Platform Platform
+		Wave     Wave
+		Stop     Stop
+		Log      Log
+		Replica  Replica
+		Caller   Caller
+		Burn     Burn
+	}
+
+	// VM says which VM of the system this one is.
+	VM struct {
+		ID         tackid.Peer
+		DataCentre tackid.DataCentre
+	}
+
+	// Listen holds the addresses to listen on, each an IP number with a port.
+	Listen struct {
+		Caller   string
+		Operator string
+		Peer     string
+	}
+
+	// State says where the VM keeps what must survive it. Folder is empty on
+	// a VM without a disk; Replica says that the VM votes, which needs one.
+	State struct {
+		Folder  string
+		Replica bool
+	}
+
+	// Peer is another VM of the system.
+	Peer struct {
+		ID         tackid.Peer
+		DataCentre tackid.DataCentre
+		Address    string
+		Replica    bool
+	}
+
+	// Platform says where the platform answers. With an empty Address,
+	// maintenance is recorded and not carried out.
+	Platform struct {
+		Address string
+	}
+
+	// Preference is what a wave saves first.
+	Preference string
+
+	// Wave holds the tunables of maintenance waves. NightEnds is a time of
+	// day in UTC as HH:MM, or empty where no hour binds.
+	Wave struct {
+		Settle         tackclock.Duration
+		DrainLimit     tackclock.Duration
+		OperationLimit tackclock.Duration
+		Reboot         tackclock.Duration
+		Prefer         Preference
+		NightEnds      string
+		Canary         int
+		MaxLost        int
+	}
+
+	// Stop holds the times of a graceful stop.
+	Stop struct {
+		Linger   tackclock.Duration
+		Deadline tackclock.Duration
+	}
+
+	// LogFormat is the form of a log line.
+	LogFormat string
+
+	// Log says what is logged and how. Level is a logrus level's name.
+	Log struct {
+		Level  string
+		Format LogFormat
+	}
+
+	// Replica holds the times of the replicated log.
+	Replica struct {
+		Heartbeat tackclock.Duration
+		Election  tackclock.Duration
+		Lease     tackclock.Duration
+	}
+
+	// Caller bounds what one request and all requests together may take.
+	// Limits are in bytes, QueueLimit in requests a service.
+	Caller struct {
+		BodyLimit      int64
+		BufferLimit    int64
+		HeaderLimit    int64
+		HeaderTimeout  tackclock.Duration
+		BodyTimeout    tackclock.Duration
+		DefaultTimeout tackclock.Duration
+		QueueLimit     int
+	}
+
+	// Burn holds the service-level objective: the percentage of requests
+	// that must be answered well and on time. LabelLimit bounds the labels
+	// counted apart for one service.
+	Burn struct {
+		Objective  float64
+		LabelLimit int
+	}
+)
+
+// Default returns the settings with every default and nothing else.
+func Default() Settings {
+	var s Settings
+	for i := range table {
+		e := &table[i]
+		if e.section != peerSection && e.initial != "" {
+			_ = e.parse(e.initial, e.field(&s, nil)) // a test holds that every default parses
+		}
+	}
+	return s
+}
+
+// Load reads and checks file. The error is a *ProblemsError that lists every
+// problem found.
+func Load(file string) (Settings, error) {
+	r := reader{settings: Default()}
+	r.read(file)
+	r.checkTogether()
+	if len(r.problems) > 0 {
+		return Settings{}, &ProblemsError{File: file, Problems: r.problems}
+	}
+	return r.settings, nil
+}
