--- a/core/tackfleet/change.go
+++ b/core/tackfleet/change.go
@@ -35,7 +35,10 @@
 
 	// Change is what one log entry asks of the fleet: exactly one of Command,
 	// which an operator gave, and the others, which the leader proposes from
-	// what it sees.
+	// what it sees. A WaveStep takes all of its VMs or none. Of the lists,
+	// each item stands for itself: one that no longer fits, because a command
+	// came first, is passed over and counted by Result.PassedOver, and the
+	// change is refused only if none took effect.
 	Change struct {
 		ID      tackid.CommandID     `cbor:"1,keyasint,omitempty"`
 		Expect  tackid.Revision      `cbor:"2,keyasint,omitempty"`
@@ -97,9 +100,10 @@
 	// stands; for a command that was sent before, it is the first one's.
 	// Refused is nil for an accepted change.
 	Result struct {
-		Revision tackid.Revision
-		Repeated bool
-		Refused  *RefusedError
+		Revision   tackid.Revision
+		Repeated   bool
+		Refused    *RefusedError
+		PassedOver int
 	}
 
 	// RefusedError says why a change was refused. Nothing was done.
--- a/core/tackfleet/model.go
+++ b/core/tackfleet/model.go
@@ -1,6 +1,7 @@
 package tackfleet
 
 import (
+	"auburntack/core/tackbudget"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -133,9 +134,13 @@
 		Wave tackid.Wave `cbor:"11,keyasint,omitempty"`
 		// MovingTo is the pool that the VM joins once it is fenced.
 		MovingTo tackid.Pool `cbor:"12,keyasint,omitempty"`
-		// Touched is the revision that changed the VM last, Fence the
-		// revision at which it last stopped being routable: once every peer
-		// has applied Fence, or lost its lease, nothing new reaches the VM.
+		// Touched is the revision of the last decision about the VM: a
+		// command, a wave that took it or gave it back, a join. Observations
+		// and the progress of what was decided do not count, so they never
+		// make an operator's expected revision stale.
+		// Fence is the revision at which the VM last stopped being routable:
+		// once every peer has applied it, or lost its lease, nothing new
+		// reaches the VM.
 		Touched tackid.Revision `cbor:"13,keyasint,omitempty"`
 		Fence   tackid.Revision `cbor:"14,keyasint,omitempty"`
 		// Accelerators is the number of accelerators of the worker.
@@ -157,12 +162,10 @@
 		Touched tackid.Revision `cbor:"4,keyasint,omitempty"`
 	}
 
-	// Budget is a minimum of available VMs, as a number or as a percentage of
-	// the pool rounded up. The zero value asks for nothing.
-	Budget struct {
-		MinAvailable int  `cbor:"1,keyasint,omitempty"`
-		Percent      bool `cbor:"2,keyasint,omitempty"`
-	}
+	// Budget is a minimum of available VMs, see tackbudget. It is a wish: one
+	// above what is available now is accepted, and then nothing further may
+	// be taken out of service until more VMs serve.
+	Budget = tackbudget.Budget
 
 	// Quota bounds what a team may hold at once. Zero means no bound.
 	Quota struct {
--- /dev/null
+++ b/core/tackfleet/phase.go
@@ -0,0 +1,93 @@
+package tackfleet
+
+import (
+	"slices"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+// nextPhases lists the phases that may follow each phase. A VM that falls
+// silent while it settles is awaited again; an operation that has to be asked
+// for again under a new id stays in its phase.
+var nextPhases = [...][]Phase{
+	PhaseWaiting:   {PhaseSkipped},
+	PhaseDraining:  {PhaseOperating, PhaseWaiting, PhaseFailed},
+	PhaseOperating: {PhaseOperating, PhaseReturning, PhaseFailed},
+	PhaseReturning: {PhaseSettling, PhaseFailed},
+	PhaseSettling:  {PhaseDone, PhaseReturning, PhaseFailed},
+	PhaseDone:      nil,
+	PhaseFailed:    nil,
+	PhaseSkipped:   nil,
+}
+
+// leadsTo reports whether a WavePhase may take a VM from p to next.
+func (p Phase) leadsTo(next Phase) bool {
+	return int(p) < len(nextPhases) && slices.Contains(nextPhases[p], next)
+}
+
+// ended reports whether the wave is through with a VM in this phase.
+func (p Phase) ended() bool {
+	return p == PhaseDone || p == PhaseFailed || p == PhaseSkipped
+}
+
+// out reports whether a VM in this phase is out of service.
+func (p Phase) out() bool {
+	return p == PhaseDraining || p == PhaseOperating || p == PhaseReturning
+}
+
+// enter changes the phase.
+func (m *WaveVM) enter(phase Phase, now tackclock.Time) {
+	m.Phase = phase
+	m.Since = now
+}
+
+// Out returns how many VMs the wave has out of service.
+func (w *Wave) Out() int {
+	n := 0
+	for i := range w.VMs {
+		if w.VMs[i].Phase.out() {
+			n++
+		}
+	}
+	return n
+}
+
+// Holding returns how many VMs the wave holds: those that are out of service
+// and those that settle.
+func (w *Wave) Holding() int {
+	n := w.Out()
+	for i := range w.VMs {
+		if w.VMs[i].Phase == PhaseSettling {
+			n++
+		}
+	}
+	return n
+}
+
+// member returns the wave's record of a VM, or nil. The records are sorted.
+func (w *Wave) member(id tackid.VM) *WaveVM {
+	i, found := slices.BinarySearchFunc(w.VMs, id, func(m WaveVM, id tackid.VM) int {
+		switch {
+		case m.VM < id:
+			return -1
+		case m.VM > id:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return nil
+	}
+	return &w.VMs[i]
+}
+
+// ended reports whether nothing further is started in the wave.
+func (w *Wave) ended() bool {
+	return w.Status == WaveFinished || w.Status == WaveCancelled
+}
+
+// ended reports whether the task needs nothing more by itself.
+func (t *Task) ended() bool {
+	return t.State != TaskQueued && t.State != TaskRunning
+}
--- /dev/null
+++ b/core/tackfleet/query.go
@@ -0,0 +1,140 @@
+package tackfleet
+
+import (
+	"iter"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+// Revision returns the revision of the last change that was applied.
+func (s *State) Revision() tackid.Revision {
+	return s.revision
+}
+
+// Now returns the time of the last change that was applied.
+func (s *State) Now() tackclock.Time {
+	return s.now
+}
+
+// VM returns one VM and whether there is such a VM.
+func (s *State) VM(id tackid.VM) (VM, bool) {
+	return valueOf(s.vms.Get(id))
+}
+
+// VMs returns every VM, sorted by id.
+func (s *State) VMs() []VM {
+	return s.vms.Values()
+}
+
+// EachVM ranges over every VM, sorted by id, without copying them all.
+func (s *State) EachVM() iter.Seq[*VM] {
+	return func(yield func(*VM) bool) {
+		for _, v := range s.vms.All() {
+			if !yield(v) {
+				return
+			}
+		}
+	}
+}
+
+// VMsOf returns the VMs of a pool, sorted by id. A VM that is moving away is
+// still among them; one that is moving in is not.
+func (s *State) VMsOf(pool tackid.Pool) []VM {
+	ids := s.members[pool]
+	vms := make([]VM, 0, len(ids))
+	for _, id := range ids {
+		vms = append(vms, *s.vms.Get(id))
+	}
+	return vms
+}
+
+// Pool returns one pool and whether there is such a pool.
+func (s *State) Pool(id tackid.Pool) (Pool, bool) {
+	return valueOf(s.pools.Get(id))
+}
+
+// Pools returns every pool, sorted by id.
+func (s *State) Pools() []Pool {
+	return s.pools.Values()
+}
+
+// Service returns one service and whether there is such a service.
+func (s *State) Service(id tackid.Service) (Service, bool) {
+	return valueOf(s.services.Get(id))
+}
+
+// Services returns every service, sorted by id.
+func (s *State) Services() []Service {
+	return s.services.Values()
+}
+
+// ServicesOn returns the services that are placed on a pool, sorted by id.
+func (s *State) ServicesOn(pool tackid.Pool) []Service {
+	var services []Service
+	for _, v := range s.services.All() {
+		if v.Pool == pool {
+			services = append(services, *v)
+		}
+	}
+	return services
+}
+
+// Quota returns the quota of a team and whether one was set.
+func (s *State) Quota(team tackid.Team) (Quota, bool) {
+	return valueOf(s.quotas.Get(team))
+}
+
+// Quotas returns every quota, sorted by team.
+func (s *State) Quotas() []Quota {
+	return s.quotas.Values()
+}
+
+// Setting returns the value of a configuration key and whether it was set.
+func (s *State) Setting(key string) (Setting, bool) {
+	return valueOf(s.settings.Get(key))
+}
+
+// Settings returns every setting, sorted by key.
+func (s *State) Settings() []Setting {
+	return s.settings.Values()
+}
+
+// Wave returns one wave and whether there is such a wave.
+func (s *State) Wave(id tackid.Wave) (Wave, bool) {
+	return valueOf(s.waves.Get(id))
+}
+
+// Waves returns every wave, sorted by id.
+func (s *State) Waves() []Wave {
+	return s.waves.Values()
+}
+
+// Task returns one task and whether there is such a task.
+func (s *State) Task(id tackid.Task) (Task, bool) {
+	return valueOf(s.tasks.Get(id))
+}
+
+// Tasks returns every task, sorted by id.
+func (s *State) Tasks() []Task {
+	return s.tasks.Values()
+}
+
+// RunningOn returns how many tasks run on a worker.
+func (s *State) RunningOn(worker tackid.VM) int {
+	return s.running[worker]
+}
+
+// CoresOf returns how many cores the team's running tasks hold.
+func (s *State) CoresOf(team tackid.Team) int {
+	return s.cores[team]
+}
+
+// valueOf returns a copy of a row and whether there was one.
+func valueOf[V any](row *V) (V, bool) {
+	if row == nil {
+		var zero V
+		return zero, false
+	}
+	return *row, true
+}
--- /dev/null
+++ b/core/tacksyntax/language.go
@@ -0,0 +1,178 @@
+// Package tacksyntax is what the command and the query language have in
+// common: words and quoted text, numbers, and errors that say where a text
+// went wrong and what could have stood there.
+package tacksyntax
+
+import (
+	"errors"
+	"regexp"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+const (
+	// endOfText is what an error expects where nothing further may follow.
+	endOfText = "the end of the text"
+	// closingQuote is what an error expects after an opening quote.
+	closingQuote = "a closing quote"
+	// anyWord is a word that no grammar has as a keyword.
+	anyWord = "any-word"
+)
+
+type (
+	// Language reads texts by the grammar G, a struct with participle's tags.
+	Language[G any] struct {
+		parser   *participle.Parser[G]
+		keywords []string
+	}
+
+	// probe is a token that is tried where a text went wrong.
+	probe struct {
+		text string
+		name string
+	}
+)
+
+var (
+	keywordPattern = regexp.MustCompile(`"([a-z_=]+)"`)
+
+	// valueProbes stand for what is not a keyword, the widest first.
+	valueProbes = []probe{
+		{text: `"x"`, name: "a name"},
+		{text: `1`, name: "a number"},
+		{text: `1%`, name: "a percentage"},
+	}
+)
+
+// New returns the language of the grammar G. Words are split at white space
+// and at the separators, each of which is a word of its own. It panics if the
+// grammar is not a valid one.
+func New[G any](separators string) *Language[G] {
+	class := regexp.QuoteMeta(separators)
+	rules := []lexer.SimpleRule{
+		{Name: "Space", Pattern: `\s+`},
+		{Name: "Quoted", Pattern: `"(\\.|[^"\\])*"`},
+		{Name: "Word", Pattern: `[^\s"` + class + `]+`},
+	}
+	if separators != "" {
+		rules = append(rules, lexer.SimpleRule{Name: "Separator", Pattern: `[` + class + `]`})
+	}
+	parser := participle.MustBuild[G](
+		participle.Lexer(lexer.MustSimple(rules)),
+		participle.Elide("Space"),
+		participle.CaseInsensitive("Word"),
+		participle.UseLookahead(2),
+	)
+	return &Language[G]{parser: parser, keywords: keywordsOf(parser.String())}
+}
+
+// keywordsOf returns the keywords of a grammar in EBNF.
+func keywordsOf(ebnf string) []string {
+	var keywords []string
+	for _, match := range keywordPattern.FindAllStringSubmatch(ebnf, -1) {
+		keywords = append(keywords, match[1])
+	}
+	slices.Sort(keywords)
+	return slices.Compact(keywords)
+}
+
+// Parse reads a text. The error is an *Error.
+func (l *Language[G]) Parse(text string) (*G, error) {
+	g, err := l.parser.ParseString("", text)
+	if err == nil {
+		return g, nil
+	}
+	return nil, l.explain(text, err)
+}
+
+// explain turns an error of the parser into one that lists what could have
+// stood where the text went wrong.
+func (l *Language[G]) explain(text string, err error) *Error {
+	var positioned participle.Error
+	if !errors.As(err, &positioned) {
+		return &Error{Line: 1, Column: 1, Expected: []string{endOfText}}
+	}
+	pos := skipSpace(text, positioned.Position())
+	e := &Error{Line: pos.Line, Column: pos.Column, Got: firstWord(text[pos.Offset:])}
+	var broken *lexer.Error
+	if errors.As(err, &broken) {
+		e.Expected = []string{closingQuote}
+		return e
+	}
+	e.Expected = l.expected(text[:pos.Offset])
+	return e
+}
+
+// expected returns what may follow a text that is right as far as it goes. It
+// tries every keyword: one that may follow lets the parser get beyond it.
+// Where any word may follow, the keywords are only some of them.
+func (l *Language[G]) expected(prefix string) []string {
+	var expected []string
+	if !l.follows(prefix, anyWord) {
+		expected = l.following(prefix)
+	}
+	for _, p := range valueProbes {
+		if l.follows(prefix, p.text) {
+			expected = append(expected, p.name)
+			break
+		}
+	}
+	if _, err := l.parser.ParseString("", prefix); err == nil {
+		expected = append(expected, endOfText)
+	}
+	return expected
+}
+
+// following returns the keywords that may follow the prefix.
+func (l *Language[G]) following(prefix string) []string {
+	var keywords []string
+	for _, k := range l.keywords {
+		if l.follows(prefix, k) {
+			keywords = append(keywords, k)
+		}
+	}
+	return keywords
+}
+
+// follows reports whether a token may follow the prefix.
+func (l *Language[G]) follows(prefix, token string) bool {
+	_, err := l.parser.ParseString("", prefix+" "+token)
+	if err == nil {
+		return true
+	}
+	var positioned participle.Error
+	if !errors.As(err, &positioned) {
+		return false
+	}
+	return positioned.Position().Offset > len(prefix)+1
+}
+
+// skipSpace moves a position beyond the white space that it is at.
+func skipSpace(text string, pos lexer.Position) lexer.Position {
+	pos.Offset = min(pos.Offset, len(text))
+	for _, r := range text[pos.Offset:] {
+		if !unicode.IsSpace(r) {
+			break
+		}
+		pos.Offset += utf8.RuneLen(r)
+		pos.Column++
+		if r == '\n' {
+			pos.Line++
+			pos.Column = 1
+		}
+	}
+	return pos
+}
+
+// firstWord returns the text up to the first white space.
+func firstWord(text string) string {
+	if i := strings.IndexFunc(text, unicode.IsSpace); i >= 0 {
+		return text[:i]
+	}
+	return text
+}
--- /dev/null
+++ b/core/tacktable/table.go
@@ -0,0 +1,71 @@
+// Package tacktable holds the tables that a replicated state machine is made
+// of: one sorted by key, so that it is listed and encoded in the same order
+// on every peer, and one whose rows end by age and by number.
+package tacktable
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// Table keeps one row for each key and lists them in the order of the keys.
+// Its zero value is an empty table. A key that is met for the first time
+// costs a shift of the keys that follow it; everything else is a look-up.
+type Table[K cmp.Ordered, V any] struct {
+	rows map[K]*V
+	keys []K
+}
+
+// Get returns the row of k, or nil. The row may be changed in place.
+func (t *Table[K, V]) Get(k K) *V {
+	return t.rows[k]
+}
+
+// Put sets the row of k and returns it.
+func (t *Table[K, V]) Put(k K, v V) *V {
+	if t.rows == nil {
+		t.rows = make(map[K]*V)
+	}
+	if i, found := slices.BinarySearch(t.keys, k); !found {
+		t.keys = slices.Insert(t.keys, i, k)
+	}
+	t.rows[k] = &v
+	return &v
+}
+
+// Delete removes the row of k, if there is one.
+func (t *Table[K, V]) Delete(k K) {
+	i, found := slices.BinarySearch(t.keys, k)
+	if !found {
+		return
+	}
+	t.keys = slices.Delete(t.keys, i, i+1)
+	delete(t.rows, k)
+}
+
+// Len returns the number of rows.
+func (t *Table[K, V]) Len() int {
+	return len(t.keys)
+}
+
+// All ranges over the rows in the order of their keys. No row may be put or
+// deleted meanwhile.
+func (t *Table[K, V]) All() iter.Seq2[K, *V] {
+	return func(yield func(K, *V) bool) {
+		for _, k := range t.keys {
+			if !yield(k, t.rows[k]) {
+				return
+			}
+		}
+	}
+}
+
+// Values returns a copy of every row in the order of their keys.
+func (t *Table[K, V]) Values() []V {
+	values := make([]V, 0, len(t.keys))
+	for _, k := range t.keys {
+		values = append(values, *t.rows[k])
+	}
+	return values
+}
