--- a/core/tackbudget/budget.go
+++ b/core/tackbudget/budget.go
@@ -3,6 +3,8 @@
 // the planner and an explanation to an operator all use the same rule.
 package tackbudget
 
+import "strconv"
+
 type (
 	// Budget is a minimum of available VMs, as a number or as a percentage of
 	// the pool rounded up. The zero value asks for nothing.
@@ -32,6 +34,14 @@
 	}
 )
 
+// String returns the budget as it is set, such as 3 or 80%.
+func (b Budget) String() string {
+	if b.Percent {
+		return strconv.Itoa(b.MinAvailable) + "%"
+	}
+	return strconv.Itoa(b.MinAvailable)
+}
+
 // Add counts one more VM of the pool.
 func (c *Count) Add(s Standing) {
 	c.Total++
--- a/core/tackfleet/phase.go
+++ b/core/tackfleet/phase.go
@@ -65,6 +65,11 @@
 	return n
 }
 
+// Member returns the VM's way through the wave and whether it is part of it.
+func (w *Wave) Member(id tackid.VM) (WaveVM, bool) {
+	return valueOf(w.member(id))
+}
+
 // member returns the wave's record of a VM, or nil. The records are sorted.
 func (w *Wave) member(id tackid.VM) *WaveVM {
 	i, found := slices.BinarySearchFunc(w.VMs, id, func(m WaveVM, id tackid.VM) int {
