--- /dev/null
+++ b/core/tackwave/world_test.go
@@ -0,0 +1,327 @@
+package tackwave
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackcommand"
+	"auburntack/core/tackfleet"
+	"auburntack/core/tackid"
+)
+
+const never = tackclock.Time(1 << 60)
+
+type (
+	// faults are the chances of what goes wrong; zero is a quiet world.
+	faults struct {
+		loss    float64 // per VM and tick: lost for some minutes
+		second  float64 // per repair: lost again soon after
+		breaks  float64 // per operation: the VM does not come back
+		refused float64 // per operation: the platform says that it failed
+		mute    float64 // per question: the platform's answer is lost
+		restart float64 // per tick: the leader changes between two changes
+		busy    float64 // per drain: work that outlasts the drain limit
+	}
+
+	machine struct {
+		dc       tackid.DataCentre
+		rack     tackid.Rack
+		from, to tackclock.Time // down in between
+		work     map[tackid.Revision]tackclock.Time
+		op       tackid.Operation
+		ends     tackclock.Time
+		failed   bool
+		runs     map[tackid.Wave]int // operations that ended well
+	}
+
+	// world is a fleet and its platform on a model clock. It applies what
+	// the planner decides and checks each change by rules of its own.
+	world struct {
+		faults
+		now      tackclock.Time
+		step     tackclock.Duration
+		rev      tackid.Revision
+		f        *tackfleet.State
+		rng      *rand.Rand
+		cfg      Settings
+		planner  *Planner
+		baseline func(w *world, d Decision) Decision
+		record   bool // no platform
+		machines map[tackid.VM]*machine
+		ids      []tackid.VM
+		budgets  map[tackid.Service]tackfleet.Budget
+		pools    map[tackid.Service]tackid.Pool
+		wrong    []string
+		peak     int // VMs out of service at once
+		drains   int
+		breaches int                // changes of ours that broke a budget
+		short    tackclock.Duration // time some service was below its budget
+	}
+)
+
+func newWorld(seed uint64) *world {
+	return &world{
+		now: 1_800_000_000_000, step: 5 * tackclock.Second, f: &tackfleet.State{}, planner: &Planner{},
+		rng: rand.New(rand.NewPCG(seed, 7)), machines: map[tackid.VM]*machine{},
+		budgets: map[tackid.Service]tackfleet.Budget{}, pools: map[tackid.Service]tackid.Pool{},
+	}
+}
+
+// addPool makes a pool of n VMs over the data centres, four to a rack, with
+// one service on it. An unguarded pool's budget is known to the checker only.
+func (w *world) addPool(name string, n, dcs int, b tackfleet.Budget, guarded bool) {
+	pool, service := tackid.Pool(name), tackid.Service(name)
+	w.do(tackcommand.Command{CreatePool: &tackcommand.CreatePool{Pool: pool}})
+	w.do(tackcommand.Command{CreateService: &tackcommand.CreateService{Service: service, Pool: pool}})
+	if guarded {
+		w.do(tackcommand.Command{SetBudget: &tackcommand.SetBudget{Service: service, MinAvailable: b.MinAvailable, Percent: b.Percent}})
+	}
+	w.budgets[service], w.pools[service] = b, pool
+	for i := range n {
+		id := tackid.VM(fmt.Sprintf("%s-%03d", name, i))
+		w.do(tackcommand.Command{AddVM: &tackcommand.AddVM{VM: id, Pool: pool}})
+		w.ids = append(w.ids, id)
+		w.machines[id] = &machine{
+			dc:   tackid.DataCentre(fmt.Sprintf("dc%d", i%dcs)),
+			rack: tackid.Rack(fmt.Sprintf("%s-r%d", name, i/dcs/4)),
+			work: map[tackid.Revision]tackclock.Time{}, runs: map[tackid.Wave]int{},
+		}
+	}
+	w.observe()
+}
+
+func (w *world) startWave(wave, pool string, action tackfleet.Action, parallel int) {
+	w.do(tackcommand.Command{CreateWave: &tackcommand.CreateWave{
+		Wave: tackid.Wave(wave), Pool: tackid.Pool(pool), Action: string(action), MaxParallel: parallel}})
+	w.change(wave, tackcommand.WaveStart)
+}
+
+func (w *world) change(wave string, c tackcommand.WaveChange) {
+	w.do(tackcommand.Command{ChangeWave: &tackcommand.ChangeWave{Wave: tackid.Wave(wave), Change: c}})
+}
+
+func (w *world) do(c tackcommand.Command) *tackfleet.RefusedError {
+	return w.apply(tackfleet.Change{Command: &c})
+}
+
+// apply applies a change and counts it as a breach if a service that had
+// enough VMs, or too few already, has fewer than its budget by it.
+func (w *world) apply(c tackfleet.Change) *tackfleet.RefusedError {
+	ours := len(c.Observe) == 0 && (c.Command == nil || c.Command.SetBudget == nil)
+	before := w.serving()
+	w.rev++
+	refused := w.f.Apply(w.rev, w.now, c).Refused
+	after := w.serving()
+	for s, n := range after {
+		if ours && n < before[s] && n < w.required(s) {
+			w.breaches++
+		}
+	}
+	if c.WaveStep != nil && refused == nil {
+		w.drains += len(c.WaveStep.VMs)
+	}
+	return refused
+}
+
+// serving counts each service's VMs that may get work and are up.
+func (w *world) serving() map[tackid.Service]int {
+	pools := make(map[tackid.Pool]int)
+	for vm := range w.f.EachVM() {
+		routable := vm.State == tackfleet.VMInService || vm.State == tackfleet.VMSettling
+		if routable && vm.Health == tackfleet.HealthServing {
+			pools[vm.Pool]++
+		}
+	}
+	n := make(map[tackid.Service]int)
+	for s, pool := range w.pools {
+		n[s] = pools[pool]
+	}
+	return n
+}
+
+func (w *world) required(s tackid.Service) int {
+	b, total := w.budgets[s], 0
+	if !b.Percent {
+		return b.MinAvailable
+	}
+	for vm := range w.f.EachVM() {
+		if vm.Pool == w.pools[s] {
+			total++
+		}
+	}
+	n := b.MinAvailable * total / 100
+	if n*100 < b.MinAvailable*total {
+		n++
+	}
+	return n
+}
+
+// tick moves the world by one step of its clock.
+func (w *world) tick() {
+	w.now = w.now.Add(w.step)
+	w.fail()
+	w.observe()
+	d := w.planner.Decide(w, w.cfg)
+	if w.baseline != nil {
+		d = w.baseline(w, d)
+	}
+	if w.rng.Float64() < w.restart {
+		w.planner = &Planner{}
+		d.Changes = d.Changes[:w.rng.IntN(len(d.Changes)+1)]
+		d.Operations = d.Operations[:w.rng.IntN(len(d.Operations)+1)]
+	}
+	for _, o := range d.Operations {
+		w.accept(o)
+	}
+	for _, c := range d.Changes {
+		w.apply(c)
+	}
+	w.check()
+}
+
+func (w *world) fail() {
+	for _, id := range w.ids {
+		if m := w.machines[id]; w.now >= m.to && w.rng.Float64() < w.loss {
+			w.lose(m, w.now, w.between(1, 20))
+		}
+	}
+}
+
+func (w *world) lose(m *machine, from tackclock.Time, d tackclock.Duration) {
+	m.from, m.to = from, from.Add(d)
+}
+
+// loseWhere takes down every machine that the condition holds for.
+func (w *world) loseWhere(d tackclock.Duration, where func(m *machine) bool) {
+	for _, id := range w.ids {
+		if m := w.machines[id]; where(m) {
+			w.lose(m, w.now, d)
+		}
+	}
+}
+
+func (w *world) between(low, high int) tackclock.Duration {
+	return tackclock.Duration(low*60_000 + w.rng.IntN((high-low)*60_000))
+}
+
+func (w *world) observe() {
+	var seen []tackfleet.Observation
+	for _, id := range w.ids {
+		m := w.machines[id]
+		health := tackfleet.HealthServing
+		if w.now < m.ends || m.failed || w.now >= m.from && w.now < m.to {
+			health = tackfleet.HealthLost
+		}
+		if vm, ok := w.f.VM(id); ok && vm.Health != health {
+			seen = append(seen, tackfleet.Observation{VM: id, DataCentre: m.dc, Rack: m.rack, Health: health})
+		}
+	}
+	if len(seen) > 0 {
+		w.apply(tackfleet.Change{Observe: seen})
+	}
+}
+
+// accept starts an operation, once for each operation id.
+func (w *world) accept(o OperationRequest) {
+	m := w.machines[o.VM]
+	vm, _ := w.f.VM(o.VM)
+	if w.rng.Float64() < w.mute || m.op == o.Operation {
+		return
+	}
+	if vm.State != tackfleet.VMMaintenance || w.now < m.work[vm.Fence] {
+		w.wrong = append(w.wrong, fmt.Sprintf("%s stopped in state %v with work in flight", o.VM, vm.State))
+	}
+	m.op, m.ends, m.failed = o.Operation, w.now.Add(w.between(2, 4)), w.rng.Float64() < w.refused
+	if m.failed {
+		return
+	}
+	if m.runs[vm.Wave]++; m.runs[vm.Wave] > 1 {
+		w.wrong = append(w.wrong, fmt.Sprintf("%s operated twice by %s", o.VM, vm.Wave))
+	}
+	switch {
+	case w.rng.Float64() < w.breaks:
+		m.from, m.to = m.ends, never
+	case w.rng.Float64() < w.second:
+		w.lose(m, m.ends.Add(w.between(0, 2)), w.between(1, 8))
+	}
+}
+
+// check looks for what no single change shows.
+func (w *world) check() {
+	out, holders := 0, make(map[tackid.VM]int)
+	for _, wave := range w.f.Waves() {
+		for _, m := range wave.VMs {
+			if held(m.Phase) {
+				holders[m.VM]++
+			}
+		}
+		out += wave.Out()
+	}
+	for id, n := range holders {
+		if n > 1 {
+			w.wrong = append(w.wrong, fmt.Sprintf("%s is in %d waves", id, n))
+		}
+	}
+	w.peak = max(w.peak, out)
+	for s, n := range w.serving() {
+		if n < w.required(s) {
+			w.short += w.step
+			break
+		}
+	}
+}
+
+// run ticks until no wave runs or holds a VM, and returns the time it took.
+func (w *world) run(limit tackclock.Duration) tackclock.Duration {
+	start := w.now
+	for w.now.Sub(start) < limit && w.moving() {
+		w.tick()
+	}
+	return w.now.Sub(start)
+}
+
+func (w *world) moving() bool {
+	return slices.ContainsFunc(w.f.Waves(), func(v tackfleet.Wave) bool {
+		return v.Status == tackfleet.WaveRunning || v.Holding() > 0
+	})
+}
+
+// Now implements View.
+func (w *world) Now() tackclock.Time { return w.now }
+
+// Fleet implements View.
+func (w *world) Fleet() *tackfleet.State { return w.f }
+
+// Platform implements View.
+func (w *world) Platform() bool { return !w.record }
+
+// Fenced implements View.
+func (w *world) Fenced(tackid.Revision) bool { return true }
+
+// Idle implements View.
+func (w *world) Idle(id tackid.VM, fence tackid.Revision) bool {
+	m := w.machines[id]
+	if _, ok := m.work[fence]; !ok {
+		m.work[fence] = w.now.Add(tackclock.Duration(w.rng.IntN(30_000)))
+		if w.rng.Float64() < w.busy {
+			m.work[fence] = w.now.Add(w.between(12, 30))
+		}
+	}
+	return w.now >= m.work[fence]
+}
+
+// Operation implements View.
+func (w *world) Operation(id tackid.VM) OperationStatus {
+	m := w.machines[id]
+	switch {
+	case m.op == "" || w.rng.Float64() < w.mute:
+		return OperationStatus{}
+	case w.now < m.ends:
+		return OperationStatus{State: PlatformRebooting, Operation: m.op}
+	case m.failed:
+		return OperationStatus{State: PlatformFailed, Operation: m.op}
+	}
+	return OperationStatus{State: PlatformServing, Operation: m.op}
+}
