--- /dev/null
+++ b/core/tackreplica/ready.go
@@ -0,0 +1,91 @@
+package tackreplica
+
+import "auburntack/core/tackid"
+
+// Applied tells the node that the state machine has applied up to i.
+func (n *Node) Applied(i tackid.Revision) {
+	if i <= n.applied {
+		return
+	}
+	n.applied = i
+	n.answerDue = n.leader != "" && n.role != Leader
+}
+
+// Fail tells the node that its disk has failed. It does nothing any more: what
+// it would promise or acknowledge could be gone after a restart.
+func (n *Node) Fail() {
+	n.failed = true
+	n.role = Follower
+	n.leader = ""
+	n.messages = nil
+	n.grants = nil
+}
+
+// Ready returns what the owner must do next, and false if there is nothing.
+func (n *Node) Ready() (Ready, bool) {
+	if n.failed {
+		return Ready{}, false
+	}
+	n.flush()
+	r := Ready{
+		Snapshot:  n.install,
+		Entries:   n.log.between(n.log.stable, n.log.last()),
+		Messages:  n.messages,
+		Committed: n.log.between(max(n.handed, n.log.base), n.commit),
+	}
+	if n.hard != n.savedHard {
+		h := n.hard
+		r.Hard = &h
+	}
+	ok := r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 || len(r.Messages) > 0 || len(r.Committed) > 0
+	return r, ok
+}
+
+// Advance tells the node that everything in r was done.
+func (n *Node) Advance(r Ready) {
+	if n.failed {
+		return
+	}
+	if r.Hard != nil {
+		n.savedHard = *r.Hard
+	}
+	if r.Snapshot != nil && r.Snapshot == n.install {
+		n.install = nil
+		n.Applied(r.Snapshot.Index)
+	}
+	n.advanceStable(r.Entries)
+	n.messages = append([]Message(nil), n.messages[len(r.Messages):]...)
+	if len(r.Committed) > 0 {
+		n.handed = max(n.handed, r.Committed[len(r.Committed)-1].Index)
+	}
+}
+
+func (n *Node) advanceStable(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	last := entries[len(entries)-1]
+	if t, ok := n.log.term(last.Index); !ok || t != last.Term {
+		return
+	}
+	n.log.stable = max(n.log.stable, last.Index)
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// flush turns what is due into messages, so that everything proposed or
+// received since the last Ready goes out together.
+func (n *Node) flush() {
+	if n.role == Leader {
+		for _, p := range n.others() {
+			n.replicate(p)
+			n.announceCommit(p)
+		}
+		return
+	}
+	if n.answerDue {
+		n.answerDue = false
+		n.sendAnswer()
+	}
+}
--- /dev/null
+++ b/core/tackreplica/status.go
@@ -0,0 +1,83 @@
+package tackreplica
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+type (
+	// Status is what a node knows of itself and, if it leads, of the members.
+	Status struct {
+		Self        tackid.Peer
+		Role        Role
+		Leader      tackid.Peer
+		Term        Term
+		Last        tackid.Revision
+		Commit      tackid.Revision
+		Applied     tackid.Revision
+		Snapshot    tackid.Revision
+		Leased      bool
+		LeaseUntil  tackclock.Time
+		LeaderLease bool
+		Eligible    bool
+		Failed      bool
+		Members     []MemberStatus
+	}
+
+	// MemberStatus is what the leader knows of one member; on other nodes
+	// only Member is set. LeaseUntil is when the last lease it was granted
+	// has surely run out. LastHeard is zero if it never answered.
+	MemberStatus struct {
+		Member
+		Match      tackid.Revision
+		Applied    tackid.Revision
+		LeaseUntil tackclock.Time
+		LastHeard  tackclock.Time
+		Eligible   bool
+	}
+)
+
+var roleNames = [...]string{
+	Follower: "follower", PreCandidate: "pre_candidate", Candidate: "candidate", Leader: "leader",
+}
+
+// String returns the role's name in snake case.
+func (r Role) String() string {
+	if int(r) < len(roleNames) {
+		return roleNames[r]
+	}
+	return "unknown"
+}
+
+// Status returns what the node knows at now.
+func (n *Node) Status(now tackclock.Time) Status {
+	n.see(now)
+	s := Status{
+		Self: n.cfg.Self, Role: n.role, Leader: n.leader, Term: n.hard.Term,
+		Last: n.log.last(), Commit: n.commit, Applied: n.applied, Snapshot: n.snapshot.Index,
+		Leased: n.Leased(now), LeaseUntil: n.leasedUntil(), LeaderLease: n.LeaderLease(now),
+		Eligible: n.hard.Eligible, Failed: n.failed,
+	}
+	for _, m := range n.Members() {
+		s.Members = append(s.Members, n.memberStatus(m))
+	}
+	return s
+}
+
+func (n *Node) memberStatus(m Member) MemberStatus {
+	s := MemberStatus{Member: m}
+	if n.role != Leader {
+		return s
+	}
+	if m.Peer == n.cfg.Self {
+		s.Match, s.Applied, s.Eligible = n.log.stable, n.applied, true
+		s.LeaseUntil, s.LastHeard = n.leasedUntil(), n.now
+		return s
+	}
+	p := n.progress[m.Peer]
+	s.Match, s.Applied, s.LastHeard, s.Eligible = p.match, p.applied, p.heard, !p.ineligible
+	for _, g := range p.grants {
+		s.LeaseUntil = max(s.LeaseUntil, g.until)
+	}
+	return s
+}
