Spread the directory of announcements between the peers

Each peer owns a space of records numbered by version; changes are pushed to every peer, and a vector of versions sent once a second lets one that lacks something ask whoever has it.

--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -1,154 +1,261 @@
 // Package tackmember keeps the directory of backend servers and workers: who
 // has announced itself, where, and whether it still does. The directory is
 // soft state that the peers spread among themselves; nothing of it is stored.
+//
+// Each peer is the owner of one space: the records of those that announce
+// themselves to it, numbered by version. Owners push their changes to every
+// peer. Once a second each peer tells every other how much it has of every
+// space, and one that has less asks for the rest, from whoever has it; so a
+// change gets round a cut link, and a new peer or a healed cut gets all it
+// lacks. What the directory shows is worked out from all spaces.
 package tackmember
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 )
 
+const (
+	// MaxEntries is how many backend servers and workers a directory takes,
+	// ended ones included.
+	MaxEntries = 20_000
+
+	minWithin   = 2 * tackclock.Second
+	maxWithin   = tackclock.Minute
+	withinEach  = 200 * tackclock.Millisecond
+	scanEvery   = 500 * tackclock.Millisecond
+	maxSpaces   = 4 // of one peer
+	maxRetired  = 512
+	lifetimeMin = tackclock.Second
+)
+
 type (
 	// Directory is one peer's view of who announces. Its zero value, once
 	// configured, is an empty directory. It is not safe for concurrent use.
 	Directory struct {
-		self    tackid.Peer
-		dc      tackid.DataCentre
-		version uint64
-		servers map[tackid.BackendServer]*BackendServer
-		workers map[tackid.VM]*Worker
-	}
+		self  tackid.Peer
+		dc    tackid.DataCentre
+		since tackclock.Time // when the directory started
+		own   *space
+		peers map[tackid.Peer]*link
+		order []tackid.Peer // the others, sorted
+
+		spaces  map[SpaceID]*space
+		retired map[SpaceID]tackclock.Time
+		wanted  map[SpaceID]tackclock.Time
+		entries map[key]*entry
+		vms     map[tackid.VM]map[key]*entry
+		health  map[tackid.VM]*damper
+		nearby  map[key]*stored // announced here, held by another peer
 
-	// BackendServerRecord is what the directory knows of a backend server.
-	// Health is serving, or unknown while no peer that hears it can be heard.
-	BackendServerRecord struct {
-		BackendServer
-		Health tackfleet.Health
-		Holder tackid.Peer
+		unsent  []change // of the own space
+		refresh map[SpaceID]*Heard
+
+		beatDue, lastBeat tackclock.Time
+		scanDue           tackclock.Time
+		version           uint64
+		cache             listing
 	}
 
-	// WorkerRecord is what the directory knows of a worker.
-	WorkerRecord struct {
-		Worker
-		Health tackfleet.Health
-		Holder tackid.Peer
+	// link is what is known of the way to another peer.
+	link struct {
+		beat   uint64         // its newest beat that came straight
+		echo   uint64         // the newest own beat that it got straight
+		echoed tackclock.Time // when echo rose
 	}
 
-	// Message is what peers send each other about the directory.
-	Message struct{}
+	// change is a version of the own space and what it is about.
+	change struct {
+		version uint64
+		key     key
+	}
 
-	// Outgoing is a message and the peer that it is for.
-	Outgoing struct {
-		To      tackid.Peer
-		Message Message
+	// FullError reports that the directory takes no further names.
+	FullError struct {
+		Limit int
 	}
 )
 
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("tackmember: directory holds %d names and takes no more", e.Limit)
+}
+
 // Configure names the peer whose directory this is, and its data centre.
 func (d *Directory) Configure(self tackid.Peer, dc tackid.DataCentre) {
 	d.self, d.dc = self, dc
 }
 
 // SetPeers gives the peers of the system; the peer itself may be among them.
-func (d *Directory) SetPeers(peers []tackid.Peer) {}
+// What a peer that is gone held stays for as long as its backend servers need
+// to find another one.
+func (d *Directory) SetPeers(peers []tackid.Peer) {
+	known := d.peers
+	d.peers = make(map[tackid.Peer]*link, len(peers))
+	d.order = d.order[:0]
+	for _, p := range peers {
+		if p == d.self || d.peers[p] != nil {
+			continue
+		}
+		d.peers[p] = cmp.Or(known[p], new(link))
+		d.order = append(d.order, p)
+	}
+	slices.Sort(d.order)
+	d.scanDue = 0
+}
 
 // Announce takes in an announcement that came straight from its sender. The
-// error is a *FieldError.
+// error is a *FieldError or a *FullError.
 func (d *Directory) Announce(now tackclock.Time, a Announcement) (Reply, error) {
 	if err := a.Validate(); err != nil {
 		return Reply{}, err
 	}
-	if d.servers == nil {
-		d.servers, d.workers = map[tackid.BackendServer]*BackendServer{}, map[tackid.VM]*Worker{}
+	d.start(now)
+	r := newRecord(a)
+	e := d.entries[r.key()]
+	if e == nil && len(d.entries) >= MaxEntries {
+		return Reply{}, &FullError{Limit: MaxEntries}
 	}
-	if a.Worker != nil {
-		w := *a.Worker
-		d.workers[w.ID] = &w
-	} else {
-		b := *a.BackendServer
-		d.servers[b.ID] = &b
+	reply := Reply{NextWithin: d.nextWithin()}
+	if e != nil && r.compare(&e.top) < 0 {
+		return reply, nil
 	}
-	d.version++
-	return Reply{Accepted: true, NextWithin: 2 * tackclock.Second}, nil
+	reply.Accepted = true
+	d.hear(now, r, e, reply.NextWithin)
+	return reply, nil
 }
 
 // Withdraw ends the incarnation of a backend server, and reports whether
-// there was something to end.
+// there was something to end. It is remembered also when there was nothing,
+// since an announcement of that incarnation may still be on its way.
 func (d *Directory) Withdraw(now tackclock.Time, id tackid.BackendServer, inc tackid.Incarnation) bool {
-	_, ok := d.servers[id]
-	delete(d.servers, id)
-	d.version++
-	return ok
+	if checkName("backend_server", string(id), true) != nil {
+		return false
+	}
+	d.start(now)
+	end := Record{ID: id, Incarnation: inc, Stage: StageWithdrawn}
+	e := d.entries[end.key()]
+	if e == nil && len(d.entries) >= MaxEntries {
+		return false
+	}
+	if e != nil && end.compare(&e.top) <= 0 {
+		return false
+	}
+	live := e != nil && e.top.Stage != StageWithdrawn
+	d.publish(now, end, 0)
+	return live
 }
 
-// Tick does what is due and returns the messages to send. It wants to be
-// called every 50 to 200 ms.
-func (d *Directory) Tick(now tackclock.Time) []Outgoing { return nil }
-
-// Receive takes in a message from another peer and returns the answers.
-func (d *Directory) Receive(now tackclock.Time, from tackid.Peer, m Message) []Outgoing { return nil }
+// start begins the own space at the first call that tells the time.
+func (d *Directory) start(now tackclock.Time) {
+	if d.own != nil {
+		return
+	}
+	d.since = now
+	d.spaces = make(map[SpaceID]*space)
+	d.retired = make(map[SpaceID]tackclock.Time)
+	d.wanted = make(map[SpaceID]tackclock.Time)
+	d.entries = make(map[key]*entry)
+	d.vms = make(map[tackid.VM]map[key]*entry)
+	d.refresh = make(map[SpaceID]*Heard)
+	d.nearby = make(map[key]*stored)
+	d.own = newSpace(d.self, Epoch(now), d.dc, now)
+	d.spaces[d.own.id] = d.own
+}
 
-// Version returns a number that rises whenever something that routing
-// depends on has changed.
-func (d *Directory) Version() uint64 { return d.version }
+// hear notes that the sender of r has announced itself here. If it is another
+// peer's and that peer can be reached, the peer is told in a few bytes;
+// otherwise the record is published as the own.
+func (d *Directory) hear(now tackclock.Time, r Record, e *entry, within tackclock.Duration) {
+	if mine := d.own.records[r.key()]; mine != nil && mine.same(r) {
+		mine.heard, mine.within = now, within
+		return
+	}
+	if s := d.holder(now, r, e); s != nil {
+		d.nearby[r.key()] = &stored{Record: r, heard: now, within: within}
+		d.refreshLater(s, r.key(), within)
+		return
+	}
+	d.publish(now, r, within)
+}
 
-// BackendServers returns the backend servers that are not lost, by id.
-func (d *Directory) BackendServers() []BackendServerRecord {
-	var list []BackendServerRecord
-	for _, b := range d.servers {
-		list = append(list, BackendServerRecord{BackendServer: *b, Health: tackfleet.HealthServing, Holder: d.self})
+// holder returns the space of another peer that holds just this record and
+// whose owner can be told so.
+func (d *Directory) holder(now tackclock.Time, r Record, e *entry) *space {
+	if e == nil || e.holder == nil || e.holder == d.own || !e.shown.same(r) {
+		return nil
 	}
-	slices.SortFunc(list, func(a, b BackendServerRecord) int { return compare(a.ID, b.ID) })
-	return list
+	if e.holder.standing != standingHeard || !d.linked(now, e.holder.peer) {
+		return nil
+	}
+	return e.holder
 }
 
-// Workers returns the workers that are not lost, by id.
-func (d *Directory) Workers() []WorkerRecord {
-	var list []WorkerRecord
-	for _, w := range d.workers {
-		list = append(list, WorkerRecord{Worker: *w, Health: tackfleet.HealthServing, Holder: d.self})
+// refreshLater notes for the owner of s that the sender of the record under k
+// has announced itself here.
+func (d *Directory) refreshLater(s *space, k key, within tackclock.Duration) {
+	h := d.refresh[s.id]
+	if h == nil {
+		h = &Heard{Space: s.id}
+		d.refresh[s.id] = h
 	}
-	slices.SortFunc(list, func(a, b WorkerRecord) int { return compare(a.ID, b.ID) })
-	return list
+	h.Within = max(h.Within, within)
+	h.Versions = append(h.Versions, s.records[k].Version)
 }
 
-func compare[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+// publish puts r into the own space as its next version.
+func (d *Directory) publish(now tackclock.Time, r Record, within tackclock.Duration) {
+	if e := d.entries[r.key()]; e != nil && r.held() {
+		r.Turn = e.turn + 1
 	}
-	return 0
+	d.put(now, r, within)
+	d.settle(now, r.key())
+}
+
+// put stores r in the own space as its next version, to be sent.
+func (d *Directory) put(now tackclock.Time, r Record, within tackclock.Duration) {
+	delete(d.nearby, r.key())
+	d.own.version++
+	r.Version = d.own.version
+	d.own.records[r.key()] = &stored{Record: r, since: now, heard: now, within: within}
+	d.unsent = append(d.unsent, change{version: r.Version, key: r.key()})
 }
 
-// VM returns what the announcements say of a VM.
-func (d *Directory) VM(id tackid.VM) tackfleet.Observation {
-	o := tackfleet.Observation{VM: id}
-	if w := d.workers[id]; w != nil {
-		o.DataCentre, o.Rack, o.Cores, o.MemoryMB = w.DataCentre, w.Rack, w.Cores, w.MemoryMB
-		o.Accelerators, o.Health = w.Accelerators, tackfleet.HealthServing
-		return o
-	}
-	for _, b := range d.servers {
-		if b.VM == id {
-			o.DataCentre, o.Rack, o.Health = b.DataCentre, b.Rack, tackfleet.HealthServing
+// nextWithin returns when an announcer has to come again. It grows with their
+// number, so that at any size about five a second come to one peer.
+func (d *Directory) nextWithin() tackclock.Duration {
+	own := 0
+	for _, r := range d.own.records {
+		if r.held() {
+			own++
 		}
 	}
-	return o
+	n := max(own, len(d.entries)/(d.heardPeers()+1))
+	return min(max(minWithin, tackclock.Duration(n)*withinEach), maxWithin)
 }
 
-// Observations returns what the announcements say of those of the known VMs
-// of which the fleet's state says otherwise, for the leader to propose.
-func (d *Directory) Observations(now tackclock.Time, known []tackfleet.VM) []tackfleet.Observation {
-	var changes []tackfleet.Observation
-	for _, v := range known {
-		if o := d.VM(v.ID); o.Health != v.Health {
-			changes = append(changes, o)
+// lifetime returns how long one that was told to come within w may be silent.
+func lifetime(w tackclock.Duration) tackclock.Duration {
+	return w*5/2 + lifetimeMin
+}
+
+// heardPeers returns how many other peers' beats arrive.
+func (d *Directory) heardPeers() int {
+	n := 0
+	for _, s := range d.spaces {
+		if s != d.own && s.standing == standingHeard {
+			n++
 		}
 	}
-	return changes
+	return n
+}
+
+// linked reports whether the link to p has lately carried beats both ways.
+func (d *Directory) linked(now tackclock.Time, p tackid.Peer) bool {
+	l := d.peers[p]
+	return l != nil && l.echo > 0 && now.Sub(l.echoed) < silenceLimit
 }
--- /dev/null
+++ b/core/tackmember/spread.go
@@ -0,0 +1,254 @@
+package tackmember
+
+import (
+	"cmp"
+	"slices"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	// beatEvery is how often a peer tells every other what it has.
+	beatEvery = tackclock.Second
+
+	// beatSoon and beatGap bring the next beat forward when a change came
+	// from another peer, so that it gets round a cut link at once.
+	beatSoon = 200 * tackclock.Millisecond
+	beatGap  = 500 * tackclock.Millisecond
+
+	// wantAgain is how long an answer to a Want is awaited.
+	wantAgain = tackclock.Second
+)
+
+// Tick does what is due and returns the messages to send. It wants to be
+// called every 50 to 200 ms.
+func (d *Directory) Tick(now tackclock.Time) []Outgoing {
+	d.start(now)
+	if now >= d.scanDue {
+		d.scanDue = now.Add(scanEvery)
+		d.scan(now)
+	}
+	parts := d.pushes()
+	var seen []Seen
+	if now >= d.beatDue {
+		seen = d.beat(now)
+	}
+	var out []Outgoing
+	for _, p := range d.order {
+		m := Message{Parts: parts, Seen: seen}
+		if seen != nil {
+			m.Echo = d.peers[p].beat
+			m.Heard = d.takeRefresh(p)
+		}
+		if !m.empty() {
+			out = append(out, Outgoing{To: p, Message: m})
+		}
+	}
+	return out
+}
+
+// pushes returns the next of the own changes that have not been sent.
+func (d *Directory) pushes() []Part {
+	n := min(len(d.unsent), maxPart)
+	if n == 0 {
+		return nil
+	}
+	p := d.own.header(d.unsent[0].version - 1)
+	p.To = d.unsent[n-1].version
+	for _, c := range d.unsent[:n] {
+		if r := d.own.records[c.key]; r != nil && r.Version == c.version {
+			p.Records = append(p.Records, r.Record)
+		}
+	}
+	d.unsent = slices.Delete(d.unsent, 0, n)
+	return []Part{p}
+}
+
+// beat advances the own beat and returns what this peer has of every space.
+func (d *Directory) beat(now tackclock.Time) []Seen {
+	d.own.beat++
+	d.own.heard = now
+	d.lastBeat, d.beatDue = now, now.Add(beatEvery)
+	seen := make([]Seen, 0, len(d.spaces))
+	for _, s := range d.spaces {
+		seen = append(seen, Seen{Space: s.id, Beat: s.beat, Version: s.version})
+	}
+	slices.SortFunc(seen, func(a, b Seen) int { return cmp.Compare(a.Space, b.Space) })
+	return seen
+}
+
+// takeRefresh returns what is to be told to p of its own records.
+func (d *Directory) takeRefresh(p tackid.Peer) *Heard {
+	for id, h := range d.refresh {
+		if s := d.spaces[id]; s == nil || s.peer == p {
+			delete(d.refresh, id)
+			if s != nil {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// Receive takes in a message from another peer and returns the answers.
+func (d *Directory) Receive(now tackclock.Time, from tackid.Peer, m Message) []Outgoing {
+	d.start(now)
+	l := d.peers[from]
+	if l == nil {
+		return nil
+	}
+	if m.Echo > l.echo && m.Echo <= d.own.beat {
+		l.echo, l.echoed = m.Echo, now
+	}
+	var reply Message
+	for _, p := range m.Parts {
+		d.takePart(now, p, &reply)
+	}
+	for _, s := range m.Seen {
+		d.see(now, l, from, s, &reply)
+	}
+	if m.Heard != nil {
+		d.takeHeard(now, *m.Heard)
+	}
+	for _, w := range m.Wants {
+		d.answer(w, &reply)
+	}
+	if reply.empty() {
+		return nil
+	}
+	return []Outgoing{{To: from, Message: reply}}
+}
+
+// answer adds to reply what w asks for.
+func (d *Directory) answer(w Want, reply *Message) {
+	s := d.spaces[w.Space]
+	if s == nil {
+		return
+	}
+	if p, ok := s.part(w); ok {
+		reply.Parts = append(reply.Parts, p)
+	}
+}
+
+// see compares what another peer has of a space with what is here.
+func (d *Directory) see(now tackclock.Time, l *link, from tackid.Peer, seen Seen, reply *Message) {
+	if seen.Space == d.own.id {
+		if seen.Version > d.own.version || seen.Beat > d.own.beat {
+			d.rebirth(now, d.own.epoch)
+		}
+		return
+	}
+	if _, gone := d.retired[seen.Space]; gone {
+		return
+	}
+	s := d.spaces[seen.Space]
+	if s == nil {
+		d.want(now, Want{Space: seen.Space}, reply)
+		return
+	}
+	if s.peer == from && s.superseded == 0 {
+		l.beat = seen.Beat
+	}
+	if seen.Beat > s.beat {
+		s.beat, s.heard = seen.Beat, now
+		d.stand(now, s)
+	}
+	if seen.Version > s.version {
+		d.want(now, Want{Space: s.id, From: s.version, Floor: s.floor}, reply)
+	}
+}
+
+// want adds w to reply unless an answer to an earlier one is awaited.
+func (d *Directory) want(now tackclock.Time, w Want, reply *Message) {
+	if at, ok := d.wanted[w.Space]; ok && now.Sub(at) < wantAgain {
+		return
+	}
+	d.wanted[w.Space] = now
+	reply.Wants = append(reply.Wants, w)
+}
+
+// takePart takes a part of another peer's space into the copy here.
+func (d *Directory) takePart(now tackclock.Time, p Part, reply *Message) {
+	if p.Peer == d.self && p.Epoch >= d.own.epoch {
+		if p.Space != d.own.id {
+			d.rebirth(now, p.Epoch)
+		}
+		return
+	}
+	s := d.copyOf(now, p)
+	if s == nil {
+		return
+	}
+	before := s.version
+	touched, ok := s.take(now, p)
+	if ok && s.version <= before && len(touched) == 0 {
+		return
+	}
+	if ok {
+		delete(d.wanted, s.id)
+	}
+	for _, k := range touched {
+		d.settle(now, k)
+	}
+	if !ok || s.version < p.Last {
+		d.want(now, Want{Space: s.id, From: s.version, Floor: s.floor}, reply)
+	}
+	if len(touched) > 0 {
+		d.beatDue = min(d.beatDue, max(now.Add(beatSoon), d.lastBeat.Add(beatGap)))
+	}
+}
+
+// copyOf returns the copy that p belongs to, a new one where there is none.
+// It returns nil for a space that was given up and for one of a stranger.
+func (d *Directory) copyOf(now tackclock.Time, p Part) *space {
+	if _, gone := d.retired[p.Space]; gone {
+		return nil
+	}
+	if s := d.spaces[p.Space]; s != nil {
+		return s
+	}
+	if p.Peer != d.self && d.peers[p.Peer] == nil {
+		return nil
+	}
+	s := newSpace(p.Peer, p.Epoch, p.DataCentre, now)
+	if s.id != p.Space {
+		return nil
+	}
+	d.spaces[s.id] = s
+	d.supersede(now)
+	return s
+}
+
+// takeHeard notes that senders of own records announced themselves elsewhere.
+func (d *Directory) takeHeard(now tackclock.Time, h Heard) {
+	if h.Space != d.own.id || len(h.Versions) == 0 {
+		return
+	}
+	slices.Sort(h.Versions)
+	for _, r := range d.own.records {
+		if _, ok := slices.BinarySearch(h.Versions, r.Version); ok && r.held() {
+			r.heard = now
+			r.within = min(max(r.within, h.Within), maxWithin)
+		}
+	}
+}
+
+// rebirth starts the own space anew as a later life. A peer whose clock stood
+// behind its earlier life's would otherwise number its changes with versions
+// that the others already have, and none of them would be taken in.
+func (d *Directory) rebirth(now tackclock.Time, past Epoch) {
+	old := d.own
+	d.own = newSpace(d.self, max(Epoch(now), past+1), d.dc, now)
+	delete(d.spaces, old.id)
+	d.spaces[d.own.id] = d.own
+	d.unsent = nil
+	for _, r := range old.after(0) {
+		was := old.records[r.key()]
+		d.put(now, r, was.within)
+		s := d.own.records[r.key()]
+		s.heard, s.since = was.heard, was.since
+	}
+	d.supersede(now)
+	d.settleAll(now)
+}
