--- /dev/null
+++ b/cmd/auburntackd/path_test.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburntack/io/tackstandin"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// startLimit bounds what a start, an election or a wave may take before a
+// test gives up. It is no bound on speed.
+const startLimit = 60 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "auburntackd")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	binary = filepath.Join(folder, "auburntackd")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// site is a cluster of daemons with backend servers and a platform.
+type site struct {
+	daemons  []*tackstandin.Daemon
+	servers  []*tackstandin.BackendServer
+	platform tackstandin.Platform
+	balancer tackstandin.Balancer
+	tally    tackstandin.Tally
+}
+
+// newSite starts three daemons in two data centres, the last without a disk,
+// and n VMs with a backend server of names-api each.
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := &site{platform: tackstandin.Platform{Reboot: 200 * time.Millisecond}}
+	must(t, s.platform.Start())
+	t.Cleanup(s.platform.Stop)
+	more := fmt.Sprintf("[platform]\naddress = %s\n[wave]\nsettle_ms = 300\nreboot_ms = 1000\nprefer = time\n[stop]\nlinger_ms = 500\n[log]\nlevel = debug\n", s.platform.Address())
+	var err error
+	s.daemons, err = tackstandin.NewCluster(binary, t.TempDir(), more, []tackstandin.Place{
+		{DataCentre: "rennes-a", Replica: true},
+		{DataCentre: "brest", Replica: true},
+		{DataCentre: "rennes-a", Replica: true},
+	})
+	must(t, err)
+	s.startDaemons(t)
+	for _, d := range s.daemons {
+		s.balancer.Entries = append(s.balancer.Entries, tackstandin.Entry{Caller: d.Caller, Operator: d.Operator})
+	}
+	s.balancer.Start()
+	t.Cleanup(s.balancer.Stop)
+	s.startServers(t, n)
+	return s
+}
+
+func (s *site) startDaemons(t *testing.T) {
+	t.Helper()
+	var started sync.WaitGroup
+	for _, d := range s.daemons {
+		started.Add(1)
+		go func() {
+			defer started.Done()
+			if err := d.Start(startLimit); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	started.Wait()
+	if t.Failed() {
+		t.FailNow()
+	}
+	t.Cleanup(func() {
+		for _, d := range s.daemons {
+			d.Kill()
+			if t.Failed() {
+				t.Logf("%s:\n%s", d.ID, d.Logs())
+			}
+		}
+	})
+}
+
+func (s *site) startServers(t *testing.T, n int) {
+	t.Helper()
+	s.do(t, "create pool front")
+	s.do(t, "create service names-api on pool front")
+	for i := range n {
+		d := s.daemons[i%2]
+		b := &tackstandin.BackendServer{
+			Name:       fmt.Sprintf("names-api-%d", i+1),
+			VM:         fmt.Sprintf("w-%d", i+1),
+			Service:    "names-api",
+			DataCentre: d.DataCentre,
+			Rack:       fmt.Sprintf("%s-r%d", d.DataCentre, i/4),
+			Slots:      8,
+			Operators:  []string{d.Operator, s.daemons[2].Operator},
+			Delay:      5 * time.Millisecond,
+			Tally:      &s.tally,
+		}
+		s.platform.Add(b)
+		must(t, b.Start())
+		t.Cleanup(b.Stop)
+		s.servers = append(s.servers, b)
+		s.do(t, fmt.Sprintf("add vm %s to pool front", b.VM))
+	}
+	s.await(t, fmt.Sprintf("%d VMs that serve", n), func() bool {
+		return len(s.rows(t, "show vms where health = serving")) == n
+	})
+}
+
+// do has the command accepted by the first daemon.
+func (s *site) do(t *testing.T, command string) tackstandin.Reply {
+	t.Helper()
+	reply, err := s.daemons[0].Do(command, "")
+	must(t, err)
+	if reply.Status != http.StatusOK {
+		t.Fatalf("%s: %d %s", command, reply.Status, reply.Error.Message)
+	}
+	return reply
+}
+
+// rows returns the rows that the last daemon answers a query with.
+func (s *site) rows(t *testing.T, query string) [][]any {
+	t.Helper()
+	reply, err := s.daemons[2].Ask(query)
+	must(t, err)
+	if reply.Status != http.StatusOK {
+		t.Fatalf("%s: %d %s", query, reply.Status, reply.Error.Message)
+	}
+	return reply.Rows
+}
+
+func (s *site) await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// load sends requests through the balancer until it is stopped.
+type load struct {
+	site     *site
+	stop     chan struct{}
+	callers  sync.WaitGroup
+	sent     atomic.Int64
+	mu       sync.Mutex
+	problems []string
+}
+
+func (s *site) startLoad(callers int) *load {
+	l := &load{site: s, stop: make(chan struct{})}
+	for c := range callers {
+		l.callers.Add(1)
+		go func() {
+			defer l.callers.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				l.request(fmt.Sprintf("caller-%d-%d", c, i), i)
+			}
+		}()
+	}
+	return l
+}
+
+// request sends one request, of a kind that changes with i, and notes what is
+// wrong with its answer.
+func (l *load) request(body string, i int) {
+	entry, err := l.site.balancer.Pick()
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	methods := []string{"PUT", "POST", "POST"}
+	r, _ := http.NewRequest(methods[i%len(methods)], "http://"+entry+"/names-api/"+body, strings.NewReader(body))
+	if i%len(methods) == 2 {
+		r.Header.Set("Idempotency-Key", body)
+	}
+	l.sent.Add(1)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		l.note("%s: %v", body, err)
+		return
+	}
+	defer answer.Body.Close()
+	got, err := io.ReadAll(answer.Body)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		l.note("%s: status %d, outcome %s, %v: %s", body, answer.StatusCode, answer.Header.Get("Auburntack-Outcome"), err, got)
+		return
+	}
+	var whole tackstandin.Answer
+	if json.Unmarshal(bytes.TrimSpace(got), &whole) != nil || whole.Body != body {
+		l.note("%s: another's answer: %s", body, got)
+	}
+}
+
+func (l *load) note(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.problems = append(l.problems, fmt.Sprintf(format, args...))
+}
+
+func (l *load) end() []string {
+	close(l.stop)
+	l.callers.Wait()
+	return l.problems
+}
+
+// Symptom: callers see failed or cut requests during a nightly wave.
+// Sequence: a wave over the pool drains, reboots and returns every VM while
+// callers send requests of each kind through every daemon.
+// Cause: a VM that was stopped while a peer still sent it work, or still ran
+// some; what prevents it is that the leader waits for every peer's word.
+func TestWaveUnderLoad(t *testing.T) {
+	s := newSite(t, 6)
+	s.do(t, "set budget names-api min_available 4")
+	load := s.startLoad(8)
+	s.do(t, "create wave night over pool front action reboot")
+	s.do(t, "start wave night")
+	s.await(t, "the wave to finish", func() bool {
+		return len(s.rows(t, "show waves where state = finished")) == 1
+	})
+	problems := load.end()
+	Convey("Every request is answered whole and every VM rebooted once", t, func() {
+		So(problems, ShouldBeEmpty)
+		So(load.sent.Load(), ShouldBeGreaterThan, 100)
+		So(s.tally.Cut(), ShouldEqual, 0)
+		So(s.tally.DoubledKeys(), ShouldEqual, 0)
+		for _, b := range s.servers {
+			So(s.platform.Times(b.VM), ShouldEqual, 1)
+		}
+		So(s.rows(t, "show vms where state = in_service"), ShouldHaveLength, 6)
+	})
+}
--- /dev/null
+++ b/io/tackstandin/backend.go
@@ -0,0 +1,298 @@
+// Package tackstandin holds small stand-ins for what auburntack meets from
+// outside: backend servers that announce themselves, the platform, and the
+// balancer before the callers' ports. The demonstration, the measuring tool
+// and the tests of whole processes share it. Everything listens on loopback.
+package tackstandin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	announceAtMost = time.Second
+	callLimit      = 2 * time.Second
+)
+
+type (
+	// BackendServer answers requests on a loopback port and announces itself
+	// to the operators' ports. Set the fields, then call Start.
+	BackendServer struct {
+		Name       string
+		VM         string
+		Service    string
+		DataCentre string
+		Rack       string
+		Slots      int
+		// Operators are the addresses of the operators' ports that it
+		// announces to, one at a time.
+		Operators []string
+		// Delay is how long each request takes.
+		Delay time.Duration
+		// Tally counts what was run. It may be shared by many.
+		Tally *Tally
+
+		mu          sync.Mutex
+		incarnation int
+		state       string
+		server      *http.Server
+		address     string
+		stop        chan struct{}
+		done        sync.WaitGroup
+		active      atomic.Int64
+	}
+
+	// Tally counts executions by request and by idempotency key.
+	Tally struct {
+		mu       sync.Mutex
+		requests map[string]int
+		keys     map[string]int
+		bodies   map[string]int
+		cut      int
+		overload int
+	}
+
+	// Answer is what a BackendServer answers with, in JSON.
+	Answer struct {
+		BackendServer string `json:"backend_server"`
+		RequestID     string `json:"request_id"`
+		Path          string `json:"path"`
+		Body          string `json:"body"`
+	}
+
+	announcement struct {
+		BackendServer string `json:"backend_server"`
+		VM            string `json:"vm"`
+		Service       string `json:"service"`
+		DataCentre    string `json:"data_centre"`
+		Rack          string `json:"rack"`
+		Address       string `json:"address"`
+		Slots         int    `json:"slots"`
+		Connections   int    `json:"connections"`
+		Incarnation   int    `json:"incarnation"`
+		State         string `json:"state"`
+	}
+
+	announceReply struct {
+		Accepted     bool  `json:"accepted"`
+		NextWithinMS int64 `json:"next_within_ms"`
+	}
+)
+
+var client = &http.Client{Timeout: callLimit}
+
+// Start listens and announces as the next incarnation.
+func (b *BackendServer) Start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	b.incarnation++
+	b.state = "serving"
+	b.address = port.Addr().String()
+	b.server = &http.Server{Handler: b}
+	b.stop = make(chan struct{})
+	b.done.Add(2)
+	go func(s *http.Server) {
+		defer b.done.Done()
+		s.Serve(port)
+	}(b.server)
+	go b.announceUntil(b.stop)
+	return nil
+}
+
+// Stop ends the backend server at once, as a reboot does. Requests that run
+// are cut and counted as such.
+func (b *BackendServer) Stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server == nil {
+		return
+	}
+	if n := b.active.Load(); n > 0 && b.Tally != nil {
+		b.Tally.addCut(int(n))
+	}
+	close(b.stop)
+	b.server.Close()
+	b.done.Wait()
+	b.server = nil
+}
+
+// Leave announces that the backend server is leaving.
+func (b *BackendServer) Leave() {
+	b.mu.Lock()
+	b.state = "leaving"
+	b.mu.Unlock()
+	b.Announce()
+}
+
+// Address returns the host and port that it listens on.
+func (b *BackendServer) Address() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.address
+}
+
+// Active returns how many requests run now.
+func (b *BackendServer) Active() int {
+	return int(b.active.Load())
+}
+
+// Announce announces once, to the first operators' port that answers, and
+// returns how soon it is due again.
+func (b *BackendServer) Announce() time.Duration {
+	b.mu.Lock()
+	a := announcement{
+		BackendServer: b.Name,
+		VM:            b.VM,
+		Service:       b.Service,
+		DataCentre:    b.DataCentre,
+		Rack:          b.Rack,
+		Address:       b.address,
+		Slots:         b.Slots,
+		Connections:   64,
+		Incarnation:   b.incarnation,
+		State:         b.state,
+	}
+	b.mu.Unlock()
+	body, _ := json.Marshal(a)
+	for _, operator := range b.Operators {
+		if next, ok := post(operator, body); ok {
+			return next
+		}
+	}
+	return announceAtMost / 4
+}
+
+func post(operator string, body []byte) (time.Duration, bool) {
+	r, err := client.Post("http://"+operator+"/announce", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, false
+	}
+	defer r.Body.Close()
+	var reply announceReply
+	if json.NewDecoder(r.Body).Decode(&reply) != nil || !reply.Accepted {
+		return 0, false
+	}
+	return time.Duration(reply.NextWithinMS) * time.Millisecond, true
+}
+
+func (b *BackendServer) announceUntil(stop <-chan struct{}) {
+	defer b.done.Done()
+	for {
+		next := b.Announce() / 2
+		if next <= 0 {
+			next = announceAtMost / 4
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(next):
+		}
+	}
+}
+
+// ServeHTTP runs one request and answers with an Answer.
+func (b *BackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := b.active.Add(1)
+	defer b.active.Add(-1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("Auburntack-Request-Id")
+	if b.Tally != nil {
+		b.Tally.add(id, r.Header.Get("Idempotency-Key"), string(body), b.Slots > 0 && int(n) > b.Slots)
+	}
+	time.Sleep(b.Delay)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(Answer{BackendServer: b.Name, RequestID: id, Path: r.URL.Path, Body: string(body)})
+}
+
+func (t *Tally) add(id, key, body string, overloaded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.requests == nil {
+		t.requests = make(map[string]int)
+		t.keys = make(map[string]int)
+		t.bodies = make(map[string]int)
+	}
+	t.requests[id]++
+	if key != "" {
+		t.keys[key]++
+	}
+	if body != "" {
+		t.bodies[body]++
+	}
+	if overloaded {
+		t.overload++
+	}
+}
+
+func (t *Tally) addCut(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cut += n
+}
+
+// Executions returns how many requests were run.
+func (t *Tally) Executions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, c := range t.requests {
+		n += c
+	}
+	return n
+}
+
+// OfKey returns how often work with the idempotency key was run.
+func (t *Tally) OfKey(key string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keys[key]
+}
+
+// OfBody returns how often a request with the body was run.
+func (t *Tally) OfBody(body string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bodies[body]
+}
+
+// DoubledKeys returns how many idempotency keys were run more than once.
+func (t *Tally) DoubledKeys() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, c := range t.keys {
+		if c > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Cut returns how many requests were cut by a stop.
+func (t *Tally) Cut() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut
+}
+
+// Overload returns how many requests came beyond the slots of a backend
+// server.
+func (t *Tally) Overload() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.overload
+}
--- /dev/null
+++ b/io/tackstandin/daemon.go
@@ -0,0 +1,270 @@
+package tackstandin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// Ports are taken below the range that the kernel gives to outgoing
+	// connections, so that none of those takes a daemon's port first.
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+type (
+	// Daemon is one auburntackd of a cluster of real processes.
+	Daemon struct {
+		ID         string
+		DataCentre string
+		// Replica gives it a data folder and a vote.
+		Replica  bool
+		Caller   string
+		Operator string
+		Peer     string
+
+		binary string
+		folder string
+		config string
+
+		mu     sync.Mutex
+		cmd    *exec.Cmd
+		exited chan struct{}
+		logs   bytes.Buffer
+	}
+
+	// Place says where a daemon of a cluster stands.
+	Place struct {
+		DataCentre string
+		Replica    bool
+	}
+
+	// Reply is the answer of an operators' port.
+	Reply struct {
+		Status     int
+		Accepted   bool     `json:"accepted"`
+		Confirmed  bool     `json:"confirmed"`
+		Revision   uint64   `json:"revision"`
+		NotInForce []string `json:"not_in_force"`
+		Columns    []string `json:"columns"`
+		Rows       [][]any  `json:"rows"`
+		Error      struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+)
+
+// NewCluster writes the settings of one daemon for each place below folder.
+// More is appended to every file, for further settings. Nothing is started.
+func NewCluster(binary, folder, more string, places []Place) ([]*Daemon, error) {
+	var daemons []*Daemon
+	for i, p := range places {
+		ports, err := freePorts(3)
+		if err != nil {
+			return nil, err
+		}
+		daemons = append(daemons, &Daemon{
+			ID:         fmt.Sprintf("%s-%d", p.DataCentre, i+1),
+			DataCentre: p.DataCentre,
+			Replica:    p.Replica,
+			Caller:     ports[0],
+			Operator:   ports[1],
+			Peer:       ports[2],
+			binary:     binary,
+			folder:     folder,
+		})
+	}
+	for _, d := range daemons {
+		d.config = filepath.Join(folder, d.ID+".ini")
+		if err := os.WriteFile(d.config, []byte(d.settings(daemons)+more), 0o644); err != nil {
+			return nil, fmt.Errorf("standin: %w", err)
+		}
+	}
+	return daemons, nil
+}
+
+func freePorts(n int) ([]string, error) {
+	var ports []string
+	for range 1000 {
+		if len(ports) == n {
+			return ports, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		ports = append(ports, address)
+	}
+	return nil, fmt.Errorf("standin: no %d free ports from %d to %d", n, firstPort, lastPort)
+}
+
+func (d *Daemon) settings(all []*Daemon) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[vm]\nid = %s\ndata_centre = %s\n", d.ID, d.DataCentre)
+	fmt.Fprintf(&b, "[listen]\ncaller = %s\noperator = %s\npeer = %s\n", d.Caller, d.Operator, d.Peer)
+	if d.Replica {
+		fmt.Fprintf(&b, "[state]\nfolder = %s\nreplica = true\n", d.DataFolder())
+	}
+	for _, p := range all {
+		if p != d {
+			fmt.Fprintf(&b, "[peer.%s]\ndata_centre = %s\naddress = %s\nreplica = %t\n", p.ID, p.DataCentre, p.Peer, p.Replica)
+		}
+	}
+	return b.String()
+}
+
+// DataFolder returns where a replica keeps its state.
+func (d *Daemon) DataFolder() string {
+	return filepath.Join(d.folder, d.ID)
+}
+
+// Start starts the process and returns once it logged that it is ready or
+// limit has passed.
+func (d *Daemon) Start(limit time.Duration) error {
+	cmd := exec.Command(d.binary, "serve", "--config", d.config)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	ready := make(chan struct{})
+	exited := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.exited = cmd, exited
+	d.mu.Unlock()
+	go func() {
+		d.follow(out, ready)
+		cmd.Wait()
+		close(exited)
+	}()
+	select {
+	case <-ready:
+		return nil
+	case <-exited:
+		return fmt.Errorf("standin: %s ended: %s", d.ID, d.Logs())
+	case <-time.After(limit):
+		return fmt.Errorf("standin: %s not ready after %v: %s", d.ID, limit, d.Logs())
+	}
+}
+
+func (d *Daemon) follow(out io.Reader, ready chan<- struct{}) {
+	told := false
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		d.mu.Lock()
+		d.logs.Write(lines.Bytes())
+		d.logs.WriteByte('\n')
+		d.mu.Unlock()
+		if !told && strings.Contains(lines.Text(), `msg="ready"`) {
+			told = true
+			close(ready)
+		}
+	}
+}
+
+// Logs returns what the process logged so far.
+func (d *Daemon) Logs() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.logs.String()
+}
+
+// Signal sends the process a signal.
+func (d *Daemon) Signal(s syscall.Signal) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Signal(s)
+}
+
+// Stop stops the process as planned and returns its exit code.
+func (d *Daemon) Stop() int {
+	d.Signal(syscall.SIGTERM)
+	return d.Wait()
+}
+
+// Kill ends the process at once.
+func (d *Daemon) Kill() {
+	d.Signal(syscall.SIGKILL)
+	d.Wait()
+}
+
+// Wait returns the exit code once the process has ended.
+func (d *Daemon) Wait() int {
+	d.mu.Lock()
+	cmd, exited := d.cmd, d.exited
+	d.mu.Unlock()
+	<-exited
+	return cmd.ProcessState.ExitCode()
+}
+
+// PID returns the process id.
+func (d *Daemon) PID() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
+
+// Do sends a command to the operators' port.
+func (d *Daemon) Do(command, id string) (Reply, error) {
+	return call(d.Operator, "/do", command, id)
+}
+
+// Ask sends a query to the operators' port.
+func (d *Daemon) Ask(query string) (Reply, error) {
+	return call(d.Operator, "/ask", query, "")
+}
+
+func call(operator, path, text, id string) (Reply, error) {
+	var reply Reply
+	r, err := http.NewRequest("POST", "http://"+operator+path, strings.NewReader(text))
+	if err != nil {
+		return reply, err
+	}
+	r.Header.Set("Content-Type", "text/plain")
+	if id != "" {
+		r.Header.Set("Auburntack-Command-Id", id)
+	}
+	caller := http.Client{Timeout: 15 * time.Second}
+	answer, err := caller.Do(r)
+	if err != nil {
+		return reply, err
+	}
+	defer answer.Body.Close()
+	reply.Status = answer.StatusCode
+	return reply, json.NewDecoder(answer.Body).Decode(&reply)
+}
+
+// CPU returns how many milliseconds of processor time the process has used,
+// and its resident memory in KiB.
+func (d *Daemon) CPU() (ms int64, residentKiB int64, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
+	if err != nil {
+		return 0, 0, err
+	}
+	_, after, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(after)
+	const userTicks, systemTicks, resident = 11, 12, 21
+	user, _ := strconv.ParseInt(fields[userTicks], 10, 64)
+	system, _ := strconv.ParseInt(fields[systemTicks], 10, 64)
+	pages, _ := strconv.ParseInt(fields[resident], 10, 64)
+	return (user + system) * 10, pages * int64(os.Getpagesize()) / 1024, nil
+}
--- /dev/null
+++ b/io/tackstandin/platform.go
@@ -0,0 +1,152 @@
+package tackstandin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+type (
+	// Platform reboots and upgrades the VMs of its backend servers. Set the
+	// fields, then call Start.
+	Platform struct {
+		// Reboot is how long a VM is away.
+		Reboot time.Duration
+
+		mu      sync.Mutex
+		vms     map[string]*platformVM
+		address string
+		server  *http.Server
+		running sync.WaitGroup
+	}
+
+	platformVM struct {
+		state     string
+		operation string
+		times     int
+		servers   []*BackendServer
+		failing   bool
+	}
+
+	platformAnswer struct {
+		VM        string `json:"vm"`
+		State     string `json:"state"`
+		Operation string `json:"operation"`
+	}
+
+	platformRequest struct {
+		Operation string `json:"operation"`
+	}
+)
+
+// Add puts a backend server on its VM.
+func (p *Platform) Add(b *BackendServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vm := p.vm(b.VM)
+	vm.servers = append(vm.servers, b)
+}
+
+// Fail makes the VM fail when it is next rebooted or upgraded.
+func (p *Platform) Fail(vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vm(vm).failing = true
+}
+
+// Times returns how often the VM was rebooted or upgraded.
+func (p *Platform) Times(vm string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vm(vm).times
+}
+
+// Address returns the host and port that it listens on.
+func (p *Platform) Address() string { return p.address }
+
+// Start listens on a loopback port.
+func (p *Platform) Start() error {
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.address = port.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /vms/{vm}/reboot", p.operate)
+	mux.HandleFunc("POST /vms/{vm}/upgrade", p.operate)
+	mux.HandleFunc("GET /vms/{vm}", p.show)
+	p.server = &http.Server{Handler: mux}
+	go p.server.Serve(port)
+	return nil
+}
+
+// Stop ends the platform and waits for what it does.
+func (p *Platform) Stop() {
+	p.server.Close()
+	p.running.Wait()
+}
+
+// vm returns the VM, made on first use. The lock is held.
+func (p *Platform) vm(id string) *platformVM {
+	if p.vms == nil {
+		p.vms = make(map[string]*platformVM)
+	}
+	vm, ok := p.vms[id]
+	if !ok {
+		vm = &platformVM{state: "serving"}
+		p.vms[id] = vm
+	}
+	return vm
+}
+
+func (p *Platform) operate(w http.ResponseWriter, r *http.Request) {
+	var request platformRequest
+	if json.NewDecoder(r.Body).Decode(&request) != nil || request.Operation == "" {
+		http.Error(w, "operation is missing", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	vm := p.vm(r.PathValue("vm"))
+	if vm.operation != request.Operation {
+		vm.operation = request.Operation
+		vm.state = "rebooting"
+		vm.times++
+		p.running.Add(1)
+		go p.reboot(vm)
+	}
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (p *Platform) reboot(vm *platformVM) {
+	defer p.running.Done()
+	for _, b := range vm.servers {
+		b.Stop()
+	}
+	time.Sleep(p.Reboot)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if vm.failing {
+		vm.state = "failed"
+		return
+	}
+	for _, b := range vm.servers {
+		if b.Start() != nil {
+			vm.state = "failed"
+			return
+		}
+	}
+	vm.state = "serving"
+}
+
+func (p *Platform) show(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	id := r.PathValue("vm")
+	vm := p.vm(id)
+	answer := platformAnswer{VM: id, State: vm.state, Operation: vm.operation}
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/io/tackvm/command.go
@@ -0,0 +1,167 @@
+package tackvm
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackcommand"
+	"auburntack/core/tackfleet"
+	"auburntack/core/tackid"
+	"auburntack/core/tackquery"
+	"auburntack/core/tackreplica"
+	"auburntack/core/tackstate"
+	"auburntack/io/tackoperator"
+)
+
+const (
+	// commandLimit is how long a command may take. Beyond it the operator
+	// is told that the outcome is unknown.
+	commandLimit = 6 * tackclock.Second
+	// noLeaderLimit is how long a command waits for a leader before the
+	// operator is told that nothing was done.
+	readLimit = 1500 * tackclock.Millisecond
+)
+
+// Do carries out a command and returns once it is in force.
+func (v *VM) Do(ctx context.Context, r tackoperator.Command) (tackoperator.Done, error) {
+	command, err := tackcommand.Parse(r.Text)
+	if err != nil {
+		return tackoperator.Done{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandLimit.Std())
+	defer cancel()
+	if command.AddPeer != nil || command.RemovePeer != nil {
+		return v.changeMembers(ctx, command)
+	}
+	id := r.ID
+	if id == "" {
+		id = randomID()
+	}
+	change := tackfleet.Change{ID: id, Expect: r.Expect, Command: &command}
+	out, err := v.propose(ctx, tackstate.Proposal{Fleet: &change})
+	if err != nil {
+		return tackoperator.Done{}, asOperatorError(err)
+	}
+	if out.Fleet.Refused != nil {
+		return tackoperator.Done{}, out.Fleet.Refused
+	}
+	return v.doneAt(ctx, out.Fleet.Revision)
+}
+
+// doneAt waits until the revision is in force and tells which peers lost
+// their lease before they took it up.
+func (v *VM) doneAt(ctx context.Context, rev tackid.Revision) (tackoperator.Done, error) {
+	missing, err := v.awaitInForce(ctx, rev)
+	if err != nil {
+		return tackoperator.Done{}, asOperatorError(err)
+	}
+	return tackoperator.Done{Revision: rev, NotInForce: missing}, nil
+}
+
+func asOperatorError(err error) error {
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		return &tackoperator.NotRunError{Reason: notRun.Reason, RetryAfter: tackclock.Second}
+	}
+	return &tackoperator.UnknownError{Err: err}
+}
+
+func randomID() tackid.CommandID {
+	var b [12]byte
+	rand.Read(b[:])
+	return tackid.CommandID(hex.EncodeToString(b[:]))
+}
+
+// changeMembers adds or removes a VM of the system. It is done by the leader;
+// another peer tells the operator whom to ask.
+func (v *VM) changeMembers(ctx context.Context, c tackcommand.Command) (tackoperator.Done, error) {
+	type proposed struct {
+		rev tackid.Revision
+		err error
+	}
+	answer := make(chan proposed, 1)
+	v.post(ctx, func() {
+		now := v.clock.Now()
+		rev, _, err := v.node.ProposeMembership(now, membersAfter(v.node.Status(now), c))
+		answer <- proposed{rev, err}
+	})
+	select {
+	case p := <-answer:
+		if p.err != nil {
+			return tackoperator.Done{}, membersError(p.err)
+		}
+		return v.doneAt(ctx, p.rev)
+	case <-ctx.Done():
+		return tackoperator.Done{}, &tackoperator.UnknownError{Err: ctx.Err()}
+	}
+}
+
+func membersError(err error) error {
+	var notLeader *tackreplica.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &tackoperator.NotRunError{Reason: "ask the leader, " + string(notLeader.Leader), RetryAfter: tackclock.Second}
+	}
+	return &tackfleet.RefusedError{Code: tackfleet.CodeState, Reason: err.Error()}
+}
+
+func membersAfter(s tackreplica.Status, c tackcommand.Command) []tackreplica.Member {
+	var members []tackreplica.Member
+	for _, m := range s.Members {
+		if c.RemovePeer != nil && c.RemovePeer.Peer == m.Peer {
+			continue
+		}
+		if c.AddPeer != nil && c.AddPeer.Peer == m.Peer {
+			continue
+		}
+		members = append(members, m.Member)
+	}
+	if a := c.AddPeer; a != nil {
+		members = append(members, tackreplica.Member{
+			Peer:       a.Peer,
+			DataCentre: a.DataCentre,
+			Voter:      a.Replica,
+			Address:    a.Address,
+		})
+	}
+	return members
+}
+
+// Ask answers a query by the newest that this VM can be sure of.
+func (v *VM) Ask(ctx context.Context, text string) (tackoperator.Answer, error) {
+	q, err := tackquery.Parse(text)
+	if err != nil {
+		return tackoperator.Answer{}, err
+	}
+	confirmed := v.catchUp(ctx)
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	table, err := tackquery.Run(q, source{v: v, now: v.clock.Now()})
+	if err != nil {
+		return tackoperator.Answer{}, err
+	}
+	return tackoperator.Answer{Confirmed: confirmed, Revision: v.applied.Index, Table: table}, nil
+}
+
+// catchUp waits until this VM has applied all that was answered before it was
+// called. It reports false where no leader confirms that in time.
+func (v *VM) catchUp(ctx context.Context) bool {
+	if !v.status.Load().Leased {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readLimit.Std())
+	defer cancel()
+	index, err := v.readIndex(ctx)
+	if err != nil {
+		return false
+	}
+	for v.status.Load().Applied < index {
+		sleep(ctx, readyEvery/25)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/io/tackvm/confirm.go
@@ -0,0 +1,170 @@
+package tackvm
+
+import (
+	"context"
+	"time"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	// askAgainEvery is how long a confirm waits for its answer before it is
+	// sent again, perhaps to another leader.
+	askAgainEvery = 250 * time.Millisecond
+	// askedLimit bounds the confirms that a leader keeps. Those beyond it
+	// are dropped and asked again.
+	askedLimit = 4096
+)
+
+// askedConfirm is a confirm that this VM, as the leader, has yet to answer.
+type askedConfirm struct {
+	confirm
+	from tackid.Peer
+	at   tackclock.Time
+}
+
+// awaitInForce waits until the revision is in force: every member has applied
+// it, or has lost its lease and no longer relies on an older one. It returns
+// the members of the second kind.
+func (v *VM) awaitInForce(ctx context.Context, index tackid.Revision) ([]tackid.Peer, error) {
+	answer, err := v.askLeader(ctx, index)
+	return answer.Missing, err
+}
+
+// readIndex returns the revision that a read must have seen to show every
+// command that was answered before the read began.
+func (v *VM) readIndex(ctx context.Context) (tackid.Revision, error) {
+	answer, err := v.askLeader(ctx, 0)
+	return answer.Index, err
+}
+
+func (v *VM) askLeader(ctx context.Context, index tackid.Revision) (confirmed, error) {
+	serial, answers := v.waiting.addConfirm()
+	defer v.waiting.removeConfirm(serial)
+	ticker := time.NewTicker(askAgainEvery)
+	defer ticker.Stop()
+	ask := confirm{Serial: serial, Index: index}
+	for {
+		v.post(ctx, func() { v.askOnLoop(ask) })
+		select {
+		case answer := <-answers:
+			return answer, nil
+		case <-ticker.C:
+		case <-ctx.Done():
+			return confirmed{}, &UnknownOutcomeError{Err: ctx.Err()}
+		}
+	}
+}
+
+func (v *VM) askOnLoop(ask confirm) {
+	leader := v.node.Status(v.clock.Now()).Leader
+	switch leader {
+	case "":
+	case v.cfg.VM.ID:
+		v.keepAsked(v.cfg.VM.ID, ask)
+	default:
+		v.send(leader, kindConfirm, ask)
+	}
+}
+
+func (v *VM) onConfirm(from tackid.Peer, body []byte) {
+	var ask confirm
+	if !v.decode(from, body, &ask) {
+		return
+	}
+	v.post(context.Background(), func() { v.keepAsked(from, ask) })
+}
+
+func (v *VM) keepAsked(from tackid.Peer, ask confirm) {
+	if len(v.waiting.asked) >= askedLimit {
+		return
+	}
+	for _, a := range v.waiting.asked {
+		if a.from == from && a.Serial == ask.Serial {
+			return
+		}
+	}
+	v.waiting.asked = append(v.waiting.asked, askedConfirm{confirm: ask, from: from, at: v.clock.Now()})
+}
+
+// answerConfirms answers, on the leader, what can be answered now. It does so
+// only while a majority confirms that this VM leads: a leader that was cut
+// off could otherwise answer with a revision that others have passed.
+func (v *VM) answerConfirms(now tackclock.Time) {
+	if len(v.waiting.asked) == 0 {
+		return
+	}
+	if v.status.Load().Leader != v.cfg.VM.ID {
+		v.waiting.asked = nil
+		return
+	}
+	if !v.node.LeaderLease(now) {
+		return
+	}
+	var kept []askedConfirm
+	for _, a := range v.waiting.asked {
+		if !v.answerConfirm(now, a) && now.Sub(a.at) < 10*tackclock.Second {
+			kept = append(kept, a)
+		}
+	}
+	v.waiting.asked = kept
+}
+
+func (v *VM) answerConfirm(now tackclock.Time, a askedConfirm) bool {
+	answer := confirmed{Serial: a.Serial, Index: a.Index}
+	if a.Index == 0 {
+		answer.Index = v.status.Load().Commit
+	} else {
+		done, missing := v.node.InForce(now, a.Index)
+		if !done {
+			return false
+		}
+		answer.Missing = missing
+	}
+	if a.from == v.cfg.VM.ID {
+		v.waiting.confirm(answer)
+		return true
+	}
+	v.send(a.from, kindConfirmed, answer)
+	return true
+}
+
+func (v *VM) onConfirmed(from tackid.Peer, body []byte) {
+	var answer confirmed
+	if !v.decode(from, body, &answer) {
+		return
+	}
+	v.waiting.confirm(answer)
+}
+
+func (w *waiters) addConfirm() (uint64, chan confirmed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.confirms == nil {
+		w.confirms = make(map[uint64]chan confirmed)
+	}
+	w.next++
+	answers := make(chan confirmed, 1)
+	w.confirms[w.next] = answers
+	return w.next, answers
+}
+
+func (w *waiters) removeConfirm(serial uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.confirms, serial)
+}
+
+func (w *waiters) confirm(answer confirmed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	answers, ok := w.confirms[answer.Serial]
+	if !ok {
+		return
+	}
+	select {
+	case answers <- answer:
+	default:
+	}
+}
--- /dev/null
+++ b/io/tackvm/loop.go
@@ -0,0 +1,261 @@
+package tackvm
+
+import (
+	"context"
+	"time"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
+	"auburntack/core/tackstate"
+	"auburntack/io/tackpeer"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// tickEvery is how often the loop moves the log's clock.
+	tickEvery = 25 * time.Millisecond
+	// eventBatch is how many waiting events are taken before one write to
+	// the disk makes them all durable.
+	eventBatch = 256
+)
+
+// runLoop owns the replicated log until ctx ends. It returns an error only
+// when the VM cannot go on.
+func (v *VM) runLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-v.events:
+			f()
+			v.drainEvents()
+		case <-ticker.C:
+			v.tick(v.clock.Now())
+		}
+		if err := v.settle(); err != nil {
+			return err
+		}
+	}
+}
+
+// post hands f to the loop. It reports false where ctx ended first.
+func (v *VM) post(ctx context.Context, f func()) bool {
+	select {
+	case v.events <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (v *VM) drainEvents() {
+	for range eventBatch {
+		select {
+		case f := <-v.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (v *VM) tick(now tackclock.Time) {
+	v.node.Tick(now)
+	v.tickDirectory(now)
+	v.tickReport(now)
+	v.tickDuties(now)
+}
+
+// settle carries out what the log asks for until it asks for nothing more,
+// then brings what depends on it up to date.
+func (v *VM) settle() error {
+	for {
+		r, ok := v.node.Ready()
+		if !ok {
+			break
+		}
+		if err := v.carryOut(r); err != nil {
+			return err
+		}
+	}
+	now := v.clock.Now()
+	v.publishRoutes(now)
+	v.node.Applied(v.applied.Index)
+	v.refreshStatus(now)
+	v.answerConfirms(now)
+	return v.snapshotWhenDue()
+}
+
+func (v *VM) carryOut(r tackreplica.Ready) error {
+	if r.Snapshot != nil {
+		if err := v.install(*r.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := v.persist(r); err != nil {
+		return err
+	}
+	for _, m := range r.Messages {
+		v.send(m.To, kindReplica, m)
+	}
+	for _, e := range r.Committed {
+		if err := v.apply(e); err != nil {
+			return err
+		}
+	}
+	v.node.Advance(r)
+	return nil
+}
+
+func (v *VM) persist(r tackreplica.Ready) error {
+	if v.disk == nil {
+		return nil
+	}
+	var err error
+	if r.Snapshot != nil {
+		err = v.disk.SaveSnapshot(*r.Snapshot)
+	}
+	if err == nil && (r.Hard != nil || len(r.Entries) > 0) {
+		err = v.disk.Save(r.Hard, r.Entries)
+	}
+	if err == nil {
+		return nil
+	}
+	return v.persistFailed(err)
+}
+
+func (v *VM) persistFailed(err error) error {
+	// A write or sync that failed may or may not be on the disk. Going on
+	// could answer something as durable that a restart would not find, so the
+	// process ends and the other replicas carry on.
+	v.node.Fail()
+	return &StoppedError{
+		What:   "write to the data folder " + v.cfg.State.Folder,
+		Advice: "replace the disk, start with an empty data folder",
+		Err:    err,
+	}
+}
+
+func (v *VM) install(snap tackreplica.Snapshot) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.state.Restore(snap.Data); err != nil {
+		return &StoppedError{
+			What:   "take over the leader's snapshot",
+			Advice: "run the same version of auburntackd on every VM",
+			Err:    err,
+		}
+	}
+	v.applied = tackreplica.Entry{Index: snap.Index, Term: snap.Term, Time: snap.Time}
+	v.snapshotAt = snap.Index
+	v.routedBy.revision = 0
+	return nil
+}
+
+func (v *VM) apply(e tackreplica.Entry) error {
+	v.mu.Lock()
+	p, out, err := v.state.Apply(e)
+	v.applied = tackreplica.Entry{Index: e.Index, Term: e.Term, Time: e.Time}
+	v.mu.Unlock()
+	if err != nil {
+		return &StoppedError{
+			What:   "apply the log",
+			Advice: "run the same version of auburntackd on every VM",
+			Err:    err,
+		}
+	}
+	if e.Kind == tackreplica.EntryMembership {
+		v.takeMembers()
+	}
+	if p.Fleet != nil {
+		v.routedBy.fleet = e.Index
+		v.logChange(p, out)
+	}
+	if p.Origin == v.cfg.VM.ID {
+		v.waiting.finish(p.Serial, out)
+	}
+	return nil
+}
+
+func (v *VM) logChange(p tackstate.Proposal, out tackstate.Outcome) {
+	if p.Fleet.Command == nil {
+		return
+	}
+	entry := v.log.WithField("revision", out.Revision).WithField("command", p.Fleet.Command.Text())
+	if out.Fleet.Refused != nil {
+		entry.WithField("code", out.Fleet.Refused.Code).Debug("command refused")
+		return
+	}
+	entry.Info("command applied")
+}
+
+// takeMembers links this VM to the members that the log now names.
+func (v *VM) takeMembers() {
+	members := v.node.Status(v.clock.Now()).Members
+	plain := make([]tackreplica.Member, 0, len(members))
+	for _, m := range members {
+		plain = append(plain, m.Member)
+	}
+	v.links.SetPeers(linkPeers(plain, v.cfg.VM.ID))
+	v.directoryMu.Lock()
+	v.directory.SetPeers(peerIDs(plain, v.cfg.VM.ID))
+	v.directoryMu.Unlock()
+}
+
+func (v *VM) snapshotWhenDue() error {
+	if v.applied.Index < v.snapshotAt+snapshotEvery {
+		return nil
+	}
+	v.mu.RLock()
+	data, err := v.state.Snapshot()
+	v.mu.RUnlock()
+	if err != nil {
+		return &StoppedError{What: "take a snapshot", Advice: "report this as a fault", Err: err}
+	}
+	snap, ok := v.node.SnapshotAt(v.applied.Index, data)
+	if !ok {
+		return nil
+	}
+	if v.disk != nil {
+		if err := v.disk.SaveSnapshot(snap); err != nil {
+			return v.persistFailed(err)
+		}
+	}
+	v.node.Compact(snap)
+	v.snapshotAt = snap.Index
+	return nil
+}
+
+func (v *VM) refreshStatus(now tackclock.Time) {
+	s := v.node.Status(now)
+	v.status.Store(&s)
+}
+
+func (v *VM) send(to tackid.Peer, kind tackpeer.Kind, body any) {
+	if err := v.links.Send(to, kind, body); err != nil {
+		v.log.WithField("peer", to).WithError(err).Debug("message not sent")
+	}
+}
+
+func (v *VM) onReplica(from tackid.Peer, body []byte) {
+	var m tackreplica.Message
+	if !v.decode(from, body, &m) {
+		return
+	}
+	m.From = from
+	v.post(context.Background(), func() { v.node.Step(v.clock.Now(), m) })
+}
+
+// decode reads the body of a peer's message. What cannot be read is dropped
+// and logged: the sender repeats what matters.
+func (v *VM) decode(from tackid.Peer, body []byte, into any) bool {
+	if err := cbor.Unmarshal(body, into); err != nil {
+		v.log.WithField("peer", from).WithError(err).Warn("message that cannot be read")
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/io/tackvm/message.go
@@ -0,0 +1,62 @@
+package tackvm
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/io/tackpeer"
+)
+
+const (
+	kindReplica   tackpeer.Kind = "replica"
+	kindMember    tackpeer.Kind = "member"
+	kindForward   tackpeer.Kind = "forward"
+	kindReject    tackpeer.Kind = "reject"
+	kindConfirm   tackpeer.Kind = "confirm"
+	kindConfirmed tackpeer.Kind = "confirmed"
+	kindReport    tackpeer.Kind = "report"
+)
+
+type (
+	// forward asks the leader to append a proposal.
+	forward struct {
+		Serial uint64 `cbor:"1,keyasint"`
+		Data   []byte `cbor:"2,keyasint"`
+	}
+
+	// reject answers a forward that was surely not appended.
+	reject struct {
+		Serial uint64 `cbor:"1,keyasint"`
+	}
+
+	// confirm asks the leader one of two things: with Index zero, which
+	// revision a deciding read must have seen; with an Index, to answer once
+	// that revision is in force.
+	confirm struct {
+		Serial uint64          `cbor:"1,keyasint"`
+		Index  tackid.Revision `cbor:"2,keyasint,omitempty"`
+	}
+
+	// confirmed answers a confirm. Missing names the peers that have no lease
+	// and have not applied the revision.
+	confirmed struct {
+		Serial  uint64          `cbor:"1,keyasint"`
+		Index   tackid.Revision `cbor:"2,keyasint"`
+		Missing []tackid.Peer   `cbor:"3,keyasint,omitempty"`
+	}
+
+	// report tells the leader which of the VMs that may get no new work have
+	// none left on the sender. It holds for every fence up to Applied.
+	// Stopped says that the sender is stopping as planned and has nothing
+	// left anywhere.
+	report struct {
+		Applied tackid.Revision `cbor:"1,keyasint"`
+		Idle    []tackid.VM     `cbor:"2,keyasint,omitempty"`
+		Stopped bool            `cbor:"3,keyasint,omitempty"`
+	}
+
+	// heardReport is a report and when it came.
+	heardReport struct {
+		report
+		at tackclock.Time
+	}
+)
--- /dev/null
+++ b/io/tackvm/query.go
@@ -0,0 +1,169 @@
+package tackvm
+
+import (
+	"fmt"
+
+	"auburntack/core/tackburn"
+	"auburntack/core/tackclock"
+	"auburntack/core/tackfleet"
+	"auburntack/core/tackid"
+	"auburntack/core/tackquery"
+	"auburntack/io/tackoperator"
+)
+
+// source is what queries read on this VM. The lock on the state is held.
+type source struct {
+	v   *VM
+	now tackclock.Time
+}
+
+// Now returns the time of the query.
+func (s source) Now() tackclock.Time { return s.now }
+
+// Fleet returns the fleet.
+func (s source) Fleet() *tackfleet.State { return &s.v.state.Fleet }
+
+// Cost returns what a wave would cost, by the planner that would run it.
+func (s source) Cost(pool tackid.Pool, action tackfleet.Action, maxParallel int) tackquery.Table {
+	plan := s.v.duties.planner.Cost(view(s), pool, action, maxParallel, s.v.waveSettings(s.now))
+	return tackquery.Table{
+		Columns: []string{"vms", "left_out", "steps", "buffer_vms", "minutes", "moves", "binds", "problem", "lower_bound_minutes"},
+		Rows: [][]any{{
+			int64(plan.VMs), int64(plan.Left), int64(plan.Steps), int64(plan.BufferVMs), int64(plan.Minutes),
+			int64(plan.Moves), plan.Binds, plan.Problem, int64((plan.LowerBound + tackclock.Minute - 1) / tackclock.Minute),
+		}},
+	}
+}
+
+// Hints tells what holds a VM back, as far as this VM knows.
+func (s source) Hints(id tackid.VM) []string {
+	vm, ok := s.v.state.Fleet.VM(id)
+	if !ok {
+		return nil
+	}
+	var hints []string
+	if n := s.v.caller.InFlight(id); n > 0 {
+		hints = append(hints, fmt.Sprintf("%d requests in flight from %s", n, s.v.cfg.VM.ID))
+	}
+	for _, h := range s.v.duties.planner.Holds(vm.Wave) {
+		if h.VM == id {
+			hints = append(hints, h.Reason)
+		}
+	}
+	return hints
+}
+
+// BackendServers returns the backend servers that announce themselves.
+func (s source) BackendServers() []tackquery.BackendServerRow {
+	s.v.directoryMu.Lock()
+	servers := s.v.directory.BackendServers()
+	s.v.directoryMu.Unlock()
+	rows := make([]tackquery.BackendServerRow, 0, len(servers))
+	for _, b := range servers {
+		rows = append(rows, tackquery.BackendServerRow{
+			BackendServer: b.ID,
+			Service:       b.Service,
+			VM:            b.VM,
+			DataCentre:    b.DataCentre,
+			Rack:          b.Rack,
+			Address:       b.Address,
+			Slots:         b.Slots,
+			Connections:   b.Connections,
+			Incarnation:   b.Incarnation,
+			State:         stateOf(string(b.State), b.Health),
+		})
+	}
+	return rows
+}
+
+// Workers returns the workers that announce themselves.
+func (s source) Workers() []tackquery.WorkerRow {
+	s.v.directoryMu.Lock()
+	workers := s.v.directory.Workers()
+	s.v.directoryMu.Unlock()
+	rows := make([]tackquery.WorkerRow, 0, len(workers))
+	for _, w := range workers {
+		rows = append(rows, tackquery.WorkerRow{
+			Worker:      w.ID,
+			DataCentre:  w.DataCentre,
+			Rack:        w.Rack,
+			Cores:       w.Cores,
+			MemoryMB:    w.MemoryMB,
+			Incarnation: w.Incarnation,
+			State:       stateOf(string(w.State), w.Health),
+		})
+	}
+	return rows
+}
+
+func stateOf(announced string, health tackfleet.Health) string {
+	if health == tackfleet.HealthServing {
+		return announced
+	}
+	return health.String()
+}
+
+// Peers returns the VMs of the system. What a peer has applied is known to
+// the leader alone; elsewhere only this VM's own row and links tell it.
+func (s source) Peers() []tackquery.PeerRow {
+	status := s.v.status.Load()
+	heard := make(map[tackid.Peer]tackclock.Time)
+	for _, l := range s.v.links.Status() {
+		heard[l.Peer] = l.LastHeard
+	}
+	var rows []tackquery.PeerRow
+	for _, m := range status.Members {
+		row := tackquery.PeerRow{
+			Peer:        m.Peer,
+			DataCentre:  m.DataCentre,
+			Voter:       m.Voter,
+			Role:        roleOf(m.Peer, status.Leader, m.Voter),
+			Applied:     m.Applied,
+			Leased:      m.LeaseUntil.After(s.now),
+			LastHeardMS: int64(s.now.Sub(heard[m.Peer])),
+			InForce:     m.Applied,
+		}
+		if m.Peer == s.v.cfg.VM.ID {
+			row.Applied, row.InForce, row.Leased, row.LastHeardMS = status.Applied, status.Applied, status.Leased, 0
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func roleOf(p, leader tackid.Peer, voter bool) string {
+	switch {
+	case p == leader:
+		return "leader"
+	case voter:
+		return "replica"
+	default:
+		return "learner"
+	}
+}
+
+// Health returns how this VM stands.
+func (v *VM) Health() tackoperator.Health {
+	s := v.status.Load()
+	h := tackoperator.Health{
+		Ready:    v.ready.Load(),
+		Leased:   s.Leased,
+		Leader:   s.Leader,
+		Role:     s.Role.String(),
+		Revision: s.Applied,
+	}
+	switch {
+	case !h.Ready:
+		h.Reason = "starting or stopping"
+	case !h.Leased:
+		h.Reason = "cut off: serves its own data centre by the last accepted configuration"
+	}
+	return h
+}
+
+// Burn returns the account of service levels.
+func (v *VM) Burn() tackburn.Report {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.state.Burn.Report(v.clock.Now(), tackburn.Settings{Default: v.cfg.Burn.Objective})
+}
--- /dev/null
+++ b/io/tackvm/routes.go
@@ -0,0 +1,150 @@
+package tackvm
+
+import (
+	"context"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackfleet"
+	"auburntack/core/tackid"
+	"auburntack/core/tackmember"
+	"auburntack/core/tackroute"
+)
+
+// routeInputs tells what the published routes were made from, so that they
+// are made anew only when something changed.
+type routeInputs struct {
+	revision  tackid.Revision
+	fleet     tackid.Revision
+	directory uint64
+	leased    bool
+	made      bool
+}
+
+// publishRoutes makes the table that callers' requests are routed by. It runs
+// before the log is told that an entry was applied: once this VM reports a
+// revision, no request it routes goes by an older one.
+func (v *VM) publishRoutes(now tackclock.Time) {
+	leased := v.node.Leased(now)
+	v.directoryMu.Lock()
+	version := v.directory.Version()
+	v.directoryMu.Unlock()
+	next := routeInputs{
+		revision:  v.routedBy.fleet,
+		fleet:     v.routedBy.fleet,
+		directory: version,
+		leased:    leased,
+		made:      true,
+	}
+	if v.routedBy == next {
+		return
+	}
+	if v.routedBy.made && v.routedBy.leased != leased {
+		v.log.WithField("leased", leased).Info("lease changed")
+	}
+	v.routedBy = next
+	v.routes.Store(v.makeRoutes(leased))
+}
+
+func (v *VM) makeRoutes(leased bool) *tackroute.Table {
+	v.directoryMu.Lock()
+	servers := v.directory.BackendServers()
+	v.directoryMu.Unlock()
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	table := &tackroute.Table{
+		Revision: v.applied.Index,
+		Services: make(map[tackid.Service][]tackroute.Candidate),
+		Quotas:   make(map[tackid.Team]int),
+		Peers:    len(v.cfg.Peers) + 1,
+		HomeOnly: !leased,
+	}
+	for _, s := range v.state.Fleet.Services() {
+		table.Services[s.ID] = nil
+	}
+	for _, q := range v.state.Fleet.Quotas() {
+		table.Quotas[q.Team] = q.Slots
+	}
+	for i := range servers {
+		v.addCandidate(table, &servers[i])
+	}
+	return table
+}
+
+// addCandidate adds the backend server to its service if it serves on a VM of
+// the pool that the service is placed on. A VM that moved away keeps its
+// backend servers for a while; nothing may be sent to them.
+func (v *VM) addCandidate(table *tackroute.Table, b *tackmember.BackendServerRecord) {
+	if b.State != tackmember.StateServing || b.Health != tackfleet.HealthServing {
+		return
+	}
+	service, ok := v.state.Fleet.Service(b.Service)
+	if !ok {
+		return
+	}
+	vm, ok := v.state.Fleet.VM(b.VM)
+	if !ok || vm.Pool != service.Pool || !vm.Routable() {
+		return
+	}
+	if table.HomeOnly && b.DataCentre != v.cfg.VM.DataCentre {
+		return
+	}
+	table.Services[b.Service] = append(table.Services[b.Service], tackroute.Candidate{
+		BackendServer: b.ID,
+		VM:            b.VM,
+		DataCentre:    b.DataCentre,
+		Rack:          b.Rack,
+		Address:       b.Address,
+		Slots:         b.Slots,
+		Connections:   b.Connections,
+		Incarnation:   b.Incarnation,
+	})
+}
+
+func (v *VM) tickDirectory(now tackclock.Time) {
+	v.directoryMu.Lock()
+	out := v.directory.Tick(now)
+	v.directoryMu.Unlock()
+	v.sendMember(out)
+}
+
+func (v *VM) onMember(from tackid.Peer, body []byte) {
+	var m tackmember.Message
+	if !v.decode(from, body, &m) {
+		return
+	}
+	v.directoryMu.Lock()
+	out := v.directory.Receive(v.clock.Now(), from, m)
+	v.directoryMu.Unlock()
+	v.sendMember(out)
+	v.wake()
+}
+
+func (v *VM) sendMember(out []tackmember.Outgoing) {
+	for _, o := range out {
+		v.send(o.To, kindMember, o.Message)
+	}
+}
+
+// Announce takes an announcement of a backend server or worker.
+func (v *VM) Announce(a tackmember.Announcement) (tackmember.Reply, error) {
+	v.directoryMu.Lock()
+	reply, err := v.directory.Announce(v.clock.Now(), a)
+	v.directoryMu.Unlock()
+	v.wake()
+	return reply, err
+}
+
+// Withdraw ends an incarnation of a backend server.
+func (v *VM) Withdraw(b tackid.BackendServer, n tackid.Incarnation) bool {
+	v.directoryMu.Lock()
+	ok := v.directory.Withdraw(v.clock.Now(), b, n)
+	v.directoryMu.Unlock()
+	v.wake()
+	return ok
+}
+
+// wake has the loop look at once at what changed, and send what the
+// directory has to say.
+func (v *VM) wake() {
+	v.post(context.Background(), func() { v.tickDirectory(v.clock.Now()) })
+}
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -1,20 +1,230 @@
-// Package tackvm runs one VM of the system: it ties the decision packages to
-// the network and the disk.
+// Package tackvm is one running VM of the system. It owns the replicated log
+// and the state it drives, links them to the disk, the other peers, the
+// callers' and the operators' ports and the platform, and stops them in
+// order.
 package tackvm
 
 import (
-	"context"
-	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackmember"
+	"auburntack/core/tackreplica"
+	"auburntack/core/tackroute"
+	"auburntack/core/tackstate"
+	"auburntack/core/tackwave"
+	"auburntack/io/tackdisk"
+	"auburntack/io/tackhttp"
+	"auburntack/io/tackpeer"
+	"auburntack/io/tackplatform"
+	"auburntack/io/tacksettings"
+
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+)
 
-	"auburntack/io/tacksettings"
+const (
+	// eventQueue is how many events may wait for the loop before a sender
+	// waits too.
+	eventQueue = 1024
+	// snapshotEvery is how many entries are applied between two snapshots.
+	snapshotEvery = 1000
 )
 
-var errNotBuilt = errors.New("tackvm: not built yet")
+type (
+	// VM is one VM of the system. Make it with New and run it with Run.
+	VM struct {
+		cfg      tacksettings.Settings
+		clock    *tackclock.Clock
+		log      *logrus.Entry
+		registry metrics.Registry
+
+		links    *tackpeer.Links
+		disk     *tackdisk.Disk
+		platform *tackplatform.Client
+		caller   *tackhttp.Handler
+
+		// events are run one at a time by the loop, which alone touches node.
+		events chan func()
+		node   *tackreplica.Node
+		failed atomic.Pointer[StoppedError]
+
+		// mu guards state and applied. Only the loop writes them.
+		mu      sync.RWMutex
+		state   tackstate.State
+		applied tackreplica.Entry
+
+		directoryMu sync.Mutex
+		directory   tackmember.Directory
+
+		routes  atomic.Pointer[tackroute.Table]
+		status  atomic.Pointer[tackreplica.Status]
+		ready   atomic.Bool // for the balancer
+		serves  atomic.Bool // for callers: ready, or lingering in a planned stop
+		meter   meter
+		waiting waiters
+		duties  duties
+
+		snapshotAt tackid.Revision
+		routedBy   routeInputs
+	}
+
+	// StoppedError says that the VM cannot go on and what to do about it.
+	StoppedError struct {
+		What   string
+		Advice string
+		Err    error
+	}
+)
+
+// Error implements error.
+func (e *StoppedError) Error() string {
+	return fmt.Sprintf("%s: %v; %s", e.What, e.Err, e.Advice)
+}
+
+// Unwrap returns the cause.
+func (e *StoppedError) Unwrap() error {
+	return e.Err
+}
+
+// New makes a VM by its settings and reads its data folder. Nothing runs and
+// no port is taken until Run.
+func New(cfg tacksettings.Settings, clock *tackclock.Clock, logger *logrus.Logger) (*VM, error) {
+	v := &VM{
+		cfg:      cfg,
+		clock:    clock,
+		log:      logger.WithField("vm", string(cfg.VM.ID)),
+		registry: metrics.NewRegistry(),
+		events:   make(chan func(), eventQueue),
+	}
+	v.waiting.next = rand.Uint64() >> 1
+	stored, err := v.openDisk(logger)
+	if err != nil {
+		return nil, err
+	}
+	if err := v.restore(stored); err != nil {
+		return nil, err
+	}
+	v.connect(logger)
+	v.duties.planner = &tackwave.Planner{}
+	v.publishRoutes(clock.Now())
+	v.caller = v.newCaller(logger)
+	return v, nil
+}
+
+// Registry returns the VM's metrics.
+func (v *VM) Registry() metrics.Registry {
+	return v.registry
+}
+
+func (v *VM) openDisk(logger *logrus.Logger) (tackreplica.Stored, error) {
+	if v.cfg.State.Folder == "" {
+		return tackreplica.Stored{}, nil
+	}
+	disk, stored, err := tackdisk.Open(v.cfg.State.Folder, tackdisk.Options{Peer: v.cfg.VM.ID, Logger: logger})
+	if err != nil {
+		return stored, &StoppedError{
+			What:   "open the data folder " + v.cfg.State.Folder,
+			Advice: "see the disks page of the operators' manual",
+			Err:    err,
+		}
+	}
+	v.disk = disk
+	return stored, nil
+}
+
+// restore rebuilds the state from what the disk held. Entries after the
+// snapshot are applied again by the loop once the log says that they are
+// committed.
+func (v *VM) restore(stored tackreplica.Stored) error {
+	if len(stored.Snapshot.Data) > 0 {
+		if err := v.state.Restore(stored.Snapshot.Data); err != nil {
+			return &StoppedError{
+				What:   "read the snapshot",
+				Advice: "start with an empty data folder, the other replicas bring it up to date",
+				Err:    err,
+			}
+		}
+		v.applied = tackreplica.Entry{
+			Index: stored.Snapshot.Index,
+			Term:  stored.Snapshot.Term,
+			Time:  stored.Snapshot.Time,
+		}
+		v.snapshotAt = stored.Snapshot.Index
+	}
+	v.node = tackreplica.New(tackreplica.Config{
+		Self:      v.cfg.VM.ID,
+		Members:   v.configuredMembers(),
+		Heartbeat: v.cfg.Replica.Heartbeat,
+		Election:  v.cfg.Replica.Election,
+		Lease:     v.cfg.Replica.Lease,
+		Seed:      rand.Uint64(),
+	}, stored, v.clock.Now())
+	v.refreshStatus(v.clock.Now())
+	return nil
+}
+
+func (v *VM) configuredMembers() []tackreplica.Member {
+	members := []tackreplica.Member{{
+		Peer:       v.cfg.VM.ID,
+		DataCentre: v.cfg.VM.DataCentre,
+		Voter:      v.cfg.State.Replica,
+		Address:    v.cfg.Listen.Peer,
+	}}
+	for _, p := range v.cfg.Peers {
+		members = append(members, tackreplica.Member{
+			Peer:       p.ID,
+			DataCentre: p.DataCentre,
+			Voter:      p.Replica,
+			Address:    p.Address,
+		})
+	}
+	return members
+}
+
+func (v *VM) connect(logger *logrus.Logger) {
+	v.links = tackpeer.New(tackpeer.Config{
+		Self:     v.cfg.VM.ID,
+		Listen:   v.cfg.Listen.Peer,
+		Peers:    linkPeers(v.configuredMembers(), v.cfg.VM.ID),
+		Clock:    v.clock,
+		Logger:   logger,
+		Registry: v.registry,
+	})
+	v.links.Handle(kindReplica, v.onReplica)
+	v.links.Handle(kindMember, v.onMember)
+	v.links.Handle(kindForward, v.onForward)
+	v.links.Handle(kindReject, v.onReject)
+	v.links.Handle(kindConfirm, v.onConfirm)
+	v.links.Handle(kindConfirmed, v.onConfirmed)
+	v.links.Handle(kindReport, v.onReport)
+	v.directory.Configure(v.cfg.VM.ID, v.cfg.VM.DataCentre)
+	v.directory.SetPeers(peerIDs(v.configuredMembers(), v.cfg.VM.ID))
+	if v.cfg.Platform.Address != "" {
+		v.platform = &tackplatform.Client{Address: v.cfg.Platform.Address}
+	}
+}
+
+func linkPeers(members []tackreplica.Member, self tackid.Peer) []tackpeer.Peer {
+	var peers []tackpeer.Peer
+	for _, m := range members {
+		if m.Peer != self {
+			peers = append(peers, tackpeer.Peer{ID: m.Peer, DataCentre: m.DataCentre, Address: m.Address})
+		}
+	}
+	return peers
+}
 
-// Run serves by cfg until ctx ends, stops gracefully and returns nil. An
-// error means that the VM cannot go on; it says what to do.
-func Run(ctx context.Context, cfg tacksettings.Settings, log *logrus.Logger) error {
-	return errNotBuilt
+func peerIDs(members []tackreplica.Member, self tackid.Peer) []tackid.Peer {
+	var ids []tackid.Peer
+	for _, m := range members {
+		if m.Peer != self {
+			ids = append(ids, m.Peer)
+		}
+	}
+	return ids
 }
