Share one set of callers between the tests of processes and the demo

Cause: the test had its own load loop, and the demonstration needs the same. Conclusion: one piece of code judges answers.

--- a/cmd/auburntackd/path_test.go
+++ b/cmd/auburntackd/path_test.go
@@ -1,17 +1,12 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,76 +167,20 @@
 	}
 }
 
-// load sends requests through the balancer until it is stopped.
-type load struct {
-	site     *site
-	stop     chan struct{}
-	callers  sync.WaitGroup
-	sent     atomic.Int64
-	mu       sync.Mutex
-	problems []string
+func (s *site) startCallers(n int) *tackstandin.Callers {
+	c := &tackstandin.Callers{Balancer: &s.balancer, Service: "names-api", Number: n}
+	c.Start()
+	return c
 }
 
-func (s *site) startLoad(callers int) *load {
-	l := &load{site: s, stop: make(chan struct{})}
-	for c := range callers {
-		l.callers.Add(1)
-		go func() {
-			defer l.callers.Done()
-			for i := 0; ; i++ {
-				select {
-				case <-l.stop:
-					return
-				default:
-				}
-				l.request(fmt.Sprintf("caller-%d-%d", c, i), i)
-			}
-		}()
-	}
-	return l
-}
-
-// request sends one request, of a kind that changes with i, and notes what is
-// wrong with its answer.
-func (l *load) request(body string, i int) {
-	entry, err := l.site.balancer.Pick()
-	if err != nil {
-		time.Sleep(10 * time.Millisecond)
-		return
-	}
-	methods := []string{"PUT", "POST", "POST"}
-	r, _ := http.NewRequest(methods[i%len(methods)], "http://"+entry+"/names-api/"+body, strings.NewReader(body))
-	if i%len(methods) == 2 {
-		r.Header.Set("Idempotency-Key", body)
-	}
-	l.sent.Add(1)
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		l.note("%s: %v", body, err)
-		return
-	}
-	defer answer.Body.Close()
-	got, err := io.ReadAll(answer.Body)
-	if err != nil || answer.StatusCode != http.StatusOK {
-		l.note("%s: status %d, outcome %s, %v: %s", body, answer.StatusCode, answer.Header.Get("Auburntack-Outcome"), err, got)
-		return
-	}
-	var whole tackstandin.Answer
-	if json.Unmarshal(bytes.TrimSpace(got), &whole) != nil || whole.Body != body {
-		l.note("%s: another's answer: %s", body, got)
-	}
-}
-
-func (l *load) note(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.problems = append(l.problems, fmt.Sprintf(format, args...))
-}
-
-func (l *load) end() []string {
-	close(l.stop)
-	l.callers.Wait()
-	return l.problems
+// assertWhole fails the test unless every request was answered whole and
+// none ran twice or was cut.
+func (s *site) assertWhole(c tackstandin.CallerCounts) {
+	So(c.Notes, ShouldBeEmpty)
+	So(c.Sent, ShouldBeGreaterThan, 100)
+	So(c.Answered, ShouldEqual, c.Sent)
+	So(s.tally.Cut(), ShouldEqual, 0)
+	So(s.tally.DoubledKeys(), ShouldEqual, 0)
 }
 
 // Symptom: callers see failed or cut requests during a nightly wave.
@@ -252,18 +191,15 @@
 func TestWaveUnderLoad(t *testing.T) {
 	s := newSite(t, 6)
 	s.do(t, "set budget names-api min_available 4")
-	load := s.startLoad(8)
+	callers := s.startCallers(8)
 	s.do(t, "create wave night over pool front action reboot")
 	s.do(t, "start wave night")
 	s.await(t, "the wave to finish", func() bool {
 		return len(s.rows(t, "show waves where state = finished")) == 1
 	})
-	problems := load.end()
+	counts := callers.Stop()
 	Convey("Every request is answered whole and every VM rebooted once", t, func() {
-		So(problems, ShouldBeEmpty)
-		So(load.sent.Load(), ShouldBeGreaterThan, 100)
-		So(s.tally.Cut(), ShouldEqual, 0)
-		So(s.tally.DoubledKeys(), ShouldEqual, 0)
+		s.assertWhole(counts)
 		for _, b := range s.servers {
 			So(s.platform.Times(b.VM), ShouldEqual, 1)
 		}
--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -74,7 +74,7 @@
 func NewCluster(binary, folder, more string, places []Place) ([]*Daemon, error) {
 	var daemons []*Daemon
 	for i, p := range places {
-		ports, err := freePorts(3)
+		ports, err := FreePorts(3)
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +98,8 @@
 	return daemons, nil
 }
 
-func freePorts(n int) ([]string, error) {
+// FreePorts returns n loopback addresses that nothing listens on.
+func FreePorts(n int) ([]string, error) {
 	var ports []string
 	for range 1000 {
 		if len(ports) == n {
