--- a/cmd/auburntackd/path_test.go
+++ b/cmd/auburntackd/path_test.go
@@ -56,7 +56,7 @@
 	s := &site{platform: tackstandin.Platform{Reboot: 200 * time.Millisecond}}
 	must(t, s.platform.Start())
 	t.Cleanup(s.platform.Stop)
-	more := fmt.Sprintf("[platform]\naddress = %s\n[wave]\nsettle_ms = 300\nreboot_ms = 1000\nprefer = time\n[stop]\nlinger_ms = 500\n[log]\nlevel = debug\n", s.platform.Address())
+	more := fmt.Sprintf("[platform]\naddress = %s\n[wave]\nsettle_ms = 300\nreboot_ms = 1000\nprefer = time\n[stop]\nlinger_ms = 500\n[log]\nlevel = info\n", s.platform.Address())
 	var err error
 	s.daemons, err = tackstandin.NewCluster(binary, t.TempDir(), more, []tackstandin.Place{
 		{DataCentre: "rennes-a", Replica: true},
--- a/io/tackstandin/balancer.go
+++ b/io/tackstandin/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,13 @@
 	return b.ready[b.next.Add(1)%uint64(len(b.ready))], nil
 }
 
+// Ready returns the callers' ports of the entries that are ready.
+func (b *Balancer) Ready() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.ready)
+}
+
 func (b *Balancer) check() {
 	var ready []string
 	for _, e := range b.Entries {
