Take callers only once the backend servers are known

Cause: a started VM held a lease within milliseconds and said it was ready, while its directory was still empty; and the space of a peer to which nobody announces was never answered, so it was asked for again every 600 ms. Before: TestPlannedStopUnderLoad counted refusals, no_backend_server, for up to a second after each start. With the directory awaited but the empty space unanswered each start took the full 5 s limit and the test 18.5 s; answered, the test takes 5.9 s. Conclusion: ready means lease and directory; the 5 s limit stays for a VM that is cut off.

--- a/core/tackmember/space.go
+++ b/core/tackmember/space.go
@@ -70,14 +70,16 @@
 	}
 }
 
-// part answers w, or returns false when the space has nothing beyond it.
+// part answers w, or returns false when the space has nothing beyond it. An
+// empty space is answered too, by its head alone: whoever asks from zero does
+// not know the space, and would go on asking for it as long as it is empty.
 func (s *space) part(w Want) (Part, bool) {
 	reset := w.From > 0 && w.From < s.floor && w.Floor < s.floor
 	from := w.From
 	if reset {
 		from = 0
 	}
-	if from >= s.version {
+	if from >= s.version && s.version > 0 {
 		return Part{}, false
 	}
 	p := s.header(from)
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -182,12 +182,12 @@
 	}
 	before := s.version
 	touched, ok := s.take(now, p)
-	if ok && s.version <= before && len(touched) == 0 {
-		return
-	}
 	if ok {
 		delete(d.wanted, s.id)
 	}
+	if ok && s.version <= before && len(touched) == 0 {
+		return
+	}
 	for _, k := range touched {
 		d.settle(now, k)
 	}
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -188,7 +188,8 @@
 }
 
 // watchReady turns the VM ready once it knows what to serve by: it holds a
-// lease, or it has waited for one in vain and goes on by what its disk held.
+// lease and knows the backend servers, or it has waited for that in vain and
+// goes on by what its disk held.
 func (v *VM) watchReady(ctx context.Context) {
 	ticker := time.NewTicker(readyEvery)
 	defer ticker.Stop()
@@ -211,12 +212,18 @@
 
 func (v *VM) mayServe(began tackclock.Time) bool {
 	s := v.status.Load()
-	if s.Leased {
+	if s.Leased && v.directoryCaughtUp() {
 		return true
 	}
 	return s.Applied > 0 && v.clock.Now().Sub(began) > startLimit
 }
 
+func (v *VM) directoryCaughtUp() bool {
+	v.directoryMu.Lock()
+	defer v.directoryMu.Unlock()
+	return v.directory.CaughtUp()
+}
+
 // stopInOrder ends a VM so that nobody notices: the balancer sees that it is
 // not ready and has time to follow, requests that came are answered, another
 // replica leads, and the leader knows that nothing is left here.
