--- a/core/tackledger/snapshot.go
+++ b/core/tackledger/snapshot.go
@@ -78,6 +78,9 @@
 		}
 	}
 	out := snapshot{Version: snapshotVersion, Revision: s.revision, Now: s.now, Lives: s.lives}
+	if out.Lives == nil {
+		out.Lives = make(map[tackid.Peer]Life)
+	}
 	for _, v := range saved {
 		out.Records = append(out.Records, *v)
 	}
