--- a/io/tackdisk/disk.go
+++ b/io/tackdisk/disk.go
@@ -52,11 +52,13 @@
 		lock   io.Closer
 		id     identity
 		state  replay
-		log    *logFile
-		failed *FailedError
-		closed bool
-		syncs  uint64
-		bytes  uint64
+		// sequence is the number of the newest log file.
+		sequence uint64
+		log      *logFile
+		failed   *FailedError
+		closed   bool
+		syncs    uint64
+		bytes    uint64
 	}
 )
 
--- a/io/tackdisk/errors.go
+++ b/io/tackdisk/errors.go
@@ -7,7 +7,14 @@
 	"auburntack/core/tackid"
 )
 
-var errClosed = errors.New("closed")
+var (
+	errClosed   = errors.New("closed")
+	errFrame    = errors.New("length or checksum is wrong")
+	errCut      = errors.New("ends before the records it began with")
+	errSnapshot = errors.New("the snapshot that the log follows is missing")
+	errIdentity = errors.New("missing beside a log or a snapshot")
+	errHeader   = errors.New("header is missing or stands twice")
+)
 
 type (
 	// CorruptError reports a file whose content cannot be what was written:
@@ -15,7 +22,7 @@
 	CorruptError struct {
 		File   string
 		Offset int64
-		Reason string
+		Err    error
 	}
 
 	// InUseError reports a folder that another process has open.
@@ -44,6 +51,11 @@
 		Limit int
 	}
 
+	// VersionError reports a format that a later release wrote.
+	VersionError struct {
+		Version int
+	}
+
 	// GapError reports an entry that does not follow the log.
 	GapError struct {
 		Index tackid.Revision
@@ -53,9 +65,12 @@
 
 // Error implements error.
 func (e *CorruptError) Error() string {
-	return fmt.Sprintf("tackdisk: %s is corrupt at byte %d: %s", e.File, e.Offset, e.Reason)
+	return fmt.Sprintf("tackdisk: %s is corrupt at byte %d: %v", e.File, e.Offset, e.Err)
 }
 
+// Unwrap returns what is wrong there.
+func (e *CorruptError) Unwrap() error { return e.Err }
+
 // Error implements error.
 func (e *InUseError) Error() string {
 	return fmt.Sprintf("tackdisk: %s is in use by another process: %v", e.Folder, e.Err)
@@ -82,6 +97,11 @@
 	return fmt.Sprintf("tackdisk: %d bytes are over the bound of %d", e.Bytes, e.Limit)
 }
 
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("tackdisk: format version %d, this release reads up to %d", e.Version, formatVersion)
+}
+
 // Error implements error.
 func (e *GapError) Error() string {
 	return fmt.Sprintf("tackdisk: entry %d does not follow the log, want at most %d", e.Index, e.Want)
--- a/io/tackdisk/folder.go
+++ b/io/tackdisk/folder.go
@@ -89,10 +89,10 @@
 	}
 	payload, ok := unframe(data, place{}, identityLimit)
 	if !ok {
-		return d.corrupt(identityName, 0, "length or checksum is wrong")
+		return d.corrupt(identityName, 0, errFrame)
 	}
 	if err := decoding.Unmarshal(payload, &d.id); err != nil {
-		return d.corrupt(identityName, 0, err.Error())
+		return d.corrupt(identityName, 0, err)
 	}
 	if d.id.Peer != d.opt.Peer {
 		return &IdentityError{Folder: d.folder, Want: d.opt.Peer, Got: d.id.Peer}
@@ -105,7 +105,7 @@
 		_, isLog := parseName(name, logPrefix)
 		_, isSnapshot := parseName(name, snapshotPrefix)
 		if isLog || isSnapshot {
-			return d.corrupt(identityName, 0, "missing beside "+name)
+			return d.corrupt(identityName, 0, errIdentity)
 		}
 	}
 	var random [8]byte
@@ -134,11 +134,11 @@
 	}
 	payload, ok := unframe(data, place{salt: d.id.salt()}, d.opt.MaxSnapshotBytes)
 	if !ok || len(data) != frameBytes+len(payload) {
-		return tackreplica.Snapshot{}, d.corrupt(name, 0, "length or checksum is wrong")
+		return tackreplica.Snapshot{}, d.corrupt(name, 0, errFrame)
 	}
 	var s tackreplica.Snapshot
 	if err := decoding.Unmarshal(payload, &s); err != nil {
-		return tackreplica.Snapshot{}, d.corrupt(name, 0, err.Error())
+		return tackreplica.Snapshot{}, d.corrupt(name, 0, err)
 	}
 	return s, nil
 }
@@ -172,9 +172,9 @@
 			Warn("last record is torn and left out, it was never answered as durable")
 	}
 	d.state = content.state
-	d.log = &logFile{name: logName(sequence), sequence: sequence}
+	d.sequence = sequence
 	if d.state.mark.Index > snapshot.Index {
-		return d.corrupt(logName(sequence), 0, fmt.Sprintf("follows snapshot %d, which is missing", d.state.mark.Index))
+		return d.corrupt(logName(sequence), 0, errSnapshot)
 	}
 	if d.state.mark.Index < snapshot.Index {
 		d.state.compact(snapshot)
--- a/io/tackdisk/log.go
+++ b/io/tackdisk/log.go
@@ -107,39 +107,54 @@
 // before the next; anything else that is broken is damage.
 func (d *Disk) decodeLog(name string, data []byte, at place) (logContent, error) {
 	content := logContent{torn: -1}
-	whole := 1
-	for n := 0; at.offset < int64(len(data)); n++ {
+	whole, n := 1, 0
+	for ; at.offset < int64(len(data)); n++ {
 		payload, ok := unframe(data[at.offset:], at, d.opt.MaxRecordBytes)
 		if !ok && n >= whole && !anyRecord(data, at, d.opt.MaxRecordBytes) {
 			content.torn = at.offset
 			return content, nil
 		}
 		if !ok {
-			return content, d.corrupt(name, at.offset, "length or checksum is wrong")
+			return content, d.corrupt(name, at.offset, errFrame)
 		}
-		next, err := decodeRecord(payload)
+		next, err := content.add(payload, n == 0)
 		if err != nil {
-			return content, d.corrupt(name, at.offset, err.Error())
+			return content, d.corrupt(name, at.offset, err)
 		}
-		if n == 0 {
-			if next.Header == nil || next.Header.Version > formatVersion {
-				return content, d.corrupt(name, 0, "no header that this release can read")
-			}
-			content.state.mark = next.Header.Mark
+		if next.Header != nil {
 			whole = next.Header.Records
 		}
-		if err := content.state.check(next); err != nil {
-			return content, d.corrupt(name, at.offset, err.Error())
-		}
-		content.state.apply(next)
 		at.offset += frameBytes + int64(len(payload))
 	}
-	if at.offset == 0 {
-		return content, d.corrupt(name, 0, "empty file")
+	if n < whole {
+		return content, d.corrupt(name, at.offset, errCut)
 	}
 	return content, nil
 }
 
+// add decodes one record and adds it up. The first must have a header, and
+// no other.
+func (c *logContent) add(payload []byte, first bool) (record, error) {
+	next, err := decodeRecord(payload)
+	if err != nil {
+		return record{}, err
+	}
+	if first != (next.Header != nil) {
+		return record{}, errHeader
+	}
+	if first && next.Header.Version > formatVersion {
+		return record{}, &VersionError{Version: next.Header.Version}
+	}
+	if first {
+		c.state.mark = next.Header.Mark
+	}
+	if err := c.state.check(next); err != nil {
+		return record{}, err
+	}
+	c.state.apply(next)
+	return next, nil
+}
+
 // anyRecord reports whether a whole record begins anywhere after at. If one
 // does, the broken bytes at that place were followed by a later write, and
 // are no torn last record.
@@ -152,8 +167,8 @@
 	return false
 }
 
-func (d *Disk) corrupt(name string, offset int64, reason string) error {
-	return &CorruptError{File: d.path(name), Offset: offset, Reason: reason}
+func (d *Disk) corrupt(name string, offset int64, err error) error {
+	return &CorruptError{File: d.path(name), Offset: offset, Err: err}
 }
 
 // rewrite starts a new log file that holds the whole state, and removes the
@@ -164,10 +179,7 @@
 // and lose them at the next power cut. Written once more into a new file,
 // they are synced for certain or the error shows.
 func (d *Disk) rewrite() error {
-	next := &logFile{salt: d.id.salt(), sequence: 1}
-	if d.log != nil {
-		next.sequence = d.log.sequence + 1
-	}
+	next := &logFile{salt: d.id.salt(), sequence: d.sequence + 1}
 	next.name = logName(next.sequence)
 	data, err := d.encodeState(next)
 	if err != nil {
@@ -178,10 +190,10 @@
 		return err
 	}
 	next.file, next.offset = file, int64(len(data))
-	if d.log != nil && d.log.file != nil {
+	if d.log != nil {
 		_ = d.log.file.Close() // synced, and about to be removed
 	}
-	d.log = next
+	d.log, d.sequence = next, next.sequence
 	return d.removeOld()
 }
 
@@ -249,7 +261,7 @@
 
 func (d *Disk) superfluous(name string) bool {
 	if sequence, ok := parseName(name, logPrefix); ok {
-		return sequence < d.log.sequence
+		return sequence < d.sequence
 	}
 	if index, ok := parseName(name, snapshotPrefix); ok {
 		return tackid.Revision(index) < d.state.mark.Index
--- a/io/tackdisk/record.go
+++ b/io/tackdisk/record.go
@@ -11,9 +11,9 @@
 
 const (
 	formatVersion = 1
-	// frameBytes is the length of what precedes each record: its length and
-	// its checksum, four bytes each.
-	frameBytes = 8
+	// frameBytes is the length of what precedes each record: its length, its
+	// checksum, and a checksum of these two, four bytes each.
+	frameBytes = 12
 )
 
 var (
@@ -52,37 +52,41 @@
 	}
 )
 
-// frame returns payload with its length and checksum in front.
+// frame returns payload with its length and checksums in front.
 func frame(payload []byte, at place) []byte {
 	framed := make([]byte, frameBytes, frameBytes+len(payload))
+	seed := at.seed()
 	binary.LittleEndian.PutUint32(framed, uint32(len(payload)))
-	binary.LittleEndian.PutUint32(framed[4:], checksum(framed[:4], payload, at))
+	binary.LittleEndian.PutUint32(framed[4:], crc32.Update(seed, castagnoli, payload))
+	binary.LittleEndian.PutUint32(framed[8:], crc32.Update(seed, castagnoli, framed[:8]))
 	return append(framed, payload...)
 }
 
 // unframe returns the payload at the head of data, or false where no whole
-// record with a right checksum begins there.
+// record with right checksums begins there.
 func unframe(data []byte, at place, limit int) ([]byte, bool) {
 	if len(data) < frameBytes {
 		return nil, false
 	}
+	seed := at.seed()
+	if binary.LittleEndian.Uint32(data[8:]) != crc32.Update(seed, castagnoli, data[:8]) {
+		return nil, false
+	}
 	size := int64(binary.LittleEndian.Uint32(data))
-	if size == 0 || size > int64(limit) || size > int64(len(data)-frameBytes) {
+	if size > int64(limit) || size > int64(len(data)-frameBytes) {
 		return nil, false
 	}
 	payload := data[frameBytes : frameBytes+size]
-	sum := binary.LittleEndian.Uint32(data[4:])
-	return payload, sum == checksum(data[:4], payload, at)
+	return payload, binary.LittleEndian.Uint32(data[4:]) == crc32.Update(seed, castagnoli, payload)
 }
 
-func checksum(length, payload []byte, at place) uint32 {
+// seed is what the checksums of a record at this place begin with.
+func (p place) seed() uint32 {
 	var where [24]byte
-	binary.LittleEndian.PutUint64(where[:], at.salt)
-	binary.LittleEndian.PutUint64(where[8:], at.sequence)
-	binary.LittleEndian.PutUint64(where[16:], uint64(at.offset))
-	sum := crc32.Update(0, castagnoli, where[:])
-	sum = crc32.Update(sum, castagnoli, length)
-	return crc32.Update(sum, castagnoli, payload)
+	binary.LittleEndian.PutUint64(where[:], p.salt)
+	binary.LittleEndian.PutUint64(where[8:], p.sequence)
+	binary.LittleEndian.PutUint64(where[16:], uint64(p.offset))
+	return crc32.Checksum(where[:], castagnoli)
 }
 
 // decodeRecord decodes the payload of a record. Unknown fields are passed
