--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -21,6 +21,11 @@
 	// heartbeat.
 	minHeartbeat = 10 * tackclock.Millisecond
 	maxHeartbeat = 30 * tackclock.Second
+	// userTimeoutHeartbeats is when the kernel gives a connection up, in
+	// heartbeats: after they would have found it, should they not run.
+	userTimeoutHeartbeats = 4
+	// warnEvery spaces out the log lines about refused connections.
+	warnEvery = tackclock.Second
 )
 
 type (
@@ -62,7 +67,7 @@
 func (l *Links) setOptions(conn syscall.Conn) {
 	raw, err := conn.SyscallConn()
 	if err == nil {
-		err = setUserTimeout(raw, (silentAfter+1)*l.cfg.Heartbeat)
+		err = setUserTimeout(raw, userTimeoutHeartbeats*l.cfg.Heartbeat)
 	}
 	if err != nil {
 		l.cfg.Logger.WithError(err).Debug("socket option refused, heartbeats alone find silent links")
@@ -133,11 +138,11 @@
 	defer ws.CloseNow()
 	k, h, err := l.admit(ctx, ws, conn)
 	if err != nil {
-		l.refuse(ws, conn, err)
+		l.refuse(ctx, ws, conn, err)
 		return
 	}
 	err = l.carry(ctx, ws, conn, k, h)
-	if errors.Is(err, errSilent) {
+	if isSilent(err) {
 		k.counters.add(foundSilent, 1)
 	}
 	k.log().WithError(err).Debug("connection from peer ended")
@@ -188,11 +193,27 @@
 	return errA == nil && errB == nil && net.ParseIP(hostA).Equal(net.ParseIP(hostB))
 }
 
-func (l *Links) refuse(ws *websocket.Conn, conn *countedConn, err error) {
+// refuse tells the sender why, so that its operators find the reason in its
+// own log.
+func (l *Links) refuse(ctx context.Context, ws *websocket.Conn, conn *countedConn, err error) {
 	l.total.add(refused, 1)
-	l.cfg.Logger.WithError(err).WithField("remote", conn.RemoteAddr().String()).Warn("peer connection refused")
-	reason := err.Error()
-	_ = ws.Close(websocket.StatusPolicyViolation, reason[:min(len(reason), 120)])
+	log := l.cfg.Logger.WithError(err).WithField("remote", conn.RemoteAddr().String())
+	if l.mayWarn() {
+		log.Warn("peer connection refused")
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.DialTimeout.Std())
+	defer cancel()
+	answer := l.hello("")
+	answer.Refused = err.Error()
+	_ = writeHello(ctx, ws, answer) // the connection is closed next
+}
+
+// mayWarn reports whether a refusal may be logged. Whoever can connect could
+// fill the disk with log lines otherwise.
+func (l *Links) mayWarn() bool {
+	now := int64(l.cfg.Clock.Now())
+	last := l.warned.Load()
+	return now-last >= int64(warnEvery) && l.warned.CompareAndSwap(last, now)
 }
 
 // carry hands the connection's messages over until it ends. It takes the
@@ -203,11 +224,13 @@
 	a := &accepted{nonce: h.Nonce, end: cancel}
 	conn.belongsTo(k)
 	conn.heardBy(k)
-	k.replaceAccepted(a)
+	if !k.replaceAccepted(a) {
+		return &UnknownPeerError{Peer: k.peer.ID}
+	}
 	defer k.dropAccepted(a)
 	notify(k.kick)
 
-	ws.SetReadLimit(int64(l.cfg.MaxMessageBytes) + batchBytes)
+	ws.SetReadLimit(int64(max(l.cfg.MaxMessageBytes, batchBytes)))
 	var group sync.WaitGroup
 	group.Go(func() {
 		heartbeat := min(max(tackclock.Duration(h.HeartbeatMS), minHeartbeat), maxHeartbeat)
@@ -242,14 +265,20 @@
 	f(e.From, e.Body)
 }
 
-func (k *link) replaceAccepted(a *accepted) {
+// replaceAccepted ends the connection that a takes the place of. It reports
+// false where the peer is no longer one.
+func (k *link) replaceAccepted(a *accepted) bool {
 	k.mu.Lock()
 	old := k.accepted
-	k.accepted = a
+	if !k.gone {
+		k.accepted = a
+	}
+	gone := k.gone
 	k.mu.Unlock()
 	if old != nil {
 		old.end(errReplaced)
 	}
+	return !gone
 }
 
 func (k *link) dropAccepted(a *accepted) {
--- a/io/tackpeer/codec.go
+++ b/io/tackpeer/codec.go
@@ -39,6 +39,8 @@
 		Oldest int `cbor:"5,keyasint"`
 		// HeartbeatMS is how often the sender is heard at least.
 		HeartbeatMS int64 `cbor:"6,keyasint,omitempty"`
+		// Refused says in an answer why the connection is not accepted.
+		Refused string `cbor:"7,keyasint,omitempty"`
 	}
 )
 
@@ -80,6 +82,9 @@
 	if err := decoding.Unmarshal(data, &h); err != nil {
 		return hello{}, &MalformedError{Err: err}
 	}
+	if h.Refused != "" {
+		return h, &RefusedError{Peer: h.From, Reason: h.Refused}
+	}
 	if h.From == "" || h.Version < 1 || h.Oldest > Version {
 		return h, &VersionError{Peer: h.From, Version: h.Version, Oldest: h.Oldest}
 	}
--- a/io/tackpeer/conn.go
+++ b/io/tackpeer/conn.go
@@ -42,6 +42,12 @@
 		sendingLarge  atomic.Bool
 		largeProgress atomic.Int64
 	}
+
+	// silence counts the heartbeats in a row in which nothing moved.
+	silence struct {
+		last   int64
+		missed int
+	}
 )
 
 func newCounters(r metrics.Registry, prefix string, total *counters) *counters {
@@ -131,16 +137,10 @@
 
 // watch calls beat at every heartbeat and returns errSilent once nothing has
 // moved on the connection, ctx's error once that ends.
-//
-// A connection can stay open for good with nothing arriving, when a device
-// between the two ends has forgotten it: writes go on succeeding, nobody
-// reads them, and the peer looks lost although a new connection would work.
-// Heartbeats are counted rather than time, so that a process that was itself
-// stopped for a while does not take its own pause for the other's silence.
 func (c *countedConn) watch(ctx context.Context, every tackclock.Duration, beat func()) error {
 	ticker := time.NewTicker(every.Std())
 	defer ticker.Stop()
-	last, missed := c.moved(), 0
+	s := silence{last: c.moved()}
 	for {
 		beat()
 		select {
@@ -148,14 +148,25 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		now := c.moved()
-		missed++
-		if now != last {
-			missed = 0
-		}
-		last = now
-		if missed >= silentAfter {
+		if s.beat(c.moved()) {
 			return errSilent
 		}
 	}
 }
+
+// beat is told at every heartbeat how much has moved, and reports whether the
+// connection is silent.
+//
+// A connection can stay open for good with nothing arriving, when a device
+// between the two ends has forgotten it: writes go on succeeding, nobody
+// reads them, and the peer looks lost although a new connection would work.
+// Heartbeats are counted rather than time, so that a process that was itself
+// stopped for a while does not take its own pause for the other's silence.
+func (s *silence) beat(moved int64) bool {
+	s.missed++
+	if moved != s.last {
+		s.missed = 0
+	}
+	s.last = moved
+	return s.missed >= silentAfter
+}
--- a/io/tackpeer/errors.go
+++ b/io/tackpeer/errors.go
@@ -8,8 +8,9 @@
 )
 
 var (
-	errSilent   = errors.New("tackpeer: connection went silent")
-	errReplaced = errors.New("tackpeer: replaced by a newer connection")
+	errSilent    = errors.New("tackpeer: connection went silent")
+	errBackwards = errors.New("message on the sender's connection")
+	errReplaced  = errors.New("tackpeer: replaced by a newer connection")
 )
 
 type (
@@ -42,6 +43,12 @@
 		Oldest  int
 	}
 
+	// RefusedError reports a peer that did not accept the connection.
+	RefusedError struct {
+		Peer   tackid.Peer
+		Reason string
+	}
+
 	// IdentityError reports a peer that is not the one it should be.
 	IdentityError struct {
 		Want   tackid.Peer
@@ -79,6 +86,11 @@
 		e.Peer, e.Version, e.Oldest, Version)
 }
 
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("tackpeer: %q refused the connection: %s", e.Peer, e.Reason)
+}
+
 // Error implements error.
 func (e *IdentityError) Error() string {
 	return fmt.Sprintf("tackpeer: peer says it is %q, want %q: %s", e.Got, e.Want, e.Reason)
--- a/io/tackpeer/links.go
+++ b/io/tackpeer/links.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -95,6 +96,8 @@
 		cfg   Config
 		nonce uint64
 		total *counters
+		// warned is when a refused connection was last logged.
+		warned atomic.Int64
 
 		mu       sync.Mutex
 		handlers map[Kind]func(tackid.Peer, []byte)
