Separate words by the same white space everywhere

The fuzz target of tackquery found that a vertical tab was taken for white space when an error was placed and for a word when it was read: the error then had nothing to expect.

--- a/core/tacksyntax/language.go
+++ b/core/tacksyntax/language.go
@@ -8,7 +8,6 @@
 	"regexp"
 	"slices"
 	"strings"
-	"unicode"
 	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
@@ -20,6 +19,8 @@
 	endOfText = "the end of the text"
 	// closingQuote is what an error expects after an opening quote.
 	closingQuote = "a closing quote"
+	// space is what separates words; it is \s of the lexer's patterns.
+	space = " \t\n\f\r"
 	// anyWord is a word that no grammar has as a keyword.
 	anyWord = "any-word"
 )
@@ -156,7 +157,7 @@
 func skipSpace(text string, pos lexer.Position) lexer.Position {
 	pos.Offset = min(pos.Offset, len(text))
 	for _, r := range text[pos.Offset:] {
-		if !unicode.IsSpace(r) {
+		if !strings.ContainsRune(space, r) {
 			break
 		}
 		pos.Offset += utf8.RuneLen(r)
@@ -171,7 +172,7 @@
 
 // firstWord returns the text up to the first white space.
 func firstWord(text string) string {
-	if i := strings.IndexFunc(text, unicode.IsSpace); i >= 0 {
+	if i := strings.IndexAny(text, space); i >= 0 {
 		return text[:i]
 	}
 	return text
