--- a/core/tackfleet/waves.go
+++ b/core/tackfleet/waves.go
@@ -1,6 +1,8 @@
 package tackfleet
 
 import (
+	"fmt"
+
 	"auburntack/core/tackcommand"
 	"auburntack/core/tackid"
 )
@@ -163,7 +165,7 @@
 		return refused
 	}
 	s.takeStep(w, members)
-	s.record(Event{Text: "wave " + string(w.ID) + " drains a step", VMs: c.VMs})
+	s.record(Event{Text: fmt.Sprintf("wave %s drains step %d", w.ID, w.Steps), VMs: c.VMs})
 	return nil
 }
 
@@ -234,18 +236,26 @@
 // followPhase gives the VM the state that goes with its phase.
 func (s *State) followPhase(w *Wave, v *VM, phase Phase) {
 	switch phase {
-	case PhaseWaiting, PhaseDone:
+	case PhaseWaiting:
+		s.giveBack(v, VMInService)
+	case PhaseDone:
 		s.giveBack(v, VMInService)
+		s.recordPhase(w, v, phase)
 	case PhaseOperating, PhaseReturning:
 		s.enterState(v, VMMaintenance)
 	case PhaseSettling:
 		s.enterState(v, VMSettling)
 	case PhaseFailed:
 		s.giveBack(v, VMFailed)
-		s.record(Event{Text: "vm " + string(v.ID) + " failed in wave " + string(w.ID), VMs: []tackid.VM{v.ID}})
+		s.recordPhase(w, v, phase)
 	}
 }
 
+// recordPhase adds the end of a VM's way through a wave to the history.
+func (s *State) recordPhase(w *Wave, v *VM, phase Phase) {
+	s.record(Event{Text: fmt.Sprintf("vm %s is %s in wave %s", v.ID, phase, w.ID), VMs: []tackid.VM{v.ID}})
+}
+
 // waveEnd finishes or stops a wave.
 func (s *State) waveEnd(c *WaveEnd) *RefusedError {
 	w := s.waves.Get(c.Wave)
--- /dev/null
+++ b/core/tackfleet/waves_test.go
@@ -0,0 +1,118 @@
+package tackfleet
+
+import (
+	"testing"
+
+	"auburntack/core/tackid"
+)
+
+func assertPhase(t *testing.T, f *fleet, wave tackid.Wave, vm tackid.VM, want Phase) {
+	t.Helper()
+	w, _ := f.Wave(wave)
+	if m, _ := w.Member(vm); m.Phase != want {
+		t.Fatalf("wave %s has %s as %s, want %s", wave, vm, m.Phase, want)
+	}
+}
+
+// Symptom: a VM stays drained for ever after a wave was paused, stopped or
+// cancelled, or the platform reboots a VM that is back in service.
+// Sequence: w-1 drains and w-2 is being rebooted when the wave is held; the
+// leader's proposal to operate on w-1 is applied after that.
+// Cause: the VMs of the wave were not given back, or the late proposal was
+// let through.
+func TestHeldWaveGivesBack(t *testing.T) {
+	tests := []struct {
+		name string
+		hold func(f *fleet) Result
+		next Phase
+	}{
+		{"pause", func(f *fleet) Result { return f.do("pause wave m") }, PhaseWaiting},
+		{"cancel", func(f *fleet) Result { return f.do("cancel wave m") }, PhaseSkipped},
+		{"stop", func(f *fleet) Result {
+			return f.apply(Change{WaveEnd: &WaveEnd{Wave: "m", Status: WaveStopped, Reason: "two lost"}})
+		}, PhaseWaiting},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t)
+			f.pool("a", "w", 3)
+			f.must("create wave m over pool a action reboot", "start wave m")
+			assertAccepted(t, f.step("m", "w-1", "w-2"))
+			assertAccepted(t, f.phase("m", "w-2", PhaseOperating))
+			assertAccepted(t, test.hold(f))
+			assertState(t, &f.State, "w-1", "a", VMInService)
+			assertPhase(t, f, "m", "w-1", test.next)
+			assertPhase(t, f, "m", "w-3", test.next)
+			assertRefused(t, f.phase("m", "w-1", PhaseOperating), CodeState)
+			assertRefused(t, f.step("m", "w-3"), CodeState)
+			f.restart()
+			assertState(t, &f.State, "w-2", "a", VMMaintenance)
+			for _, phase := range []Phase{PhaseReturning, PhaseSettling, PhaseDone} {
+				assertAccepted(t, f.phase("m", "w-2", phase))
+			}
+			assertState(t, &f.State, "w-2", "a", VMInService)
+		})
+	}
+}
+
+// Symptom: a VM is rebooted while another wave upgrades it, or a wave never
+// finishes.
+// Sequence: two waves run over one pool and both reach for w-1; w-2 is moved
+// away before its turn.
+// Cause: the first wave's hold was not looked at, or the VM that left was
+// waited for.
+func TestWavesShareAPool(t *testing.T) {
+	f := newFleet(t)
+	f.pool("a", "w", 2)
+	f.must("create pool b", "create wave m over pool a action reboot", "create wave n over pool a action upgrade", "start wave m", "start wave n")
+	assertAccepted(t, f.step("m", "w-1"))
+	assertRefused(t, f.step("n", "w-1"), CodeInUse)
+	assertRefused(t, f.do("undrain vm w-1"), CodeInUse)
+	f.must("move vm w-2 to pool b")
+	assertPhase(t, f, "m", "w-2", PhaseSkipped)
+	end := Change{WaveEnd: &WaveEnd{Wave: "m", Status: WaveFinished}}
+	assertRefused(t, f.apply(end), CodeState)
+	assertAccepted(t, f.phase("m", "w-1", PhaseOperating))
+	assertAccepted(t, f.phase("m", "w-1", PhaseFailed))
+	assertState(t, &f.State, "w-1", "a", VMFailed)
+	assertAccepted(t, f.apply(end))
+	f.must("undrain vm w-1")
+	assertAccepted(t, f.step("n", "w-1"))
+}
+
+// Symptom: a correction of the gazetteer is entered twice.
+// Sequence: the worker of a task falls silent, and the task is queued again
+// although it may have run to its end.
+// Cause: a task that must not run twice was treated like one that may.
+func TestTaskAtMostOnce(t *testing.T) {
+	f := newFleet(t)
+	f.pool("a", "w", 2)
+	f.must("create task once for x on pool a cores 4 memory_mb 1",
+		"create task often for x on pool a cores 4 memory_mb 1 idempotent yes", "set quota x slots 0 cores 4")
+	run := func(task tackid.Task, s TaskState) Result {
+		return f.apply(Change{Tasks: []TaskChange{{Task: task, State: s, Worker: "w-1"}}})
+	}
+	assertAccepted(t, run("once", TaskRunning))
+	assertRefused(t, run("often", TaskRunning), CodeQuota)
+	assertRefused(t, f.do("remove vm w-1"), CodeInUse)
+	assertAccepted(t, run("once", TaskQueued))
+	assertRefused(t, run("once", TaskRunning), CodeState)
+	last := tackid.Token(0)
+	for range MaxTries {
+		assertAccepted(t, run("often", TaskRunning))
+		if task, _ := f.Task("often"); task.Token <= last {
+			t.Fatalf("token %d after %d", task.Token, last)
+		}
+		f.restart()
+		assertAccepted(t, run("often", TaskQueued))
+	}
+	for id, want := range map[tackid.Task]TaskState{"once": TaskUnknown, "often": TaskSetAside} {
+		if task, _ := f.Task(id); task.State != want {
+			t.Fatalf("task %s is %s, want %s", id, task.State, want)
+		}
+	}
+	f.must("cancel task often", "cancel task often")
+	if n := f.CoresOf("x") + f.RunningOn("w-1"); n != 0 {
+		t.Fatalf("cores and tasks still counted: %d", n)
+	}
+}
