--- a/core/tackfleet/property_test.go
+++ b/core/tackfleet/property_test.go
@@ -23,27 +23,44 @@
 )
 
 // drawChange draws a change of any kind; many of them do not fit the state.
-func drawChange(t *rapid.T) Change {
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+func drawChange(t *rapid.T, s *State) Change {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
 	case 0, 1, 2:
 		return Change{Command: drawCommand(t)}
 	case 3, 4:
 		return Change{Observe: []Observation{{VM: draw(t, someVMs), Health: draw(t, []Health{HealthServing, HealthServing, HealthServing, HealthLost, HealthUnknown})}}}
-	case 5:
+	case 5, 6:
 		vms := rapid.SliceOfNDistinct(rapid.SampledFrom(someVMs), 1, 3, rapid.ID).Draw(t, "step")
 		return Change{WaveStep: &WaveStep{Wave: draw(t, someWaves), VMs: vms}}
-	case 6:
-		phase := Phase(rapid.IntRange(0, int(PhaseSkipped)).Draw(t, "phase"))
-		return Change{WavePhases: []WavePhase{{Wave: draw(t, someWaves), VM: draw(t, someVMs), Phase: phase}}}
-	case 7:
+	case 7, 8:
+		return Change{WavePhases: []WavePhase{drawPhase(t, s)}}
+	case 9:
 		return Change{Drained: []tackid.VM{draw(t, someVMs)}}
-	case 8:
+	case 10:
 		return Change{Joined: []tackid.VM{draw(t, someVMs)}}
 	}
 	state := TaskState(rapid.IntRange(0, int(TaskUnknown)).Draw(t, "state"))
 	return Change{Tasks: []TaskChange{{Task: draw(t, someTasks), State: state, Worker: draw(t, someVMs)}}}
 }
 
+// drawPhase draws a phase for a VM, mostly the one that comes next for a VM
+// that a wave holds.
+func drawPhase(t *rapid.T, s *State) WavePhase {
+	phase := Phase(rapid.IntRange(0, int(PhaseSkipped)).Draw(t, "phase"))
+	var next []WavePhase
+	for _, w := range s.Waves() {
+		for _, m := range w.VMs {
+			if m.Phase >= PhaseDraining && m.Phase <= PhaseSettling {
+				next = append(next, WavePhase{Wave: w.ID, VM: m.VM, Phase: m.Phase + 1})
+			}
+		}
+	}
+	if len(next) > 0 && rapid.IntRange(0, 3).Draw(t, "in order") > 0 {
+		return draw(t, next)
+	}
+	return WavePhase{Wave: draw(t, someWaves), VM: draw(t, someVMs), Phase: phase}
+}
+
 func drawCommand(t *rapid.T) *tackcommand.Command {
 	vm, pool, wave := draw(t, someVMs), draw(t, somePools), draw(t, someWaves)
 	return rapid.SampledFrom([]*tackcommand.Command{
@@ -65,8 +82,8 @@
 	return rapid.SampledFrom(from).Draw(t, fmt.Sprintf("%T", from))
 }
 
-// someFleet returns a fleet with three services on two pools and six VMs, five of
-// them serving.
+// someFleet returns a fleet with three services and a running wave on each of
+// two pools, and six VMs of which five serve.
 func someFleet() *fleet {
 	f := newFleet(nil)
 	for _, p := range somePools {
@@ -80,6 +97,10 @@
 		f.observe(HealthServing, v)
 	}
 	f.observe(HealthLost, someVMs[5])
+	for i, w := range someWaves[:2] {
+		f.apply(Change{Command: &tackcommand.Command{CreateWave: &tackcommand.CreateWave{Wave: w, Pool: somePools[i], Action: string(ActionReboot)}}})
+		f.apply(Change{Command: &tackcommand.Command{ChangeWave: &tackcommand.ChangeWave{Wave: w, Change: tackcommand.WaveStart}}})
+	}
 	return f
 }
 
@@ -92,7 +113,7 @@
 		f := someFleet()
 		for range rapid.IntRange(1, 60).Draw(t, "changes") {
 			before, was := f.VMs(), contents(t, &f.State)
-			c := drawChange(t)
+			c := drawChange(t, &f.State)
 			r := f.apply(c)
 			if r.Refused != nil && !bytes.Equal(was, contents(t, &f.State)) {
 				t.Fatalf("refused with %v, and yet the state changed", r.Refused)
@@ -213,7 +234,7 @@
 			t.Fatalf("snapshot: %v", err)
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
-			c := drawChange(t)
+			c := drawChange(t, &f.State)
 			if c.Command != nil {
 				c.ID = draw(t, []tackid.CommandID{"", "id1", "id2", "id3", "id4"})
 			}
