--- /dev/null
+++ b/core/tackfleet/benchmark_test.go
@@ -0,0 +1,201 @@
+package tackfleet
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"auburntack/core/tackcommand"
+	"auburntack/core/tackid"
+)
+
+const (
+	benchPools = 36
+	benchTeams = 45
+	// dayCommands is how many configuration changes a day remembers.
+	dayCommands = 3300
+)
+
+// size is a number of VMs and whether a day of commands and a full history
+// are part of the state.
+type size struct {
+	vms int
+	day bool
+}
+
+var sizes = []size{{100, false}, {500, false}, {2300, false}, {2300, true}}
+
+func (z size) String() string {
+	if z.day {
+		return fmt.Sprintf("vms=%d_day", z.vms)
+	}
+	return fmt.Sprintf("vms=%d", z.vms)
+}
+
+// fleetOf returns a fleet with z.vms VMs in 36 pools, a service with a budget
+// of 50% on each pool, and 45 teams with quotas.
+func fleetOf(t testing.TB, z size) *fleet {
+	f := newFleet(t)
+	for i := range benchPools {
+		f.must(fmt.Sprintf("create pool pool-%d", i), fmt.Sprintf("create service service-%d on pool pool-%d", i, i),
+			fmt.Sprintf("set budget service-%d min_available 50%%", i))
+	}
+	for i := range benchTeams {
+		f.must(fmt.Sprintf("set quota team-%d slots 40 cores 400", i))
+	}
+	for i := range z.vms {
+		id := tackid.VM(fmt.Sprintf("worker-%04d", i))
+		f.apply(Change{Command: &tackcommand.Command{AddVM: &tackcommand.AddVM{VM: id, Pool: tackid.Pool(fmt.Sprintf("pool-%d", i%benchPools))}}})
+		f.apply(Change{Observe: []Observation{{
+			VM: id, DataCentre: tackid.DataCentre(fmt.Sprintf("dc-%d", i%10)), Rack: tackid.Rack(fmt.Sprintf("rack-%d", i/4)),
+			Cores: 16, MemoryMB: 32768, Health: HealthServing,
+		}}})
+	}
+	if z.day {
+		f.day()
+	}
+	return f
+}
+
+// day fills the history and applies a day's commands with their ids.
+func (f *fleet) day() {
+	set := f.parse("set config log.level debug")
+	for range EventLimit {
+		f.apply(Change{Command: set})
+	}
+	for i := range dayCommands {
+		f.apply(Change{ID: tackid.CommandID(fmt.Sprintf("0f8fad5b-d9cb-469f-a165-%012d", i)), Command: set})
+	}
+}
+
+// TestSnapshotBytes holds the bytes of a snapshot, which do not depend on the
+// machine, within bounds.
+func TestSnapshotBytes(t *testing.T) {
+	bounds := map[size]int{sizes[0]: 30_000, sizes[1]: 105_000, sizes[2]: 440_000, sizes[3]: 970_000}
+	for _, z := range sizes {
+		t.Run(z.String(), func(t *testing.T) {
+			data, err := fleetOf(t, z).Snapshot()
+			if err != nil || len(data) > bounds[z] {
+				t.Fatalf("%d bytes, %v, want at most %d", len(data), err, bounds[z])
+			}
+		})
+	}
+}
+
+// TestApplyAllocations holds the allocations of the commonest changes.
+func TestApplyAllocations(t *testing.T) {
+	f := fleetOf(t, sizes[2])
+	for _, b := range applyCases(f) {
+		t.Run(b.name, func(t *testing.T) {
+			allocations := testing.AllocsPerRun(100, func() { b.apply() })
+			if allocations > b.allocations {
+				t.Fatalf("%.0f allocations, want at most %.0f", allocations, b.allocations)
+			}
+		})
+	}
+}
+
+// applyCase applies one or two changes that leave the fleet as it was.
+type applyCase struct {
+	name        string
+	apply       func()
+	allocations float64
+}
+
+func applyCases(f *fleet) []applyCase {
+	drain, undrain := f.parse("drain vm worker-0010"), f.parse("undrain vm worker-0010")
+	set := f.parse("set config log.level info")
+	health := HealthServing
+	return []applyCase{
+		{"drain_undrain", func() { f.accept(Change{Command: drain}); f.accept(Change{Command: undrain}) }, 14},
+		{"set_config", func() { f.accept(Change{Command: set}) }, 4},
+		{"observe", func() {
+			health = HealthServing + HealthLost - health
+			f.accept(Change{Observe: []Observation{{VM: "worker-0010", Health: health}}})
+		}, 4},
+	}
+}
+
+// accept applies a change that has to be accepted.
+func (f *fleet) accept(c Change) {
+	if r := f.apply(c); r.Refused != nil {
+		f.t.Fatalf("%+v: %v", c, r.Refused)
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, z := range sizes {
+		f := fleetOf(b, z)
+		for _, c := range applyCases(f) {
+			b.Run(c.name+"/"+z.String(), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					c.apply()
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, z := range sizes {
+		f := fleetOf(b, z)
+		b.Run(z.String(), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := f.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "snapshot_bytes")
+			}
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, z := range sizes {
+		data, err := fleetOf(b, z).Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(z.String(), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				var s State
+				if err := s.Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkHeap reports the bytes of heap that a restored fleet holds.
+func BenchmarkHeap(b *testing.B) {
+	for _, z := range sizes {
+		data, err := fleetOf(b, z).Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(z.String(), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				before := heap()
+				s := new(State)
+				if err := s.Restore(data); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(heap()-before), "heap_bytes")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
