--- a/core/tackroute/chooser.go
+++ b/core/tackroute/chooser.go
@@ -6,9 +6,9 @@
 // the requests sent there, so that one which fails everything fast does not
 // attract work by always being idle.
 //
-// The entry VMs share no memory. A Sharer divides the slots of each backend
-// server among them by leases that follow demand, and tells the Chooser which
-// part of each it may fill.
+// The entry VMs share no memory. Package tackshare divides the slots of each
+// backend server among them, and its shares tell the Chooser which part of each
+// it may fill.
 package tackroute
 
 import (
@@ -75,6 +75,18 @@
 		HomeOnly bool
 	}
 
+	// Lot is one life of a backend server as a source of slots.
+	Lot struct {
+		BackendServer tackid.BackendServer `cbor:"1,keyasint,omitempty"`
+		Incarnation   tackid.Incarnation   `cbor:"2,keyasint,omitempty"`
+	}
+
+	// Share is a number of slots of a lot.
+	Share struct {
+		Lot
+		Slots int
+	}
+
 	// Ask is what one request needs of a backend server.
 	Ask struct {
 		// Home is the data centre that is preferred.
@@ -98,23 +110,31 @@
 	Chooser struct {
 		servers []*server
 		byName  map[tackid.BackendServer]*server
-		leaving map[leaver]*server
+		leaving map[Lot]*server
+		zones   map[tackid.DataCentre]*zone
 		rotor   uint32
+		latency float64
 	}
 
-	// leaver identifies a life of a backend server that is no candidate any
-	// more and still has requests in flight.
-	leaver struct {
-		name        tackid.BackendServer
-		incarnation tackid.Incarnation
+	// zone is the part of the candidates that is in one data centre.
+	zone struct {
+		inFlight int
+		// bound is how many requests may be in flight there in all, if
+		// bounded is set.
+		bound   int
+		bounded bool
 	}
 
 	// server is what a Chooser remembers of one life of a backend server.
 	server struct {
 		Candidate
+		zone     *zone
 		inFlight int
-		limit    int
-		record   record
+		// limit is the share of this entry VM, if limited is set; else it may
+		// fill every slot.
+		limit   int
+		limited bool
+		record  record
 	}
 )
 
@@ -148,7 +168,7 @@
 		return Candidate{}, false
 	}
 	s.inFlight++
-	s.record.picked(now)
+	s.zone.inFlight++
 	return s.Candidate, true
 }
 
@@ -164,7 +184,15 @@
 		return
 	}
 	s.inFlight--
-	s.record.done(now, outcome)
+	s.zone.inFlight--
+	c.learn(now, s, outcome)
+}
+
+// Healthy reports whether a candidate answers most of its requests, so that a
+// failure there is more likely the request's own fault.
+func (c *Chooser) Healthy(name tackid.BackendServer) bool {
+	s := c.byName[name]
+	return s != nil && s.record.healthy()
 }
 
 // InFlight returns how many requests are in flight on a VM, also on backend
@@ -200,42 +228,101 @@
 // those that are ejected.
 func (c *Chooser) Capacity(now tackclock.Time, ask Ask) int {
 	n := 0
+	for dc, z := range c.zones {
+		if !ask.HomeOnly || dc == ask.Home {
+			n += c.capacityOf(now, z)
+		}
+	}
+	return n
+}
+
+// SetShares limits what this entry VM may have in flight in a data centre: on
+// each candidate named in shares, and bound in all. Candidates that are not
+// named there keep their share.
+func (c *Chooser) SetShares(dc tackid.DataCentre, bound int, shares []Share) {
+	z := c.zoneOf(dc)
+	z.bound, z.bounded = bound, true
+	for _, share := range shares {
+		s := c.byName[share.BackendServer]
+		if s != nil && s.Incarnation == share.Incarnation {
+			s.limit, s.limited = share.Slots, true
+		}
+	}
+}
+
+// InUse returns the slots taken on each life of a backend server.
+func (c *Chooser) InUse() []Share {
+	var used []Share
 	for _, s := range c.servers {
-		if !ask.HomeOnly || s.DataCentre == ask.Home {
+		if s.inFlight > 0 {
+			used = append(used, Share{Lot: s.lot(), Slots: s.inFlight})
+		}
+	}
+	for lot, s := range c.leaving {
+		used = append(used, Share{Lot: lot, Slots: s.inFlight})
+	}
+	return used
+}
+
+func (c *Chooser) capacityOf(now tackclock.Time, z *zone) int {
+	n := 0
+	for _, s := range c.servers {
+		if s.zone == z {
 			n += s.allowed(now)
 		}
 	}
+	if z.bounded {
+		n = min(n, z.bound)
+	}
 	return n
 }
 
+// add makes a candidate choosable, with what is remembered of it from the last
+// table or from when it left the one before.
 func (c *Chooser) add(candidate Candidate, known *server) {
-	if known == nil || known.Incarnation != candidate.Incarnation || known.VM != candidate.VM {
-		known = &server{limit: candidate.Slots}
+	lot := Lot{BackendServer: candidate.BackendServer, Incarnation: candidate.Incarnation}
+	if known == nil || known.Incarnation != candidate.Incarnation {
+		known = c.leaving[lot]
+		delete(c.leaving, lot)
 	}
-	if known.Slots != candidate.Slots {
-		known.limit = candidate.Slots
+	if known == nil {
+		known = new(server)
 	}
 	known.Candidate = candidate
+	known.zone = c.zoneOf(candidate.DataCentre)
 	c.byName[candidate.BackendServer] = known
 	c.servers = append(c.servers, known)
 }
 
+func (c *Chooser) zoneOf(dc tackid.DataCentre) *zone {
+	if c.zones == nil {
+		c.zones = make(map[tackid.DataCentre]*zone)
+	}
+	z := c.zones[dc]
+	if z == nil {
+		z = new(zone)
+		c.zones[dc] = z
+	}
+	return z
+}
+
 func (c *Chooser) leave(s *server) {
 	if c.leaving == nil {
-		c.leaving = make(map[leaver]*server)
+		c.leaving = make(map[Lot]*server)
 	}
-	c.leaving[leaver{name: s.BackendServer, incarnation: s.Incarnation}] = s
+	c.leaving[s.lot()] = s
 }
 
 func (c *Chooser) doneLeaving(candidate Candidate) {
-	key := leaver{name: candidate.BackendServer, incarnation: candidate.Incarnation}
-	s := c.leaving[key]
+	lot := Lot{BackendServer: candidate.BackendServer, Incarnation: candidate.Incarnation}
+	s := c.leaving[lot]
 	if s == nil {
 		return
 	}
 	s.inFlight--
+	s.zone.inFlight--
 	if s.inFlight == 0 {
-		delete(c.leaving, key)
+		delete(c.leaving, lot)
 	}
 }
 
@@ -248,10 +335,10 @@
 	n := len(c.servers)
 	for i := range n {
 		s := c.servers[(int(c.rotor)+i)%n]
-		if (s.DataCentre == ask.Home) != home || s.inFlight >= s.allowed(now) || excluded(ask, s) {
+		if (s.DataCentre == ask.Home) != home || !s.free(now) || excluded(ask, s) {
 			continue
 		}
-		cost := s.cost()
+		cost := s.cost(c.latency)
 		if found == nil || cost < foundCost {
 			found, foundCost = s, cost
 		}
@@ -259,14 +346,35 @@
 	return found
 }
 
+// free reports whether one more request may be sent there.
+func (s *server) free(now tackclock.Time) bool {
+	if s.zone.bounded && s.zone.inFlight >= s.zone.bound {
+		return false
+	}
+	return s.inFlight < s.allowed(now)
+}
+
 // allowed returns how many requests this entry VM may have in flight there.
 func (s *server) allowed(now tackclock.Time) int {
-	return min(s.limit, s.record.allowance(now))
+	return min(s.share(), s.record.allowance(now))
+}
+
+func (s *server) share() int {
+	if s.limited {
+		return min(s.limit, s.Slots)
+	}
+	return s.Slots
+}
+
+// cost is the time that one more request is expected to take there, relative
+// to others: the load after it, by latency and recent success.
+func (s *server) cost(meanLatency float64) float64 {
+	load := float64(s.inFlight+1) / float64(max(s.share(), 1))
+	return load * s.record.slowness(meanLatency) / s.record.weight()
 }
 
-// cost is the load after one more request, divided by the recent success.
-func (s *server) cost() float64 {
-	return float64(s.inFlight+1) / (float64(max(s.limit, 1)) * s.record.weight())
+func (s *server) lot() Lot {
+	return Lot{BackendServer: s.BackendServer, Incarnation: s.Incarnation}
 }
 
 func excluded(ask Ask, s *server) bool {
--- /dev/null
+++ b/core/tackroute/machine_test.go
@@ -0,0 +1,92 @@
+package tackroute_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackroute"
+)
+
+// chooserMachine runs a Chooser against a plain count of what is in flight.
+type chooserMachine struct {
+	chooser tackroute.Chooser
+	now     tackclock.Time
+	table   []tackroute.Candidate
+	flying  []tackroute.Candidate
+}
+
+func (m *chooserMachine) SetCandidates(t *rapid.T) {
+	all := append(candidates(here, 3), candidates(there, 2)...)
+	m.table = nil
+	for _, c := range all {
+		if rapid.Bool().Draw(t, "serves") {
+			c.Incarnation = tackid.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+			c.Slots = 3
+			m.table = append(m.table, c)
+		}
+	}
+	m.chooser.SetCandidates(m.table)
+}
+
+func (m *chooserMachine) Pick(t *rapid.T) {
+	ask := tackroute.Ask{Home: here, HomeOnly: rapid.Bool().Draw(t, "home_only")}
+	if len(m.table) > 0 && rapid.Bool().Draw(t, "excludes") {
+		ask.Exclude = []tackid.BackendServer{rapid.SampledFrom(m.table).Draw(t, "excluded").BackendServer}
+	}
+	got, ok := m.chooser.Pick(m.now, ask)
+	if !ok {
+		return
+	}
+	if len(ask.Exclude) > 0 && got.BackendServer == ask.Exclude[0] {
+		t.Fatalf("picked %s, which was excluded", got.BackendServer)
+	}
+	if ask.HomeOnly && got.DataCentre != here {
+		t.Fatalf("picked %s in %s, want %s only", got.BackendServer, got.DataCentre, here)
+	}
+	m.flying = append(m.flying, got)
+}
+
+func (m *chooserMachine) Done(t *rapid.T) {
+	m.now = m.now.Add(tackclock.Duration(rapid.IntRange(0, 3000).Draw(t, "later")))
+	if len(m.flying) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.flying)-1).Draw(t, "which")
+	result := tackroute.Result(rapid.IntRange(int(tackroute.Answered), int(tackroute.Cancelled)).Draw(t, "result"))
+	m.chooser.Done(m.now, m.flying[i], tackroute.Outcome{Result: result, Latency: 10})
+	m.flying = append(m.flying[:i], m.flying[i+1:]...)
+}
+
+// Check holds that nothing in flight is forgotten or counted twice, that no
+// life of a backend server has more in flight than slots, and that something
+// can be chosen while anything serves.
+func (m *chooserMachine) Check(t *rapid.T) {
+	perVM := make(map[tackid.VM]int)
+	perLot := make(map[tackroute.Lot]int)
+	for _, c := range m.flying {
+		perVM[c.VM]++
+		perLot[tackroute.Lot{BackendServer: c.BackendServer, Incarnation: c.Incarnation}]++
+	}
+	for _, c := range append(candidates(here, 3), candidates(there, 2)...) {
+		if got := m.chooser.InFlight(c.VM); got != perVM[c.VM] {
+			t.Fatalf("InFlight(%s) = %d, want %d", c.VM, got, perVM[c.VM])
+		}
+	}
+	for lot, n := range perLot {
+		if n > 3 {
+			t.Fatalf("%v has %d in flight on 3 slots", lot, n)
+		}
+	}
+	if len(m.table) > 0 && m.chooser.Capacity(m.now, tackroute.Ask{Home: here}) == 0 {
+		t.Fatalf("all of %d candidates are ejected", len(m.table))
+	}
+}
+
+func TestChooserMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(new(chooserMachine)))
+	})
+}
--- /dev/null
+++ b/core/tackshare/group.go
@@ -0,0 +1,88 @@
+package tackshare
+
+import (
+	"maps"
+	"slices"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackroute"
+)
+
+// group is a Group in the table, with both sides of this entry VM's work on
+// it: what it holds and, if it is or was the owner, what it granted.
+type group struct {
+	Group
+	lots         []tackroute.Lot
+	slots        map[tackroute.Lot]int
+	holding      holding
+	owning       owning
+	applied      []tackroute.Share
+	appliedBound int
+}
+
+func (g *group) total() int {
+	n := 0
+	for _, slots := range g.slots {
+		n += slots
+	}
+	return n
+}
+
+// inUse returns how many slots of the group are taken.
+func (g *group) inUse(usage Usage) int {
+	n := 0
+	for _, used := range usage.InUse {
+		if _, ok := g.slots[used.Lot]; ok {
+			n += used.Slots
+		}
+	}
+	return n
+}
+
+// busy reports whether either side still counts slots of the group.
+func (g *group) busy() bool {
+	return g.holding.held() > 0 || len(g.owning.sessions) > 0
+}
+
+func (g *group) sameAsApplied(bound int, shares []tackroute.Share) bool {
+	return bound == g.appliedBound && g.applied != nil && slices.Equal(g.applied, shares)
+}
+
+// members returns the entry VMs that a group is divided among while nobody
+// asks: those in its data centre or, if there are none, all.
+func (g *group) members(all []Neighbour) []tackid.Peer {
+	var inside, every []tackid.Peer
+	for _, p := range all {
+		every = append(every, p.Peer)
+		if g.DataCentre != "" && p.DataCentre == g.DataCentre {
+			inside = append(inside, p.Peer)
+		}
+	}
+	if len(inside) > 0 {
+		return inside
+	}
+	return every
+}
+
+// fixedPart returns how many slots of a lot this entry VM may fill without
+// asking: the slots are dealt out among the members, starting at another one
+// for each lot, so that the parts of all members add up to the slots.
+func (s *Sharer) fixedPart(g *group, lot tackroute.Lot) int {
+	members := g.members(s.live)
+	self := slices.Index(members, s.Self)
+	if self < 0 {
+		return 0
+	}
+	n := len(members)
+	first := int(score(g.Group, tackid.Peer(lot.BackendServer)) % uint64(n))
+	rank := (self - first + n) % n
+	part := g.slots[lot] / n
+	if rank < g.slots[lot]%n {
+		part++
+	}
+	return part
+}
+
+func sortedLots(lots map[tackroute.Lot]*count) []tackroute.Lot {
+	return slices.SortedFunc(maps.Keys(lots), compareLots)
+}
--- /dev/null
+++ b/core/tackshare/model_test.go
@@ -0,0 +1,412 @@
+package tackshare_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackroute"
+	"auburntack/core/tackshare"
+)
+
+const (
+	service       tackid.Service = "names-api"
+	executorSlots                = 8
+	meanService                  = 50.0
+	patience                     = 2 * tackclock.Second
+)
+
+type (
+	// sharing is one way for entry VMs to share the slots of executors.
+	sharing interface {
+		// pick takes a slot for a request at an entry VM.
+		pick(now tackclock.Time, vm int) (executor int, ok bool)
+		done(now tackclock.Time, vm, executor int)
+		// tick sends messages; waiting holds the requests that wait by VM.
+		tick(now tackclock.Time, waiting []int)
+		traffic() (messages, bytes int)
+	}
+
+	// load says how requests arrive.
+	load struct {
+		vms, executors int
+		// part is the arrivals as a part of what all executors can do.
+		part float64
+		// hot is the part of the arrivals that comes through one entry VM,
+		// which is another one every hotFor.
+		hot    float64
+		hotFor tackclock.Duration
+	}
+
+	// result is what a run of the model counted.
+	result struct {
+		requests, late, overloaded int
+		// idle is slot time that stood idle while a caller waited, as a part
+		// of all slot time.
+		idle            float64
+		meanWait        float64
+		messages, bytes float64 // per entry VM and second
+	}
+
+	running struct {
+		vm, executor int
+		sent, ends   tackclock.Time
+	}
+
+	// model steps entry VMs and executors millisecond by millisecond.
+	model struct {
+		load
+		way     sharing
+		random  *rand.Rand
+		waiting [][]tackclock.Time
+		busy    []int
+		queued  [][]running
+		working []running
+		result  result
+		waited  tackclock.Duration
+		idleMS  int
+	}
+)
+
+func runModel(l load, way sharing, seed uint64, span tackclock.Duration) result {
+	m := &model{load: l, way: way, random: rand.New(rand.NewPCG(seed, 1)),
+		waiting: make([][]tackclock.Time, l.vms), busy: make([]int, l.executors),
+		queued: make([][]running, l.executors)}
+	const warm = 5 * tackclock.Second
+	start := tackclock.Time(tackclock.Hour)
+	var before [2]int
+	for now := start; now < start.Add(warm+span); now++ {
+		if now == start.Add(warm) {
+			m.result, m.waited, m.idleMS = result{}, 0, 0
+			before[0], before[1] = way.traffic()
+		}
+		m.step(now)
+	}
+	messages, bytes := way.traffic()
+	seconds := float64(span) / float64(tackclock.Second)
+	m.result.messages = float64(messages-before[0]) / float64(l.vms) / seconds
+	m.result.bytes = float64(bytes-before[1]) / float64(l.vms) / seconds
+	m.result.idle = float64(m.idleMS) / float64(l.executors*executorSlots) / float64(span)
+	m.result.meanWait = float64(m.waited) / float64(max(m.result.requests, 1))
+	return m.result
+}
+
+func (m *model) step(now tackclock.Time) {
+	m.finish(now)
+	m.arrive(now)
+	counts := make([]int, m.vms)
+	for vm := range m.vms {
+		m.dispatch(now, vm)
+		counts[vm] = len(m.waiting[vm])
+	}
+	m.way.tick(now, counts)
+	m.count(counts)
+}
+
+func (m *model) finish(now tackclock.Time) {
+	m.working = slices.DeleteFunc(m.working, func(r running) bool {
+		if r.ends > now {
+			return false
+		}
+		m.way.done(now, r.vm, r.executor)
+		m.busy[r.executor]--
+		return true
+	})
+	for e, queue := range m.queued {
+		for len(queue) > 0 && m.busy[e] < executorSlots {
+			m.run(now, queue[0])
+			queue = queue[1:]
+		}
+		m.queued[e] = queue
+	}
+}
+
+func (m *model) run(now tackclock.Time, r running) {
+	m.waited += now.Sub(r.sent)
+	r.ends = now + 1 + tackclock.Time(m.random.ExpFloat64()*meanService)
+	m.busy[r.executor]++
+	m.working = append(m.working, r)
+}
+
+func (m *model) arrive(now tackclock.Time) {
+	mean := m.part * float64(m.executors*executorSlots) / (meanService + 1)
+	hot := int(now/tackclock.Time(m.hotFor)) % m.vms
+	for t := m.random.ExpFloat64() / mean; t < 1; t += m.random.ExpFloat64() / mean {
+		vm := m.random.IntN(m.vms)
+		if m.random.Float64() < m.hot {
+			vm = hot
+		}
+		m.waiting[vm] = append(m.waiting[vm], now)
+		m.result.requests++
+	}
+}
+
+func (m *model) dispatch(now tackclock.Time, vm int) {
+	for len(m.waiting[vm]) > 0 {
+		since := m.waiting[vm][0]
+		if now.Sub(since) > patience {
+			m.result.late++
+			m.waiting[vm] = m.waiting[vm][1:]
+			continue
+		}
+		e, ok := m.way.pick(now, vm)
+		if !ok {
+			return
+		}
+		m.waiting[vm] = m.waiting[vm][1:]
+		m.waited += now.Sub(since)
+		r := running{vm: vm, executor: e, sent: now}
+		if m.busy[e] >= executorSlots {
+			m.result.overloaded++
+			m.queued[e] = append(m.queued[e], r)
+			continue
+		}
+		m.run(now, r)
+	}
+}
+
+func (m *model) count(waiting []int) {
+	idle, callers := 0, 0
+	for _, busy := range m.busy {
+		idle += executorSlots - busy
+	}
+	for _, n := range waiting {
+		callers += n
+	}
+	m.idleMS += min(idle, callers)
+}
+
+// fixedShares deals the slots out once and for all.
+type fixedShares struct {
+	part [][]int
+	used [][]int
+}
+
+func newFixedShares(l load) sharing {
+	f := &fixedShares{part: grid(l.vms, l.executors), used: grid(l.vms, l.executors)}
+	for e := range l.executors {
+		for slot := range executorSlots {
+			f.part[(e*executorSlots+slot)%l.vms][e]++
+		}
+	}
+	return f
+}
+
+func (f *fixedShares) pick(_ tackclock.Time, vm int) (int, bool) {
+	best := -1
+	for e, used := range f.used[vm] {
+		if used < f.part[vm][e] && (best < 0 || used < f.used[vm][best]) {
+			best = e
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	f.used[vm][best]++
+	return best, true
+}
+
+func (f *fixedShares) done(_ tackclock.Time, vm, executor int) { f.used[vm][executor]-- }
+func (f *fixedShares) tick(tackclock.Time, []int)              {}
+func (f *fixedShares) traffic() (int, int)                     { return 0, 0 }
+
+// reportedLoads tells every entry VM each interval what the others have in
+// flight, and takes the less loaded of two executors.
+type reportedLoads struct {
+	own      [][]int
+	known    [][]int // by VM: what all others reported
+	random   *rand.Rand
+	interval tackclock.Duration
+	messages int
+	bytes    int
+}
+
+func newReportedLoads(l load, interval tackclock.Duration) sharing {
+	return &reportedLoads{own: grid(l.vms, l.executors), known: grid(l.vms, l.executors),
+		random: rand.New(rand.NewPCG(7, 7)), interval: interval}
+}
+
+func (r *reportedLoads) pick(_ tackclock.Time, vm int) (int, bool) {
+	n := len(r.own[vm])
+	a, b := r.random.IntN(n), r.random.IntN(n)
+	load := func(e int) int { return r.own[vm][e] + r.known[vm][e] }
+	if load(b) < load(a) {
+		a = b
+	}
+	if load(a) >= executorSlots {
+		return 0, false
+	}
+	r.own[vm][a]++
+	return a, true
+}
+
+func (r *reportedLoads) done(_ tackclock.Time, vm, executor int) { r.own[vm][executor]-- }
+
+func (r *reportedLoads) tick(now tackclock.Time, _ []int) {
+	if now%tackclock.Time(r.interval) != 0 {
+		return
+	}
+	for vm := range r.known {
+		clear(r.known[vm])
+	}
+	for from, own := range r.own {
+		var loads []tackshare.Count
+		for e, n := range own {
+			if n > 0 {
+				loads = append(loads, tackshare.Count{Lot: lotOf(e), Slots: n})
+			}
+		}
+		encoded, _ := cbor.Marshal(loads)
+		for to := range r.known {
+			if to == from {
+				continue
+			}
+			r.messages++
+			r.bytes += len(encoded)
+			for e, n := range own {
+				r.known[to][e] += n
+			}
+		}
+	}
+}
+
+func (r *reportedLoads) traffic() (int, int) { return r.messages, r.bytes }
+
+// leasedShares drives the real Sharer and Chooser of every entry VM.
+type leasedShares struct {
+	vms      []*entryVM
+	flying   []envelope
+	delay    tackclock.Duration
+	messages int
+	bytes    int
+}
+
+type (
+	entryVM struct {
+		sharer  *tackshare.Sharer
+		chooser tackroute.Chooser
+		waiting int
+		ticked  tackclock.Time
+		down    bool
+	}
+
+	envelope struct {
+		at       tackclock.Time
+		from, to int
+		frame    tackshare.Frame
+	}
+)
+
+const home tackid.DataCentre = "rennes-a"
+
+func (v *entryVM) SetShares(_ tackclock.Time, g tackshare.Group, bound int, shares []tackroute.Share) {
+	v.chooser.SetShares(g.DataCentre, bound, shares)
+}
+
+func (v *entryVM) Usage(tackclock.Time, tackshare.Subject) tackshare.Usage {
+	return tackshare.Usage{Waiting: v.waiting, InUse: v.chooser.InUse()}
+}
+
+func peerOf(vm int) tackid.Peer {
+	return tackid.Peer(fmt.Sprintf("%s-%d", home, vm))
+}
+
+func lotOf(e int) tackroute.Lot {
+	return tackroute.Lot{BackendServer: tackid.BackendServer(fmt.Sprintf("%s-%d", service, e)), Incarnation: 1}
+}
+
+func tableOf(executors int) *tackroute.Table {
+	var all []tackroute.Candidate
+	for e := range executors {
+		lot := lotOf(e)
+		all = append(all, tackroute.Candidate{BackendServer: lot.BackendServer, Incarnation: lot.Incarnation,
+			VM: tackid.VM(fmt.Sprint("vm-", e)), DataCentre: home, Slots: executorSlots, Connections: 64})
+	}
+	return &tackroute.Table{Services: map[tackid.Service][]tackroute.Candidate{service: all}}
+}
+
+func newLeasedShares(l load) *leasedShares {
+	w := &leasedShares{delay: 1}
+	var peers []tackshare.Neighbour
+	for vm := range l.vms {
+		peers = append(peers, tackshare.Neighbour{Peer: peerOf(vm), DataCentre: home})
+	}
+	start := tackclock.Time(tackclock.Hour)
+	table := tableOf(l.executors)
+	for vm := range l.vms {
+		v := new(entryVM)
+		v.sharer = &tackshare.Sharer{Self: peerOf(vm), Home: home, Epoch: 1, User: v}
+		v.chooser.SetCandidates(table.Services[service])
+		v.sharer.SetPeers(start, peers)
+		v.sharer.SetTable(start, table)
+		w.vms = append(w.vms, v)
+	}
+	return w
+}
+
+func (w *leasedShares) pick(now tackclock.Time, vm int) (int, bool) {
+	c, ok := w.vms[vm].chooser.Pick(now, tackroute.Ask{Home: home})
+	if !ok {
+		return 0, false
+	}
+	return executorOf(c), true
+}
+
+func executorOf(c tackroute.Candidate) int {
+	var e int
+	fmt.Sscanf(string(c.BackendServer), string(service)+"-%d", &e)
+	return e
+}
+
+func (w *leasedShares) done(now tackclock.Time, vm, executor int) {
+	lot := lotOf(executor)
+	w.vms[vm].chooser.Done(now, tackroute.Candidate{BackendServer: lot.BackendServer, Incarnation: lot.Incarnation},
+		tackroute.Outcome{})
+}
+
+func (w *leasedShares) tick(now tackclock.Time, waiting []int) {
+	arrived := w.flying
+	w.flying = nil
+	for _, e := range arrived {
+		if e.at > now {
+			w.flying = append(w.flying, e)
+			continue
+		}
+		if v := w.vms[e.to]; !v.down {
+			w.send(now, e.to, v.sharer.Receive(now, peerOf(e.from), e.frame))
+		}
+	}
+	for vm, v := range w.vms {
+		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= 5
+		v.waiting = waiting[vm]
+		if v.down || (now.Sub(v.ticked) < 25 && !began) {
+			continue
+		}
+		v.ticked = now
+		w.send(now, vm, v.sharer.Tick(now))
+	}
+}
+
+func (w *leasedShares) send(now tackclock.Time, from int, out []tackshare.Outgoing) {
+	for _, o := range out {
+		to := slices.IndexFunc(w.vms, func(v *entryVM) bool { return v.sharer.Self == o.To })
+		encoded, _ := cbor.Marshal(o.Frame)
+		w.messages++
+		w.bytes += len(encoded)
+		w.flying = append(w.flying, envelope{at: now.Add(w.delay), from: from, to: to, frame: o.Frame})
+	}
+}
+
+func (w *leasedShares) traffic() (int, int) { return w.messages, w.bytes }
+
+func grid(rows, columns int) [][]int {
+	g := make([][]int, rows)
+	for i := range g {
+		g[i] = make([]int, columns)
+	}
+	return g
+}
--- /dev/null
+++ b/core/tackshare/sharing_test.go
@@ -0,0 +1,45 @@
+package tackshare_test
+
+import (
+	"fmt"
+	"testing"
+
+	"auburntack/core/tackclock"
+)
+
+// BenchmarkSharing weighs the ways of sharing slots by the model: fixed
+// shares, the less loaded of two by loads reported each 100 or 250 ms, and
+// leased shares, which is what this package does.
+func BenchmarkSharing(b *testing.B) {
+	ways := []struct {
+		name string
+		make func(load) sharing
+	}{
+		{"fixed", newFixedShares},
+		{"reported_100ms", func(l load) sharing { return newReportedLoads(l, 100) }},
+		{"reported_250ms", func(l load) sharing { return newReportedLoads(l, 250) }},
+		{"leased", func(l load) sharing { return newLeasedShares(l) }},
+	}
+	for _, vms := range []int{1, 4, 8, 12} {
+		for _, hot := range []float64{0, 0.5} {
+			for _, way := range ways {
+				l := load{vms: vms, executors: 8, part: 0.8, hot: hot, hotFor: 5 * tackclock.Second}
+				b.Run(fmt.Sprintf("vms=%d/hot=%v/%s", vms, hot, way.name), func(b *testing.B) {
+					for b.Loop() {
+						reportResult(b, runModel(l, way.make(l), 1, 60*tackclock.Second))
+					}
+				})
+			}
+		}
+	}
+}
+
+func reportResult(b *testing.B, r result) {
+	b.ReportAllocs()
+	b.ReportMetric(1000*float64(r.overloaded)/float64(r.requests), "overloaded/1000")
+	b.ReportMetric(1000*float64(r.late)/float64(r.requests), "late/1000")
+	b.ReportMetric(100*r.idle, "idle_%")
+	b.ReportMetric(r.meanWait, "wait_ms")
+	b.ReportMetric(r.messages, "messages/vm/s")
+	b.ReportMetric(r.bytes, "bytes/vm/s")
+}
