Bound teams over all gates and keep slots for urgent work

Quotas can be shared by the gates of several services. Two reserves keep slots from work that may hold them long: one for urgent requests, one for the first urgent request of a team. Work that is short by its deadline or by what ended lately may use them.

The state machine over two gates found that a request given up in Release could no longer be cancelled before the next Tick; it can now. Seen failing on a scratch copy without the start in Release, without letting parked teams try again, and without the look at the deadline at the start.

--- a/core/tacklimit/drain.go
+++ b/core/tacklimit/drain.go
@@ -11,8 +11,8 @@
 	shortWork = 2 * tackclock.Second
 	// generation is how many releases a span looks back, at least.
 	generation = 64
-	// fresh is how old the last release of the lower classes may be for its
-	// time of service to say something about the next.
+	// fresh is how old the last release may be for its time of service to say
+	// something about the next.
 	fresh = tackclock.Second
 	// settled is how long a class must have waited before its own rate of
 	// starts is believed.
@@ -30,11 +30,9 @@
 		// release.
 		mean float64
 		all  span
-		// lower is the span of normal and batch requests, lowerLast when the
-		// last of them was released.
-		lower     span
-		lowerLast tackclock.Time
-		rates     [classes]rate
+		// urgent and lower are the spans of urgent and of all other requests.
+		urgent, lower span
+		rates         [classes]rate
 	}
 
 	// span is the least and the largest time of service of the last releases,
@@ -42,6 +40,7 @@
 	span struct {
 		now, old extremes
 		full     bool
+		last     tackclock.Time
 	}
 
 	extremes struct {
@@ -86,11 +85,8 @@
 		d.mean = float64(took)
 	}
 	d.mean += meanShare * (float64(took) - d.mean)
-	d.all.add(took)
-	if e.Class != tackid.ClassUrgent {
-		d.lower.add(took)
-		d.lowerLast = now
-	}
+	d.all.add(now, took)
+	d.spanOf(e.Class).add(now, took)
 }
 
 // typical is the time of service to expect, zero if nothing is known.
@@ -106,16 +102,24 @@
 	return min(d.all.now.least, d.all.old.least)
 }
 
-// short reports whether the request, of a lower class, will give its slot back
-// soon: its deadline says so, or all recent work of the lower classes did.
+// short reports whether the request will give its slot back soon: its deadline
+// says so, or all recent work of its kind did.
 func (d *drain) short(now tackclock.Time, r Request) bool {
 	if r.Deadline != 0 && r.Deadline.Sub(now) <= shortWork {
 		return true
 	}
-	if !d.lower.full || now.Sub(d.lowerLast) > fresh {
+	s := d.spanOf(r.Class)
+	if !s.full || now.Sub(s.last) > fresh {
 		return false
 	}
-	return max(d.lower.now.largest, d.lower.old.largest) <= shortWork/2
+	return max(s.now.largest, s.old.largest) <= shortWork/2
+}
+
+func (d *drain) spanOf(class tackid.Class) *span {
+	if class == tackid.ClassUrgent {
+		return &d.urgent
+	}
+	return &d.lower
 }
 
 // timeFor is how long the given number of starts of the class will take. The
@@ -130,7 +134,8 @@
 	return tackclock.Duration(interval * float64(starts))
 }
 
-func (s *span) add(took tackclock.Duration) {
+func (s *span) add(now tackclock.Time, took tackclock.Duration) {
+	s.last = now
 	e := &s.now
 	if e.count == 0 || took < e.least {
 		e.least = took
--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -25,9 +25,6 @@
 const (
 	// defaultQueue is the longest queue of a Gate with a zero Settings.
 	defaultQueue = 4096
-	// reserveDivisor is the part of the slots that only urgent requests may
-	// fill: one of 32, and one at least where there are two.
-	reserveDivisor = 32
 	// lowerDivisor is the part of the slots that the lower classes may hold
 	// while a higher class could fill them all.
 	lowerDivisor = 16
@@ -70,18 +67,22 @@
 	// use. The slices that its methods return are valid until the next call.
 	Gate struct {
 		Settings Settings
+		// Quotas is shared with the Gates of other services, so that a team
+		// is bounded over all of them. A Gate without has its own.
+		Quotas *Quotas
 
 		capacity int
-		quotas   map[tackid.Team]int
 
 		entries map[uint64]*entry
 		teams   map[tackid.Team]*team
+		parked  []*team
 		fair    [classes]fairQueue
 		running [classes]int
 		waiting [classes]int
 		lastRun [classes]tackclock.Time
 		wheel   wheel
 		drain   drain
+		urgent  peak
 		stale   []uint64
 		started []uint64
 		expired []uint64
@@ -93,6 +94,9 @@
 		Request
 		team    *team
 		running bool
+		// stale says that it left the queue too late to start, which the next
+		// Tick reports.
+		stale   bool
 		started tackclock.Time
 		// giveUp is when a request that still waits cannot be answered in
 		// time any more; zero if there is no deadline.
@@ -114,7 +118,7 @@
 		return g.refuse(now, r, CodeDuplicate, 0)
 	}
 	t := g.teamOf(r.Team)
-	if g.startsAtOnce(now, t, r) {
+	if g.startsAtOnce(now, t, r) && g.quotas().take(t.name) {
 		e := g.newEntry(r, t)
 		g.start(now, e)
 		return Verdict{Decision: Admitted}
@@ -123,7 +127,13 @@
 		g.forget(t)
 		return g.refuse(now, r, code, wait)
 	}
-	g.enqueue(now, g.newEntry(r, t))
+	e := g.newEntry(r, t)
+	g.enqueue(now, e)
+	if g.choose(now) == e && g.quotas().take(t.name) {
+		g.unqueue(e)
+		g.start(now, e)
+		return Verdict{Decision: Admitted}
+	}
 	return Verdict{Decision: Queued}
 }
 
@@ -137,6 +147,7 @@
 	}
 	g.running[e.Class]--
 	g.drain.released(now, e)
+	g.quotas().give(e.team.name)
 	e.team.released(g, e.Class)
 	g.remove(e)
 	g.startWaiting(now)
@@ -150,7 +161,9 @@
 	if e == nil || e.running {
 		return false
 	}
-	g.unqueue(e)
+	if !e.stale {
+		g.unqueue(e)
+	}
 	g.remove(e)
 	return true
 }
@@ -160,16 +173,15 @@
 // SetQuotas.
 func (g *Gate) Tick(now tackclock.Time) (started, expired []uint64) {
 	g.started = g.started[:0]
-	g.expired = append(g.expired[:0], g.stale...)
-	g.stale = g.stale[:0]
+	g.expired = g.expired[:0]
+	g.unpark()
 	g.wheel.advance(now, func(e *entry) {
 		g.expired = append(g.expired, e.ID)
 		g.unqueue(e)
 		g.remove(e)
 	})
 	g.startWaiting(now)
-	g.expired = append(g.expired, g.stale...)
-	g.stale = g.stale[:0]
+	g.expireStale()
 	return g.started, g.expired
 }
 
@@ -179,13 +191,19 @@
 	g.capacity = max(n, 0)
 }
 
-// SetQuotas sets the number of slots that each team may hold at once. A team
-// that is missing or has zero is bounded by its fair share alone.
+// SetQuotas sets the number of slots that each team may hold at once, over all
+// Gates that share the Quotas. A team that is missing is bounded by its fair
+// share alone.
 func (g *Gate) SetQuotas(quotas map[tackid.Team]int) {
-	g.quotas = quotas
-	for _, t := range g.teams {
-		t.setQuota(g, quotas[t.name])
+	g.quotas().Set(quotas)
+}
+
+// quotas returns the Quotas in use.
+func (g *Gate) quotas() *Quotas {
+	if g.Quotas == nil {
+		g.Quotas = new(Quotas)
 	}
+	return g.Quotas
 }
 
 // Waiting returns the number of requests that wait.
@@ -209,7 +227,7 @@
 // startsAtOnce reports whether a request that arrives now may overtake the
 // queue: a slot is free and nothing of its class or a higher one could use it.
 func (g *Gate) startsAtOnce(now tackclock.Time, t *team, r Request) bool {
-	if t.blocked() || !g.slotFor(now, r) {
+	if t.parked || !g.slotFor(now, t, r) {
 		return false
 	}
 	for _, class := range ranks {
@@ -223,29 +241,6 @@
 	return true
 }
 
-// slotFor reports whether a slot is free that the request may take.
-func (g *Gate) slotFor(now tackclock.Time, r Request) bool {
-	if g.Running() >= g.capacity {
-		return false
-	}
-	if r.Class == tackid.ClassUrgent {
-		return true
-	}
-	lower := g.running[tackid.ClassNormal] + g.running[tackid.ClassBatch]
-	return lower < g.capacity-g.reserve() || g.drain.short(now, r)
-}
-
-// reserve is the number of slots that long work of the lower classes must not
-// fill. Without it a flood of slow batch requests takes every slot at once,
-// and an urgent request that comes next waits until the first of them ends,
-// however long that is.
-func (g *Gate) reserve() int {
-	if g.capacity < 2 {
-		return 0
-	}
-	return max(1, g.capacity/reserveDivisor)
-}
-
 // startWaiting fills the free slots from the queue.
 func (g *Gate) startWaiting(now tackclock.Time) {
 	for g.Running() < g.capacity {
@@ -253,17 +248,34 @@
 		if e == nil {
 			return
 		}
-		g.unqueue(e)
 		if e.giveUp != 0 && !now.Before(e.giveUp) {
+			g.unqueue(e)
+			e.stale = true
 			g.stale = append(g.stale, e.ID)
-			g.remove(e)
 			continue
 		}
+		if !g.quotas().take(e.team.name) {
+			g.park(e.team)
+			continue
+		}
+		g.unqueue(e)
 		g.start(now, e)
 		g.started = append(g.started, e.ID)
 	}
 }
 
+// expireStale reports the requests whose time was found to have run out when
+// they were next, unless they were cancelled since.
+func (g *Gate) expireStale() {
+	for _, id := range g.stale {
+		if e := g.entries[id]; e != nil && e.stale {
+			g.expired = append(g.expired, id)
+			g.remove(e)
+		}
+	}
+	g.stale = g.stale[:0]
+}
+
 // choose returns the request that starts next, or nil. The highest class that
 // waits goes first, unless a lower one is due.
 func (g *Gate) choose(now tackclock.Time) *entry {
@@ -284,7 +296,7 @@
 // if none may take a slot.
 func (g *Gate) first(now tackclock.Time, class tackid.Class) *entry {
 	l := g.fair[class].first()
-	if l == nil || !g.slotFor(now, l.head.Request) {
+	if l == nil || !g.slotFor(now, l.team, l.head.Request) {
 		return nil
 	}
 	return l.head
@@ -305,6 +317,9 @@
 	g.running[e.Class]++
 	g.lastRun[e.Class] = now
 	g.drain.start(now, e.Class)
+	if e.Class == tackid.ClassUrgent {
+		g.urgent.add(now, g.running[e.Class])
+	}
 	e.team.started(g, e.Class)
 }
 
--- /dev/null
+++ b/core/tacklimit/quotas.go
@@ -0,0 +1,63 @@
+package tacklimit
+
+import (
+	"sync"
+
+	"auburntack/core/tackid"
+)
+
+// Quotas bounds the slots that each team holds at once over all Gates that
+// share it. A team without a bound may hold any number. The zero value has no
+// bounds. It is safe for concurrent use.
+type Quotas struct {
+	mu     sync.Mutex
+	bounds map[tackid.Team]int
+	held   map[tackid.Team]int
+}
+
+// Set replaces all bounds. A team that holds more than its new bound keeps
+// what it has and gets no more. A bound of zero lets nothing start.
+func (q *Quotas) Set(bounds map[tackid.Team]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.bounds = bounds
+}
+
+// Held returns the number of slots that the team holds.
+func (q *Quotas) Held(team tackid.Team) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.held[team]
+}
+
+// bounded reports whether the team has a bound.
+func (q *Quotas) bounded(team tackid.Team) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, ok := q.bounds[team]
+	return ok
+}
+
+// take counts one more slot for the team, unless it holds its whole quota.
+func (q *Quotas) take(team tackid.Team) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if bound, ok := q.bounds[team]; ok && q.held[team] >= bound {
+		return false
+	}
+	if q.held == nil {
+		q.held = make(map[tackid.Team]int)
+	}
+	q.held[team]++
+	return true
+}
+
+// give counts one slot less.
+func (q *Quotas) give(team tackid.Team) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.held[team]--
+	if q.held[team] == 0 {
+		delete(q.held, team)
+	}
+}
--- a/core/tacklimit/refusal.go
+++ b/core/tacklimit/refusal.go
@@ -104,7 +104,7 @@
 // expectedWait is how long a request of the team and class that came now would
 // wait, by the present drain rate: behind the higher classes, and behind its
 // own class in fair order, of which its team gets one turn in as many as there
-// are teams waiting.
+// are teams waiting. A team at its quota waits for slots of its own.
 func (g *Gate) expectedWait(now tackclock.Time, t *team, class tackid.Class) tackclock.Duration {
 	own := 0
 	if t != nil {
@@ -117,7 +117,11 @@
 		}
 		ahead += g.waiting[higher]
 	}
-	return g.drain.timeFor(now, ahead, class, g.capacity)
+	wait := g.drain.timeFor(now, ahead, class, g.capacity)
+	if t != nil && t.parked {
+		wait = max(wait, g.drain.typical()*tackclock.Duration(own+1)/tackclock.Duration(max(t.running, 1)))
+	}
+	return wait
 }
 
 // retryAfter bounds the time and spreads it by the request's ID.
--- a/core/tacklimit/team.go
+++ b/core/tacklimit/team.go
@@ -17,14 +17,15 @@
 	// team is a team with requests that wait or run.
 	team struct {
 		name    tackid.Team
-		quota   int
 		running int
-		lanes   [classes]lane
+		// parked says that it holds its whole quota, as last seen.
+		parked bool
+		lanes  [classes]lane
 	}
 
 	// lane holds the requests of one team and class that wait, first come
 	// first. It is listed in the fair order of its class while it has some
-	// and its team is below its quota.
+	// and its team is not parked.
 	lane struct {
 		team       *team
 		head, tail *entry
@@ -40,14 +41,13 @@
 	if t := g.teams[name]; t != nil {
 		return t
 	}
-	quota := g.quotas[name]
-	if len(g.teams) >= maxTeams && quota == 0 && name != otherTeams {
+	if len(g.teams) >= maxTeams && name != otherTeams && !g.quotas().bounded(name) {
 		return g.teamOf(otherTeams)
 	}
 	if g.teams == nil {
 		g.teams = make(map[tackid.Team]*team)
 	}
-	t := &team{name: name, quota: quota}
+	t := &team{name: name}
 	for class := range t.lanes {
 		t.lanes[class].team = t
 	}
@@ -57,7 +57,7 @@
 
 // forget drops a team that has nothing waiting and nothing running.
 func (g *Gate) forget(t *team) {
-	if t.running > 0 || t.quota > 0 {
+	if t.running > 0 || g.teams[t.name] != t {
 		return
 	}
 	for class := range t.lanes {
@@ -70,14 +70,21 @@
 	}
 }
 
-// blocked reports whether the team holds its whole quota.
-func (t *team) blocked() bool {
-	return t.quota > 0 && t.running >= t.quota
+// park takes a team that holds its whole quota out of the fair order.
+func (g *Gate) park(t *team) {
+	t.parked = true
+	t.relist(g)
+	g.parked = append(g.parked, t)
 }
 
-func (t *team) setQuota(g *Gate, quota int) {
-	t.quota = quota
-	t.relist(g)
+// unpark lets every parked team try again. A slot of its quota may have come
+// free at another Gate, which this one does not hear of.
+func (g *Gate) unpark() {
+	for _, t := range g.parked {
+		t.parked = false
+		t.relist(g)
+	}
+	g.parked = g.parked[:0]
 }
 
 // started counts one more slot that the team holds.
@@ -93,6 +100,7 @@
 	t.unlist(g, class)
 	t.running--
 	t.lanes[class].running--
+	t.parked = false
 	t.relist(g)
 }
 
@@ -132,7 +140,7 @@
 func (t *team) relist(g *Gate) {
 	for class := range t.lanes {
 		l := &t.lanes[class]
-		want := l.length > 0 && !t.blocked()
+		want := l.length > 0 && !t.parked
 		if want && !l.listed {
 			g.fair[class].add(l)
 		}
