--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -25,6 +25,8 @@
 const (
 	// defaultQueue is the longest queue of a Gate with a zero Settings.
 	defaultQueue = 4096
+	// sureDivisor is the part of the queue that every team may always fill.
+	sureDivisor = 256
 	// lowerDivisor is the part of the slots that the lower classes may hold
 	// while a higher class could fill them all.
 	lowerDivisor = 16
@@ -58,7 +60,8 @@
 
 	// Settings are the tunables of a Gate. A zero field takes its default.
 	Settings struct {
-		// Queue is the largest number of requests that wait.
+		// Queue is the number of requests that may wait, beyond a few that
+		// every team may always have waiting.
 		Queue int
 	}
 
@@ -127,13 +130,7 @@
 		g.forget(t)
 		return g.refuse(now, r, code, wait)
 	}
-	e := g.newEntry(r, t)
-	g.enqueue(now, e)
-	if g.choose(now) == e && g.quotas().take(t.name) {
-		g.unqueue(e)
-		g.start(now, e)
-		return Verdict{Decision: Admitted}
-	}
+	g.enqueue(now, g.newEntry(r, t))
 	return Verdict{Decision: Queued}
 }
 
@@ -224,21 +221,27 @@
 	return n
 }
 
-// startsAtOnce reports whether a request that arrives now may overtake the
-// queue: a slot is free and nothing of its class or a higher one could use it.
+// startsAtOnce reports whether a request that arrives now goes before all that
+// wait: a slot is free for it, none that waits in a higher class may take that,
+// and its team is ahead in the fair order of its own class.
 func (g *Gate) startsAtOnce(now tackclock.Time, t *team, r Request) bool {
 	if t.parked || !g.slotFor(now, t, r) {
 		return false
 	}
 	for _, class := range ranks {
-		if !g.fair[class].empty() {
-			return false
-		}
 		if class == r.Class {
-			return true
+			break
+		}
+		if g.first(now, class) != nil {
+			return false
 		}
 	}
-	return true
+	next := g.fair[r.Class].first()
+	if next == nil {
+		return true
+	}
+	own := &t.lanes[r.Class]
+	return own.length == 0 && (own.running < next.running || g.first(now, r.Class) == nil)
 }
 
 // startWaiting fills the free slots from the queue.
@@ -280,7 +283,7 @@
 // waits goes first, unless a lower one is due.
 func (g *Gate) choose(now tackclock.Time) *entry {
 	for i := len(ranks) - 1; i > 0; i-- {
-		if e := g.first(now, ranks[i]); e != nil && g.due(now, ranks[i]) {
+		if e := g.firstDue(now, ranks[i]); e != nil {
 			return e
 		}
 	}
@@ -302,12 +305,26 @@
 	return l.head
 }
 
-// due reports whether a lower class must get a start ahead of a higher one. A
-// higher class that fills all slots would otherwise starve it for ever. The
-// class is kept to a small part of the slots, since requests that run long
-// would take over all of them one start at a time.
-func (g *Gate) due(now tackclock.Time, class tackid.Class) bool {
-	return g.running[class] < max(1, g.capacity/lowerDivisor) && now.Sub(g.lastRun[class]) >= lowerInterval
+// firstDue returns the request of a lower class that must start ahead of a
+// higher class, or nil. A higher class that fills all slots would otherwise
+// starve it for ever. The class is kept to a small part of the slots, since
+// requests that run long would take over all of them one start at a time. While
+// all lower classes hold less than that part, they do not heed the reserves,
+// which a flood of urgent work keeps free for itself.
+func (g *Gate) firstDue(now tackclock.Time, class tackid.Class) *entry {
+	part := max(1, g.capacity/lowerDivisor)
+	if g.running[class] >= part || now.Sub(g.lastRun[class]) < lowerInterval {
+		return nil
+	}
+	if l := g.fair[class].first(); l != nil && g.lower() < part {
+		return l.head
+	}
+	return g.first(now, class)
+}
+
+// lower returns the number of slots that the lower classes hold.
+func (g *Gate) lower() int {
+	return g.running[tackid.ClassNormal] + g.running[tackid.ClassBatch]
 }
 
 // start gives the entry a slot.
--- a/core/tacklimit/refusal.go
+++ b/core/tacklimit/refusal.go
@@ -83,22 +83,23 @@
 }
 
 // room is how many requests of a class one team may have waiting: a multiple
-// of the free part of the queue. One team that floods stops at a part of the
-// queue, two at less each, and there is always room left for the next; with a
-// plain bound one team fills the queue and every other one is refused.
+// of the free part of the queue, and a few in any case. One team that floods
+// stops at a part of the queue and two at less each, and there is always room
+// for the next; with a plain bound one team fills the queue and every other one
+// is refused.
 func (g *Gate) room(class tackid.Class) int {
 	limit := g.Settings.Queue
 	if limit == 0 {
 		limit = defaultQueue
 	}
-	free := limit - g.Waiting()
+	room := limit - g.Waiting()
 	switch class {
 	case tackid.ClassUrgent:
-		return 2 * free
+		room *= 2
 	case tackid.ClassBatch:
-		return (free + 1) / 2
+		room /= 2
 	}
-	return free
+	return max(room, limit/sureDivisor, 1)
 }
 
 // expectedWait is how long a request of the team and class that came now would
--- a/core/tacklimit/reserve.go
+++ b/core/tacklimit/reserve.go
@@ -43,8 +43,7 @@
 	if r.Class == tackid.ClassUrgent {
 		return free > first || t.lanes[r.Class].running == 0
 	}
-	lower := g.running[tackid.ClassNormal] + g.running[tackid.ClassBatch]
-	return free > first && lower < g.capacity-first-g.urgentReserve(now)
+	return free > first && g.lower() < g.capacity-first-g.urgentReserve(now)
 }
 
 // firstReserve is the number of slots kept for urgent requests of teams that
