--- a/io/tacksettings/page.go
+++ b/io/tacksettings/page.go
@@ -33,7 +33,6 @@
 - ` + "`replica.lease_ms`" + ` is below ` + "`replica.election_ms`" + ` and at least twice ` + "`replica.heartbeat_ms`" + `; all
   three are the same on every VM.
 - ` + "`stop.linger_ms`" + ` is below ` + "`stop.deadline_ms`" + `.
-- ` + "`caller.body_limit_bytes`" + ` is at most ` + "`caller.buffer_limit_bytes`" + `.
 `
 
 // WritePage writes every setting with its unit, default and range, in
@@ -55,13 +54,6 @@
 	return err
 }
 
-func title(section string) string {
-	if section == peerSection {
-		return peerSection + ".ID"
-	}
-	return section
-}
-
 func (e *entry) unit() string {
 	switch e.kind {
 	case kindMillis:
--- a/io/tacksettings/reader.go
+++ b/io/tacksettings/reader.go
@@ -13,11 +13,19 @@
 	"auburntack/core/tackid"
 )
 
-// reader collects settings and the problems met on the way.
-type reader struct {
-	settings Settings
-	problems []Problem
-}
+type (
+	// reader collects settings and the problems met on the way.
+	reader struct {
+		settings Settings
+		problems []Problem
+	}
+
+	// member is what a section of a family gives, in the field of its family.
+	member struct {
+		peer   Peer
+		window Window
+	}
+)
 
 func (r *reader) add(section, key, problem, allowed string) {
 	r.problems = append(r.problems, Problem{Section: section, Key: key, Problem: problem, Allowed: allowed})
@@ -115,26 +123,31 @@
 		}
 		return
 	}
-	id, isPeer := strings.CutPrefix(name, peerSection+".")
-	if isPeer {
-		r.readPeer(s, id)
+	family, id, isMember := strings.Cut(name, ".")
+	if isMember && isFamily(family) {
+		r.readMember(s, family, id)
 		return
 	}
-	if len(entriesOf(name)) == 0 || name == peerSection {
+	if len(entriesOf(name)) == 0 || isFamily(name) {
 		r.addUnknownSection(name)
 		return
 	}
 	r.readKeys(s, name, nil)
 }
 
-func (r *reader) readPeer(s *ini.Section, id string) {
+// readMember reads one of the sections of a family.
+func (r *reader) readMember(s *ini.Section, family, id string) {
 	if err := checkName(id); err != nil {
 		e := entry{kind: kindName}
 		r.add(s.Name(), "", err.Error(), e.allowed())
 	}
-	p := Peer{ID: tackid.Peer(id)}
-	r.readKeys(s, peerSection, &p)
-	r.settings.Peers = append(r.settings.Peers, p)
+	m := member{peer: Peer{ID: tackid.Peer(id)}, window: Window{Label: id}}
+	r.readKeys(s, family, &m)
+	if family == familyPeer {
+		r.settings.Peers = append(r.settings.Peers, m.peer)
+	} else {
+		r.settings.Burn.Windows = append(r.settings.Burn.Windows, m.window)
+	}
 }
 
 // fine reports whether no problem with the keys of section was met so far.
@@ -145,7 +158,7 @@
 }
 
 // readKeys reads the keys of s by the table's entries for section.
-func (r *reader) readKeys(s *ini.Section, section string, p *Peer) {
+func (r *reader) readKeys(s *ini.Section, section string, m *member) {
 	entries := entriesOf(section)
 	given := make(map[string]bool)
 	for _, k := range s.Keys() {
@@ -162,7 +175,7 @@
 		if !r.fine(s.Name(), k.Name()) {
 			continue
 		}
-		if err := e.parse(k.Value(), e.field(&r.settings, p)); err != nil {
+		if err := e.parse(k.Value(), e.field(&r.settings, m)); err != nil {
 			r.add(s.Name(), k.Name(), err.Error(), e.allowed())
 		}
 	}
@@ -178,7 +191,7 @@
 	if near, ok := nearest(name, sectionNames()); ok {
 		problem += fmt.Sprintf(", did you mean %q", near)
 	}
-	r.add(name, "", problem, "allowed are "+strings.Join(sectionNames(), ", ")+" and peer.ID")
+	r.add(name, "", problem, "allowed are "+strings.Join(sectionNames(), ", "))
 }
 
 func (r *reader) addUnknownKey(section, key string, entries []*entry) {
@@ -198,7 +211,7 @@
 func (r *reader) addMissingSections(seen map[string]bool) {
 	for i := range table {
 		e := &table[i]
-		if e.must && e.section != peerSection && !seen[e.section] {
+		if e.must && !isFamily(e.section) && !seen[e.section] {
 			r.add(e.section, e.key, "the key is missing", e.allowed())
 		}
 	}
@@ -223,15 +236,29 @@
 	return nil
 }
 
-// sectionNames returns the sections that stand for themselves, in the order
-// of the table.
+// sectionNames returns the titles of the sections in the order of the table.
 func sectionNames() []string {
 	var names []string
 	for i := range table {
-		s := table[i].section
-		if s != peerSection && (len(names) == 0 || names[len(names)-1] != s) {
-			names = append(names, s)
+		if name := title(table[i].section); !slices.Contains(names, name) {
+			names = append(names, name)
 		}
 	}
 	return names
 }
+
+// title returns the name of a section as the page and the problems show it.
+func title(section string) string {
+	switch section {
+	case familyPeer:
+		return familyPeer + ".ID"
+	case familyWindow:
+		return familyWindow + ".NAME"
+	default:
+		return section
+	}
+}
+
+func isFamily(section string) bool {
+	return section == familyPeer || section == familyWindow
+}
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -76,15 +76,16 @@
 	// Preference is what a wave saves first.
 	Preference string
 
-	// Wave holds the tunables of maintenance waves. NightEnds is a time of
-	// day in UTC as HH:MM, or empty where no hour binds.
+	// Wave holds the tunables of maintenance waves. NightEnds is empty where
+	// no hour binds. MaxLost is 0 for one in 50 of a wave's VMs, and negative
+	// for none.
 	Wave struct {
 		Settle         tackclock.Duration
 		DrainLimit     tackclock.Duration
 		OperationLimit tackclock.Duration
 		Reboot         tackclock.Duration
 		Prefer         Preference
-		NightEnds      string
+		NightEnds      TimeOfDay
 		Canary         int
 		MaxLost        int
 	}
@@ -123,12 +124,12 @@
 		QueueLimit     int
 	}
 
-	// Burn holds the service-level objective: the percentage of requests
-	// that must be answered well and on time. LabelLimit bounds the labels
-	// counted apart for one service.
+	// Burn holds the service-level objective, the percentage of requests
+	// that must be answered well and on time, and the windows for which
+	// requests are counted besides.
 	Burn struct {
-		Objective  float64
-		LabelLimit int
+		Objective float64
+		Windows   []Window
 	}
 )
 
@@ -137,7 +138,7 @@
 	var s Settings
 	for i := range table {
 		e := &table[i]
-		if e.section != peerSection && e.initial != "" {
+		if !isFamily(e.section) && e.initial != "" {
 			_ = e.parse(e.initial, e.field(&s, nil)) // a test holds that every default parses
 		}
 	}
--- a/io/tacksettings/table.go
+++ b/io/tacksettings/table.go
@@ -15,8 +15,12 @@
 	kindTimeOfDay
 )
 
-// peerSection heads the sections of the other VMs: [peer.ID].
-const peerSection = "peer"
+const (
+	// familyPeer heads the sections of the other VMs: [peer.ID].
+	familyPeer = "peer"
+	// familyWindow heads the sections of labelled windows: [window.NAME].
+	familyWindow = "window"
+)
 
 type (
 	// kind is the form of a setting's value.
@@ -35,9 +39,9 @@
 		high    float64
 		choices []string
 		doc     string
-		// field points at where the value goes: in s, or in p for a key of
-		// a peer's section.
-		field func(s *Settings, p *Peer) any
+		// field points at where the value goes: in s, or in m for a key of
+		// a family's section.
+		field func(s *Settings, m *member) any
 	}
 )
 
@@ -52,117 +56,124 @@
 var table = []entry{
 	{section: "vm", key: "id", kind: kindName, must: true,
 		doc:   "name of this VM of the system; unique among all of them, and never given to another",
-		field: func(s *Settings, _ *Peer) any { return &s.VM.ID }},
+		field: func(s *Settings, _ *member) any { return &s.VM.ID }},
 	{section: "vm", key: "data_centre", kind: kindName, must: true,
 		doc:   "data centre that this VM is in; callers that come to it are served from there first",
-		field: func(s *Settings, _ *Peer) any { return &s.VM.DataCentre }},
+		field: func(s *Settings, _ *member) any { return &s.VM.DataCentre }},
 
 	{section: "listen", key: "caller", kind: kindAddress, must: true,
 		doc:   "where callers' requests come in",
-		field: func(s *Settings, _ *Peer) any { return &s.Listen.Caller }},
+		field: func(s *Settings, _ *member) any { return &s.Listen.Caller }},
 	{section: "listen", key: "operator", kind: kindAddress, must: true,
 		doc:   "where operators, announcements, probes and metrics come in; keep it off public networks",
-		field: func(s *Settings, _ *Peer) any { return &s.Listen.Operator }},
+		field: func(s *Settings, _ *member) any { return &s.Listen.Operator }},
 	{section: "listen", key: "peer", kind: kindAddress, must: true,
 		doc:   "where the other VMs of the system connect; the address they have in their files",
-		field: func(s *Settings, _ *Peer) any { return &s.Listen.Peer }},
+		field: func(s *Settings, _ *member) any { return &s.Listen.Peer }},
 
 	{section: "state", key: "folder", kind: kindFolder,
 		doc:   "data folder, best an absolute path; left out on a VM without a disk",
-		field: func(s *Settings, _ *Peer) any { return &s.State.Folder }},
+		field: func(s *Settings, _ *member) any { return &s.State.Folder }},
 	{section: "state", key: "replica", kind: kindBool, initial: "false",
 		doc:   "whether this VM votes in the replicated log; needs a folder",
-		field: func(s *Settings, _ *Peer) any { return &s.State.Replica }},
+		field: func(s *Settings, _ *member) any { return &s.State.Replica }},
 
-	{section: peerSection, key: "data_centre", kind: kindName, must: true,
+	{section: familyPeer, key: "data_centre", kind: kindName, must: true,
 		doc:   "data centre of that VM",
-		field: func(_ *Settings, p *Peer) any { return &p.DataCentre }},
-	{section: peerSection, key: "address", kind: kindAddress, must: true,
+		field: func(_ *Settings, m *member) any { return &m.peer.DataCentre }},
+	{section: familyPeer, key: "address", kind: kindAddress, must: true,
 		doc:   "the `peer` address that VM listens on",
-		field: func(_ *Settings, p *Peer) any { return &p.Address }},
-	{section: peerSection, key: "replica", kind: kindBool, initial: "false",
+		field: func(_ *Settings, m *member) any { return &m.peer.Address }},
+	{section: familyPeer, key: "replica", kind: kindBool, initial: "false",
 		doc:   "whether that VM votes; the same in every VM's file",
-		field: func(_ *Settings, p *Peer) any { return &p.Replica }},
+		field: func(_ *Settings, m *member) any { return &m.peer.Replica }},
 
 	{section: "platform", key: "address", kind: kindAddress,
 		doc:   "where the platform answers; left out, maintenance is recorded and not carried out",
-		field: func(s *Settings, _ *Peer) any { return &s.Platform.Address }},
+		field: func(s *Settings, _ *member) any { return &s.Platform.Address }},
 
-	{section: "wave", key: "settle_ms", kind: kindMillis, initial: "30000", low: 0, high: hour,
+	{section: "wave", key: "settle_ms", kind: kindMillis, initial: "30000", low: 1, high: hour,
 		doc:   "how long a repaired VM serves before the next is stopped, at least",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.Settle }},
+		field: func(s *Settings, _ *member) any { return &s.Wave.Settle }},
 	{section: "wave", key: "drain_limit_ms", kind: kindMillis, initial: "600000", low: 1000, high: 24 * hour,
-		doc:   "how long a VM may take to finish its work before the wave stops and says so",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.DrainLimit }},
-	{section: "wave", key: "operation_limit_ms", kind: kindMillis, initial: "1800000", low: 1000, high: 24 * hour,
-		doc:   "how long the platform may take over one VM before that VM counts as failed",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.OperationLimit }},
-	{section: "wave", key: "reboot_ms", kind: kindMillis, initial: "180000", low: 0, high: 24 * hour,
+		doc:   "how long a VM may take to finish its work before it is returned to service and tried later",
+		field: func(s *Settings, _ *member) any { return &s.Wave.DrainLimit }},
+	{section: "wave", key: "operation_limit_ms", kind: kindMillis, initial: "900000", low: 1000, high: 24 * hour,
+		doc:   "how long a VM may take to be operated, and again to serve after it, before it counts as failed",
+		field: func(s *Settings, _ *member) any { return &s.Wave.OperationLimit }},
+	{section: "wave", key: "reboot_ms", kind: kindMillis, initial: "180000", low: 1, high: 24 * hour,
 		doc:   "how long an operation is expected to take until durations have been learned; used by `cost`",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.Reboot }},
+		field: func(s *Settings, _ *member) any { return &s.Wave.Reboot }},
 	{section: "wave", key: "prefer", kind: kindChoice, initial: "buffer", choices: []string{"buffer", "time"},
 		doc:   "what a wave saves first: VMs held idle, or time",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.Prefer }},
+		field: func(s *Settings, _ *member) any { return &s.Wave.Prefer }},
 	{section: "wave", key: "night_ends", kind: kindTimeOfDay,
-		doc:   "time of day in UTC after which no further VM is taken; left out, no hour binds",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.NightEnds }},
-	{section: "wave", key: "canary", kind: kindCount, initial: "1", low: 0, high: 100,
-		doc:   "VMs that go through maintenance alone before the others follow",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.Canary }},
-	{section: "wave", key: "max_lost", kind: kindCount, initial: "1", low: 0, high: 100,
-		doc:   "VMs that may fail in one wave before it stops by itself",
-		field: func(s *Settings, _ *Peer) any { return &s.Wave.MaxLost }},
+		doc:   "time of day in UTC by which waves must have ended; left out, no hour binds",
+		field: func(s *Settings, _ *member) any { return &s.Wave.NightEnds }},
+	{section: "wave", key: "canary", kind: kindCount, initial: "1", low: 1, high: 100,
+		doc:   "VMs of a wave's first step, which must come back well before the others follow",
+		field: func(s *Settings, _ *member) any { return &s.Wave.Canary }},
+	{section: "wave", key: "max_lost", kind: kindCount, initial: "0", low: -1, high: 100,
+		doc:   "VMs that a wave may lose before it stops by itself; 0 stands for one in 50 of its VMs and at least 1, -1 for none",
+		field: func(s *Settings, _ *member) any { return &s.Wave.MaxLost }},
 
 	{section: "stop", key: "linger_ms", kind: kindMillis, initial: "2000", low: 0, high: 5 * minute,
 		doc:   "served on after /readyz says 503, so that the balancer can follow",
-		field: func(s *Settings, _ *Peer) any { return &s.Stop.Linger }},
+		field: func(s *Settings, _ *member) any { return &s.Stop.Linger }},
 	{section: "stop", key: "deadline_ms", kind: kindMillis, initial: "30000", low: 1000, high: hour,
 		doc:   "how long a graceful stop may take in all; after it the process ends with exit code 1",
-		field: func(s *Settings, _ *Peer) any { return &s.Stop.Deadline }},
+		field: func(s *Settings, _ *member) any { return &s.Stop.Deadline }},
 
 	{section: "log", key: "level", kind: kindChoice, initial: "info", choices: []string{"error", "warn", "info", "debug"},
 		doc:   "the least severe lines that are written",
-		field: func(s *Settings, _ *Peer) any { return &s.Log.Level }},
+		field: func(s *Settings, _ *member) any { return &s.Log.Level }},
 	{section: "log", key: "format", kind: kindChoice, initial: "text", choices: []string{"text", "json"},
 		doc:   "form of a log line",
-		field: func(s *Settings, _ *Peer) any { return &s.Log.Format }},
+		field: func(s *Settings, _ *member) any { return &s.Log.Format }},
 
-	{section: "replica", key: "heartbeat_ms", kind: kindMillis, initial: "100", low: 10, high: 10_000,
+	{section: "replica", key: "heartbeat_ms", kind: kindMillis, initial: "200", low: 10, high: 10_000,
 		doc:   "how often the leader calls on each peer",
-		field: func(s *Settings, _ *Peer) any { return &s.Replica.Heartbeat }},
+		field: func(s *Settings, _ *member) any { return &s.Replica.Heartbeat }},
 	{section: "replica", key: "election_ms", kind: kindMillis, initial: "1000", low: 100, high: minute,
 		doc:   "silence of the leader after which a replica stands for election; each draws between this and twice this",
-		field: func(s *Settings, _ *Peer) any { return &s.Replica.Election }},
+		field: func(s *Settings, _ *member) any { return &s.Replica.Election }},
 	{section: "replica", key: "lease_ms", kind: kindMillis, initial: "900", low: 50, high: minute,
 		doc:   "how long a peer may rely on the leader's last word; below `election_ms`, the same in every VM's file",
-		field: func(s *Settings, _ *Peer) any { return &s.Replica.Lease }},
+		field: func(s *Settings, _ *member) any { return &s.Replica.Lease }},
 
-	{section: "caller", key: "body_limit_bytes", kind: kindBytes, initial: "8388608", low: 0, high: 1024 * mib,
-		doc:   "longest body of a request; longer ones get 413 before any dispatch",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.BodyLimit }},
+	{section: "caller", key: "body_limit_bytes", kind: kindBytes, initial: "1073741824", low: 1, high: 16384 * mib,
+		doc:   "longest body of a request; longer ones get 413",
+		field: func(s *Settings, _ *member) any { return &s.Caller.BodyLimit }},
 	{section: "caller", key: "buffer_limit_bytes", kind: kindBytes, initial: "67108864", low: mib, high: 16384 * mib,
-		doc:   "memory for the bodies of all requests together; beyond it requests are refused",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.BufferLimit }},
+		doc:   "memory for the bodies of all requests together",
+		field: func(s *Settings, _ *member) any { return &s.Caller.BufferLimit }},
 	{section: "caller", key: "header_limit_bytes", kind: kindBytes, initial: "65536", low: kib, high: mib,
 		doc:   "longest header of a request; longer ones get 431",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.HeaderLimit }},
-	{section: "caller", key: "header_timeout_ms", kind: kindMillis, initial: "5000", low: 100, high: 5 * minute,
+		field: func(s *Settings, _ *member) any { return &s.Caller.HeaderLimit }},
+	{section: "caller", key: "header_timeout_ms", kind: kindMillis, initial: "10000", low: 100, high: 5 * minute,
 		doc:   "how long a caller may take to send a header",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.HeaderTimeout }},
-	{section: "caller", key: "body_timeout_ms", kind: kindMillis, initial: "30000", low: 100, high: hour,
-		doc:   "how long a caller may take to send a body",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.BodyTimeout }},
+		field: func(s *Settings, _ *member) any { return &s.Caller.HeaderTimeout }},
+	{section: "caller", key: "body_timeout_ms", kind: kindMillis, initial: "10000", low: 100, high: hour,
+		doc:   "how long the next bytes of a body may take, in either direction",
+		field: func(s *Settings, _ *member) any { return &s.Caller.BodyTimeout }},
 	{section: "caller", key: "default_timeout_ms", kind: kindMillis, initial: "30000", low: 10, high: hour,
 		doc:   "how long a caller is taken to wait where Auburntack-Timeout-Ms is left out",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.DefaultTimeout }},
-	{section: "caller", key: "queue_limit", kind: kindCount, initial: "256", low: 0, high: 100_000,
+		field: func(s *Settings, _ *member) any { return &s.Caller.DefaultTimeout }},
+	{section: "caller", key: "queue_limit", kind: kindCount, initial: "4096", low: 1, high: 100_000,
 		doc:   "requests of one service that may wait for a slot; further ones get 503 at once",
-		field: func(s *Settings, _ *Peer) any { return &s.Caller.QueueLimit }},
+		field: func(s *Settings, _ *member) any { return &s.Caller.QueueLimit }},
 
 	{section: "burn", key: "objective_percent", kind: kindPercent, initial: "99.9", low: 50, high: 99.999,
 		doc:   "requests of a service that must be answered well and on time; the rest is its error budget",
-		field: func(s *Settings, _ *Peer) any { return &s.Burn.Objective }},
-	{section: "burn", key: "label_limit", kind: kindCount, initial: "64", low: 0, high: 10_000,
-		doc:   "labels of one service that are counted apart; further ones are counted together",
-		field: func(s *Settings, _ *Peer) any { return &s.Burn.LabelLimit }},
+		field: func(s *Settings, _ *member) any { return &s.Burn.Objective }},
+
+	{section: familyWindow, key: "service", kind: kindName,
+		doc:   "service whose requests are counted for the window; left out, those of all services",
+		field: func(_ *Settings, m *member) any { return &m.window.Service }},
+	{section: familyWindow, key: "from", kind: kindTimeOfDay, must: true,
+		doc:   "time of day in UTC at which the window opens",
+		field: func(_ *Settings, m *member) any { return &m.window.From }},
+	{section: familyWindow, key: "to", kind: kindTimeOfDay, must: true,
+		doc:   "time of day in UTC at which it closes, on the next day if it is earlier than `from`",
+		field: func(_ *Settings, m *member) any { return &m.window.To }},
 }
--- a/io/tacksettings/together.go
+++ b/io/tacksettings/together.go
@@ -15,7 +15,6 @@
 	r.checkListen()
 	r.checkTimes()
 	r.checkStop()
-	r.checkSizes()
 }
 
 // checkReplica refuses a voter without a folder: it would forget its vote at
@@ -29,7 +28,7 @@
 func (r *reader) checkPeers() {
 	addresses := map[string]tackid.Peer{r.settings.Listen.Peer: r.settings.VM.ID}
 	for _, p := range r.settings.Peers {
-		section := peerSection + "." + string(p.ID)
+		section := familyPeer + "." + string(p.ID)
 		if p.ID == r.settings.VM.ID {
 			r.add(section, "", "the VM itself is listed as a peer", "allowed are the other VMs only")
 			continue
@@ -92,11 +91,3 @@
 			"allowed is less than deadline_ms")
 	}
 }
-
-func (r *reader) checkSizes() {
-	c := r.settings.Caller
-	if r.fine("caller", "body_limit_bytes", "buffer_limit_bytes") && c.BodyLimit > c.BufferLimit {
-		r.add("caller", "body_limit_bytes", fmt.Sprintf("%d is above buffer_limit_bytes, which is %d", c.BodyLimit, c.BufferLimit),
-			"allowed is at most buffer_limit_bytes")
-	}
-}
--- a/io/tacksettings/value.go
+++ b/io/tacksettings/value.go
@@ -141,6 +141,10 @@
 		*t = text
 	case *tackid.Peer:
 		*t = tackid.Peer(text)
+	case *TimeOfDay:
+		*t = TimeOfDay(text)
+	case *tackid.Service:
+		*t = tackid.Service(text)
 	case *tackid.DataCentre:
 		*t = tackid.DataCentre(text)
 	case *Preference:
@@ -204,13 +208,7 @@
 }
 
 func checkTimeOfDay(text string) error {
-	if text == "" {
-		return nil
-	}
-	h, m, found := strings.Cut(text, ":")
-	hours, errH := strconv.ParseUint(h, 10, 8)
-	minutes, errM := strconv.ParseUint(m, 10, 8)
-	if !found || len(h) != 2 || len(m) != 2 || errH != nil || errM != nil || hours > 23 || minutes > 59 {
+	if _, ok := TimeOfDay(text).sinceMidnight(); !ok {
 		return fmt.Errorf("%q is not a time of day", text)
 	}
 	return nil
