--- a/io/tackclient/call.go
+++ b/io/tackclient/call.go
@@ -260,5 +260,5 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return direct
 }
--- a/io/tackclient/client.go
+++ b/io/tackclient/client.go
@@ -4,6 +4,7 @@
 package tackclient
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -23,6 +24,15 @@
 	DefaultRounds = 3
 )
 
+// direct goes straight to the entries. A proxy from the environment would
+// cut the operator off just when the network to the proxy is down.
+var direct = &http.Client{
+	Transport: &http.Transport{DisableCompression: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	},
+}
+
 // pauseBetweenRounds is waited before all entries are tried once more, unless
 // an answer told when to come back.
 const pauseBetweenRounds = 500 * tackclock.Millisecond
@@ -42,7 +52,8 @@
 	}
 
 	// Answer is what a query came to. Confirmed is false where the VM that
-	// answered cannot be sure that it knows the newest state.
+	// answered cannot be sure that it knows the newest state. A value is a
+	// string, a bool or a json.Number.
 	Answer struct {
 		Confirmed bool            `json:"confirmed"`
 		Revision  tackid.Revision `json:"revision"`
@@ -78,8 +89,8 @@
 	var found bool
 	call := call{method: http.MethodPost, path: "/ask", body: query}
 	err := c.run(ctx, call, func(body []byte) (bool, error) {
-		var a Answer
-		if err := json.Unmarshal(body, &a); err != nil {
+		a, err := decodeAnswer(body)
+		if err != nil {
 			return false, err
 		}
 		if !found || a.Confirmed {
@@ -117,6 +128,16 @@
 	return got, err
 }
 
+// decodeAnswer keeps numbers as they were written: a revision or token beyond
+// 2^53 would come out changed as a float64, and "--expect" with it be refused.
+func decodeAnswer(body []byte) (Answer, error) {
+	var a Answer
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.UseNumber()
+	err := d.Decode(&a)
+	return a, err
+}
+
 func (c *Client) timeout() time.Duration {
 	return orDefault(c.Timeout, DefaultTimeout).Std()
 }
--- a/io/tackserve/serve.go
+++ b/io/tackserve/serve.go
@@ -35,6 +35,10 @@
 		Stderr  io.Writer
 		Signals <-chan os.Signal // each asks to stop, the second at once
 		Run     Run
+
+		// after returns a channel that gets a value after d; nil counts by
+		// the machine's clock.
+		after func(d time.Duration) <-chan time.Time
 	}
 
 	// exitError carries an exit code out of a command that has already said
@@ -181,8 +185,7 @@
 // keep the VM from being rebooted for ever; the deadline and the second
 // signal end it.
 func (d *Daemon) awaitStop(cfg tacksettings.Settings, log *logrus.Logger, ended <-chan error) error {
-	deadline := time.NewTimer(cfg.Stop.Deadline.Std())
-	defer deadline.Stop()
+	deadline := d.deadline(cfg.Stop.Deadline.Std())
 	select {
 	case err := <-ended:
 		if err == nil || errors.Is(err, context.Canceled) {
@@ -192,8 +195,15 @@
 		log.Errorf("stop failed: %v", err)
 	case s := <-d.Signals:
 		log.WithField("signal", s.String()).Error("stopped at once by a second signal; work may have been cut")
-	case <-deadline.C:
+	case <-deadline:
 		log.WithField("deadline", cfg.Stop.Deadline.String()).Error("stopped by the deadline; work may have been cut")
 	}
 	return &exitError{code: exitFail}
 }
+
+func (d *Daemon) deadline(limit time.Duration) <-chan time.Time {
+	if d.after != nil {
+		return d.after(limit)
+	}
+	return time.After(limit)
+}
