--- a/io/tackcli/report.go
+++ b/io/tackcli/report.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
+
+	"auburntack/core/tackburn"
+	"auburntack/io/tackreport"
 )
 
 // burnPath is where the operator port has the report on service-level burn.
@@ -36,11 +42,46 @@
 	return c
 }
 
+// burn prints the report, or writes it to the file html where one is given.
 func (t *Tool) burn(ctx context.Context, html string) error {
 	body, err := t.client.Get(ctx, burnPath)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(t.Stdout, string(body))
-	return err
+	var r tackburn.Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return fmt.Errorf("tackcli: the report cannot be read: %w", err)
+	}
+	if html != "" {
+		return writePage(html, r)
+	}
+	if t.output == outputJSON {
+		_, err := fmt.Fprintf(t.Stdout, "%s\n", body)
+		return err
+	}
+	return tackreport.Text(t.Stdout, r)
+}
+
+// writePage puts the whole page in place at once: a report that a nightly job
+// was cut off in would otherwise replace the last whole one.
+func writePage(file string, r tackburn.Report) error {
+	f, err := os.CreateTemp(filepath.Dir(file), ".burn-*")
+	if err != nil {
+		return fmt.Errorf("tackcli: %w", err)
+	}
+	defer os.Remove(f.Name()) // gone already where the rename was done
+	err = tackreport.HTML(f, r)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Chmod(f.Name(), 0o644)
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), file)
+	}
+	if err != nil {
+		return fmt.Errorf("tackcli: %w", err)
+	}
+	return nil
 }
