--- a/io/tackserve/advice.go
+++ b/io/tackserve/advice.go
@@ -5,13 +5,12 @@
 	"syscall"
 )
 
-// advices says what an operator can do about an error of the system.
+// advices says what an operator can do about an error of the operating
+// system. Other errors say so themselves.
 var advices = []struct {
 	cause  error
 	advice string
 }{
-	{syscall.EADDRINUSE, "stop the process that holds the port, or give another one under [listen]"},
-	{syscall.EADDRNOTAVAIL, "give an address of this machine under [listen]"},
 	{syscall.EACCES, "let the daemon's user write to state.folder and use the ports under [listen]"},
 	{syscall.EPERM, "let the daemon's user write to state.folder and use the ports under [listen]"},
 	{syscall.EROFS, "mount the file system of state.folder for writing"},
@@ -20,12 +19,12 @@
 	{syscall.ENOTDIR, "give a folder as state.folder"},
 }
 
-// advice returns what to do about err.
+// advice returns what to do about err, or the empty text where err says it.
 func advice(err error) string {
 	for _, a := range advices {
 		if errors.Is(err, a.cause) {
 			return a.advice
 		}
 	}
-	return "see docs/OPERATING.md, then start the daemon again"
+	return ""
 }
--- a/io/tackserve/serve.go
+++ b/io/tackserve/serve.go
@@ -176,7 +176,11 @@
 	if err == nil {
 		err = errors.New("the daemon ended without being asked to")
 	}
-	log.WithField("advice", advice(err)).Errorf("cannot go on: %v", err)
+	entry := logrus.NewEntry(log)
+	if a := advice(err); a != "" {
+		entry = entry.WithField("advice", a)
+	}
+	entry.Errorf("cannot go on: %v", err)
 	return &exitError{code: exitFail}
 }
 
@@ -189,7 +193,6 @@
 	select {
 	case err := <-ended:
 		if err == nil || errors.Is(err, context.Canceled) {
-			log.Info("stopped")
 			return nil
 		}
 		log.Errorf("stop failed: %v", err)
--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
@@ -143,22 +142,13 @@
 // is zero where no time of day is configured. Counting from now alone would
 // give a wave that overruns another whole day.
 func (v *VM) nightEnds(now tackclock.Time) tackclock.Time {
-	at, err := time.Parse("15:04", v.cfg.Wave.NightEnds)
-	if err != nil {
-		return 0
-	}
 	began := now
 	for _, w := range v.state.Fleet.Waves() {
 		if w.Status == tackfleet.WaveRunning && w.Started.Before(began) {
 			began = w.Started
 		}
 	}
-	offset := tackclock.Duration(at.Hour())*tackclock.Hour + tackclock.Duration(at.Minute())*tackclock.Minute
-	end := tackclock.Time(int64(began) - int64(began)%int64(tackclock.Day)).Add(offset)
-	if !end.After(began) {
-		end = end.Add(tackclock.Day)
-	}
-	return end
+	return v.cfg.Wave.NightEnds.After(began)
 }
 
 // Now returns the time of this round.
