--- a/io/tackcli/tool_test.go
+++ b/io/tackcli/tool_test.go
@@ -24,7 +24,7 @@
 	table := answering(t, http.StatusOK, `{"confirmed":true,"revision":9007199254740993,"columns":["vm","pool","touched"],"rows":[["w-1","gazetteer",9007199254740993],["w-10","",true]]}`)
 	old := answering(t, http.StatusOK, `{"confirmed":false,"revision":3,"columns":["vm"],"rows":[["\u001b[2J"]]}`)
 	refused := answering(t, http.StatusConflict, `{"error":{"code":"budget","message":"names-api needs 7 of 8"}}`)
-	unread := answering(t, http.StatusBadRequest, `{"error":{"message":"got vn","line":1,"column":7,"expected":"vm"}}`)
+	unread := answering(t, http.StatusBadRequest, `{"error":{"message":"line 1, column 7: got vn","line":1,"column":7,"expected":"vm"}}`)
 	late := answering(t, http.StatusGatewayTimeout, `{"error":{"code":"unknown","message":"no answer in time"}}`)
 	tests := []struct {
 		name   string
@@ -43,7 +43,7 @@
 			`{"confirmed":true,"revision":9007199254740993,"columns":["vm","pool","touched"],"rows":[["w-1","gazetteer",9007199254740993],["w-10","",true]]}` + "\n", ""},
 		{"unconfirmed", []string{"--entry", old, "ask", "show vms"}, ExitDone, "vm\n\\x1b[2J\n", "not confirmed"},
 		{"refused", []string{"--entry", refused, "do", "drain vm w-17"}, ExitRefused, "", "refused: budget: names-api needs 7 of 8"},
-		{"unread", []string{"--entry", unread, "do", "drain vn w-17"}, ExitUsage, "", "line 1, column 7: got vn, expected vm"},
+		{"unread", []string{"--entry", unread, "do", "drain vn w-17"}, ExitUsage, "", "auburntack: line 1, column 7: got vn, expected vm\n"},
 		{"unknown", []string{"--entry", late, "do", "drain vm w-17", "--id", "mine"}, ExitUnknown, "", "send again with id mine"},
 		{"nobody", []string{"--entry", nobody, "do", "drain vm w-17"}, ExitUnknown, "", "nobody answered"},
 		{"nobody asked", []string{"--entry", nobody, "ask", "show vms"}, ExitUnknown, "", "nobody answered"},
--- a/io/tackclient/call.go
+++ b/io/tackclient/call.go
@@ -194,6 +194,7 @@
 // comes as a string or as a list of them.
 func (r *refusal) syntax() *SyntaxError {
 	e := &SyntaxError{Line: r.Error.Line, Column: r.Error.Column, Message: r.text("bad request")}
+	e.Message = strings.TrimPrefix(e.Message, e.place())
 	var one string
 	var many []string
 	if json.Unmarshal(r.Error.Expected, &one) == nil {
--- a/io/tackclient/error.go
+++ b/io/tackclient/error.go
@@ -40,10 +40,15 @@
 
 // Error implements error.
 func (e *SyntaxError) Error() string {
+	return "tackclient: " + e.place() + e.Message
+}
+
+// place says where the error is, as a server's message may already begin.
+func (e *SyntaxError) place() string {
 	if e.Line == 0 {
-		return "tackclient: cannot be read: " + e.Message
+		return "cannot be read: "
 	}
-	return fmt.Sprintf("tackclient: line %d, column %d: %s", e.Line, e.Column, e.Message)
+	return fmt.Sprintf("line %d, column %d: ", e.Line, e.Column)
 }
 
 // Error implements error.
