--- /dev/null
+++ b/internal/tackdocs/docs.go
@@ -0,0 +1,3 @@
+// Package tackdocs holds the pages of docs to the code by its tests: links
+// lead somewhere, settings files load, commands and queries can be read.
+package tackdocs
