--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -46,7 +46,7 @@
 
 		spaces  map[SpaceID]*space
 		retired map[SpaceID]tackclock.Time
-		wanted  map[SpaceID]tackclock.Time
+		wanted  map[SpaceID]*asked
 		entries map[key]*entry
 		vms     map[tackid.VM]map[key]*entry
 		health  map[tackid.VM]*damper
@@ -68,6 +68,13 @@
 		echoed tackclock.Time // when echo rose
 	}
 
+	// asked is a Want that was sent and whose answer is awaited.
+	asked struct {
+		at   tackclock.Time
+		from tackid.Peer
+		next tackid.Peer // another one that could answer, if any
+	}
+
 	// change is a version of the own space and what it is about.
 	change struct {
 		version uint64
@@ -158,7 +165,7 @@
 	d.since = now
 	d.spaces = make(map[SpaceID]*space)
 	d.retired = make(map[SpaceID]tackclock.Time)
-	d.wanted = make(map[SpaceID]tackclock.Time)
+	d.wanted = make(map[SpaceID]*asked)
 	d.entries = make(map[key]*entry)
 	d.vms = make(map[tackid.VM]map[key]*entry)
 	d.refresh = make(map[SpaceID]*Heard)
--- a/core/tackmember/space.go
+++ b/core/tackmember/space.go
@@ -70,14 +70,16 @@
 	}
 }
 
-// part answers w, or returns false when the space has nothing beyond it.
+// part answers w, or returns false when the space has nothing beyond it. One
+// who asks from the start may not even know whose space it is, and gets an
+// answer also when the space is empty.
 func (s *space) part(w Want) (Part, bool) {
 	reset := w.From > 0 && w.From < s.floor && w.Floor < s.floor
 	from := w.From
 	if reset {
 		from = 0
 	}
-	if from >= s.version {
+	if from > 0 && from >= s.version {
 		return Part{}, false
 	}
 	p := s.header(from)
@@ -90,6 +92,11 @@
 	return p, true
 }
 
+// want returns the Want for what the copy lacks.
+func (s *space) want() Want {
+	return Want{Space: s.id, From: s.version, Floor: s.floor}
+}
+
 // header returns a part from a version up to the newest, without records.
 func (s *space) header(from uint64) Part {
 	return Part{
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -18,7 +18,10 @@
 	beatGap  = 500 * tackclock.Millisecond
 
 	// wantAgain is how long an answer to a Want is awaited.
-	wantAgain = tackclock.Second
+	wantAgain = 600 * tackclock.Millisecond
+
+	// wantNext is how long it is awaited when another peer has it as well.
+	wantNext = 200 * tackclock.Millisecond
 )
 
 // Tick does what is due and returns the messages to send. It wants to be
@@ -34,9 +37,10 @@
 	if now >= d.beatDue {
 		seen = d.beat(now)
 	}
+	wants := d.askNext(now)
 	var out []Outgoing
 	for _, p := range d.order {
-		m := Message{Parts: parts, Seen: seen}
+		m := Message{Parts: parts, Seen: seen, Wants: wants[p]}
 		if seen != nil {
 			m.Echo = d.peers[p].beat
 			m.Heard = d.takeRefresh(p)
@@ -103,7 +107,7 @@
 	}
 	var reply Message
 	for _, p := range m.Parts {
-		d.takePart(now, p, &reply)
+		d.takePart(now, from, p, &reply)
 	}
 	for _, s := range m.Seen {
 		d.see(now, l, from, s, &reply)
@@ -144,7 +148,7 @@
 	}
 	s := d.spaces[seen.Space]
 	if s == nil {
-		d.want(now, Want{Space: seen.Space}, reply)
+		d.want(now, from, Want{Space: seen.Space}, reply)
 		return
 	}
 	if s.peer == from && s.superseded == 0 {
@@ -155,21 +159,48 @@
 		d.stand(now, s)
 	}
 	if seen.Version > s.version {
-		d.want(now, Want{Space: s.id, From: s.version, Floor: s.floor}, reply)
+		d.want(now, from, s.want(), reply)
 	}
 }
 
 // want adds w to reply unless an answer to an earlier one is awaited.
-func (d *Directory) want(now tackclock.Time, w Want, reply *Message) {
-	if at, ok := d.wanted[w.Space]; ok && now.Sub(at) < wantAgain {
+func (d *Directory) want(now tackclock.Time, from tackid.Peer, w Want, reply *Message) {
+	a := d.wanted[w.Space]
+	if a != nil && now.Sub(a.at) < wantAgain {
+		if from != a.from {
+			a.next = from
+		}
 		return
 	}
-	d.wanted[w.Space] = now
+	d.wanted[w.Space] = &asked{at: now, from: from}
 	reply.Wants = append(reply.Wants, w)
 }
 
+// askNext returns, by peer, the Wants that an earlier peer left unanswered and
+// another one may answer. Over a link that carries only one way, a peer is
+// heard to have what is wanted but never gets the Want; without this, asking
+// it again and again would keep the others from being asked.
+func (d *Directory) askNext(now tackclock.Time) map[tackid.Peer][]Want {
+	var wants map[tackid.Peer][]Want
+	for id, a := range d.wanted {
+		if a.next == "" || now.Sub(a.at) < wantNext {
+			continue
+		}
+		w := Want{Space: id}
+		if s := d.spaces[id]; s != nil {
+			w = s.want()
+		}
+		if wants == nil {
+			wants = make(map[tackid.Peer][]Want)
+		}
+		wants[a.next] = append(wants[a.next], w)
+		*a = asked{at: now, from: a.next}
+	}
+	return wants
+}
+
 // takePart takes a part of another peer's space into the copy here.
-func (d *Directory) takePart(now tackclock.Time, p Part, reply *Message) {
+func (d *Directory) takePart(now tackclock.Time, from tackid.Peer, p Part, reply *Message) {
 	if p.Peer == d.self && p.Epoch >= d.own.epoch {
 		if p.Space != d.own.id {
 			d.rebirth(now, p.Epoch)
@@ -192,7 +223,7 @@
 		d.settle(now, k)
 	}
 	if !ok || s.version < p.Last {
-		d.want(now, Want{Space: s.id, From: s.version, Floor: s.floor}, reply)
+		d.want(now, from, s.want(), reply)
 	}
 	if len(touched) > 0 {
 		d.beatDue = min(d.beatDue, max(now.Add(beatSoon), d.lastBeat.Add(beatGap)))
