Compare health with its constant in the directory's schedule test

Cause: the test wrote health as a number, and Health now has a name. Ruled out: a fault of the directory; the incarnations and states agree. Conclusion: the expectation is as strict, it names the constant.

--- a/core/tackmember/schedule_test.go
+++ b/core/tackmember/schedule_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 
 	"pgregory.net/rapid"
@@ -232,7 +233,7 @@
 	for i, l := range s.lives {
 		if l.alive {
 			id := s.c.server(i, 0, 1, StateServing).BackendServer.ID
-			want[string(id)] = fmt.Sprint(l.inc, l.stage.state(), 1)
+			want[string(id)] = fmt.Sprint(l.inc, l.stage.state(), tackfleet.HealthServing)
 		}
 	}
 	return want
