Show the whole system in one process: auburntack demo

Cause: the command was a placeholder. The first run never ended: a stand-in waited for its announcing goroutine with the lock held that this one wanted. Conclusion: the ten invariants are counted from outside.

--- /dev/null
+++ b/io/tackdemo/report.go
@@ -0,0 +1,69 @@
+package tackdemo
+
+import (
+	"fmt"
+	"time"
+)
+
+// invariant is one promise, what was counted for it, and whether it held.
+type invariant struct {
+	name    string
+	counted string
+	held    bool
+}
+
+// report writes the measures and the invariants.
+func (d *demo) report() error {
+	m, w := &d.measures, &d.watch
+	fmt.Fprintf(d.out, "\nmeasures\n")
+	fmt.Fprintf(d.out, "  buffer cost     %d VMs out at most, %.1f on average\n", w.outMost, float64(w.outSum)/float64(max(w.looks, 1)))
+	fmt.Fprintf(d.out, "  roll-out time   %.1f s for %d VMs\n", m.rollOut.Seconds(), poolVMs)
+	fmt.Fprintf(d.out, "  moves           %d VMs, 0 tasks\n", m.moves)
+	fmt.Fprintf(d.out, "  requests        p50 %v, p99 %v\n\ninvariants\n", d.callers.Took(0.5).Round(time.Millisecond/10), d.callers.Took(0.99).Round(time.Millisecond/10))
+	var broken []string
+	for _, i := range d.invariants() {
+		state := "held"
+		if !i.held {
+			state = "BROKE"
+			broken = append(broken, i.name)
+		}
+		fmt.Fprintf(d.out, "  %-5s  %-52s %s\n", state, i.name, i.counted)
+	}
+	if len(broken) > 0 {
+		for _, note := range d.callers.Counts().Notes {
+			fmt.Fprintf(d.out, "  %s\n", note)
+		}
+		return &BrokenError{Invariants: broken}
+	}
+	return nil
+}
+
+func (d *demo) invariants() []invariant {
+	m, w := &d.measures, &d.watch
+	c := d.callers.Counts()
+	falsely := 0
+	for _, body := range c.DidNotRun {
+		if d.tally.OfBody(body) > 0 {
+			falsely++
+		}
+	}
+	planned := d.tally.Cut() - m.lostCut
+	twice := 0
+	for _, b := range d.servers {
+		if d.platform.Times(b.VM) != 1 {
+			twice++
+		}
+	}
+	return []invariant{
+		{"availability budget", fmt.Sprintf("%d looks, %d below %d", w.looks, w.breaches, minAvailable), w.breaches == 0 && w.looks > 0},
+		{"a VM is in exactly one pool", fmt.Sprintf("%d otherwise", w.pools), w.pools == 0},
+		{"one whole answer for each request", fmt.Sprintf("%d sent, %d answered, %d refused, %d unknown, %d broken", c.Sent, c.Answered, c.Refused, c.Unknown, c.Broken), c.Broken == 0 && c.Unknown <= m.lostCut && c.Sent > 0},
+		{"never part of another's answer", fmt.Sprintf("%d mixed", c.Mixed), c.Mixed == 0},
+		{"did_not_run did not run", fmt.Sprintf("%d said, %d ran", c.Refused, falsely), falsely == 0},
+		{"work with a key runs at most once", fmt.Sprintf("%d doubled", d.tally.DoubledKeys()), d.tally.DoubledKeys() == 0},
+		{"no work for a VM that left, after 2 s", fmt.Sprintf("%d requests", m.leavingWork), m.leavingWork == 0},
+		{"a planned stop cuts nothing", fmt.Sprintf("%d cut, and %d by the VM that was lost", planned, m.lostCut), planned == 0},
+		{"every VM maintained once", fmt.Sprintf("%d otherwise", twice), twice == 0},
+		{"an accepted change is in force everywhere", fmt.Sprintf("%d changes, %d stale, slowest %v", m.changes, m.stale, m.changeSlowest.Round(time.Millisecond)), m.stale == 0 && m.changes > 0},
+	}
+}
--- a/io/tackstandin/backend.go
+++ b/io/tackstandin/backend.go
@@ -47,6 +47,7 @@
 		stop        chan struct{}
 		done        sync.WaitGroup
 		active      atomic.Int64
+		served      atomic.Int64
 	}
 
 	// Tally counts executions by request and by idempotency key.
@@ -114,17 +115,18 @@
 // are cut and counted as such.
 func (b *BackendServer) Stop() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.server == nil {
+	server, stop := b.server, b.stop
+	b.server = nil
+	b.mu.Unlock()
+	if server == nil {
 		return
 	}
 	if n := b.active.Load(); n > 0 && b.Tally != nil {
 		b.Tally.addCut(int(n))
 	}
-	close(b.stop)
-	b.server.Close()
+	close(stop)
+	server.Close()
 	b.done.Wait()
-	b.server = nil
 }
 
 // Leave announces that the backend server is leaving.
@@ -147,6 +149,18 @@
 	return int(b.active.Load())
 }
 
+// Served returns how many requests it has begun.
+func (b *BackendServer) Served() int {
+	return int(b.served.Load())
+}
+
+// Up reports whether it takes requests.
+func (b *BackendServer) Up() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.server != nil
+}
+
 // Announce announces once, to the first operators' port that answers, and
 // returns how soon it is due again.
 func (b *BackendServer) Announce() time.Duration {
@@ -205,6 +219,7 @@
 func (b *BackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := b.active.Add(1)
 	defer b.active.Add(-1)
+	b.served.Add(1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
