--- a/io/tacksettings/nearest.go
+++ b/io/tacksettings/nearest.go
@@ -1,13 +1,15 @@
 package tacksettings
 
+import "strings"
+
 // nearest returns the one of names that is the fewest edits away from name,
 // if it is near enough to be what was meant: within a third of its length and
-// one edit.
+// one edit. Upper and lower case are the same.
 func nearest(name string, names []string) (string, bool) {
 	best, found := "", false
 	least := len(name)/3 + 2
 	for _, n := range names {
-		if d := editDistance(name, n); d < least {
+		if d := editDistance(strings.ToLower(name), strings.ToLower(n)); d < least {
 			best, least, found = n, d, true
 		}
 	}
--- a/io/tacksettings/reader.go
+++ b/io/tacksettings/reader.go
@@ -188,12 +188,22 @@
 
 func (r *reader) addUnknownSection(name string) {
 	problem := "the section is unknown"
-	if near, ok := nearest(name, sectionNames()); ok {
+	if near, ok := nearestSection(name); ok {
 		problem += fmt.Sprintf(", did you mean %q", near)
 	}
 	r.add(name, "", problem, "allowed are "+strings.Join(sectionNames(), ", "))
 }
 
+// nearestSection compares the section of a family by the family's name alone.
+func nearestSection(name string) (string, bool) {
+	family, id, isMember := strings.Cut(name, ".")
+	if !isMember {
+		return nearest(name, sectionNames())
+	}
+	near, ok := nearest(family, []string{familyPeer, familyWindow})
+	return near + "." + id, ok
+}
+
 func (r *reader) addUnknownKey(section, key string, entries []*entry) {
 	names := make([]string, len(entries))
 	for i, e := range entries {
--- a/io/tacksettings/settings_test.go
+++ b/io/tacksettings/settings_test.go
@@ -90,7 +90,7 @@
 		"[replica]", "lease_ms = 1000", "heartbeat_ms = 501",
 		"[burn]", "objective_percent = 100",
 		"[window.fajr]", "from =", "two = 05:00",
-		"[windo.isha]", "[window]",
+		"[windo.isha]", "[window]", "[LOG]",
 	}, "\n")
 	file := write(t, text)
 	_, err := Load(file)
@@ -117,8 +117,9 @@
 		`window.fajr.from: "" is not a time of day`,
 		`window.fajr.two: the key is unknown, did you mean "to"`,
 		`window.fajr.to: the key is missing`,
-		`windo.isha: the section is unknown`,
+		`windo.isha: the section is unknown, did you mean "window.isha"`,
 		`window: the section is unknown`,
+		`LOG: the section is unknown, did you mean "log"`,
 		`state.replica: a replica needs a folder`,
 		`replica.lease_ms: 1000 is not below election_ms, which is 1000`,
 		`replica.heartbeat_ms: 501 leaves no second heartbeat`,
