Let every setting take effect: queue, buffers and labelled windows

caller.buffer_limit_bytes bounded the body held of one request, so that 64 MiB were kept of each; it now bounds all of them together, as its page says. caller.queue_limit reaches admission, and requests are counted by the label of the window that holds.

--- a/io/tackvm/caller.go
+++ b/io/tackvm/caller.go
@@ -8,6 +8,7 @@
 	"auburntack/core/tackburn"
 	"auburntack/core/tackid"
 	"auburntack/core/tackledger"
+	"auburntack/core/tacklimit"
 	"auburntack/core/tackroute"
 	"auburntack/core/tackstate"
 	"auburntack/io/tackhttp"
@@ -30,23 +31,31 @@
 		mu       sync.Mutex
 		services map[tackid.Service]*tackburn.Counts
 		teams    map[tackid.Team]*tackburn.Counts
+		labels   map[tackburn.Label]*tackburn.Counts
+		// label returns the label of the window that holds for a service
+		// now, empty where none does; nil means that there are no windows.
+		label func(tackid.Service) tackburn.Label
 	}
 )
 
 func (v *VM) newCaller(logger *logrus.Logger) *tackhttp.Handler {
 	c := v.cfg.Caller
+	v.meter.label = func(s tackid.Service) tackburn.Label {
+		return tackburn.Label(v.cfg.Burn.Label(s, v.clock.Now()))
+	}
 	return tackhttp.New(tackhttp.Config{
 		Self:  v.cfg.VM.ID,
 		Home:  v.cfg.VM.DataCentre,
 		Clock: v.clock,
 		Limits: tackhttp.Limits{
 			MaxBody:     c.BodyLimit,
-			BufferBody:  c.BufferLimit,
+			BufferTotal: c.BufferLimit,
 			HeaderBytes: int(c.HeaderLimit),
 			Timeout:     c.DefaultTimeout,
 			HeaderWait:  c.HeaderTimeout,
 			BodyWait:    c.BodyTimeout,
 		},
+		Admit:    tacklimit.Settings{Queue: c.QueueLimit},
 		Logger:   logger,
 		Registry: v.registry,
 		Ledger:   ledger{v: v},
@@ -96,11 +105,18 @@
 	if m.services == nil {
 		m.services = make(map[tackid.Service]*tackburn.Counts)
 		m.teams = make(map[tackid.Team]*tackburn.Counts)
+		m.labels = make(map[tackburn.Label]*tackburn.Counts)
 	}
 	addCounts(m.services, r.Service, c)
 	if r.Team != "" {
 		addCounts(m.teams, r.Team, c)
 	}
+	if m.label == nil {
+		return
+	}
+	if label := m.label(r.Service); label != "" {
+		addCounts(m.labels, label, c)
+	}
 }
 
 func addCounts[K comparable](counts map[K]*tackburn.Counts, key K, c tackburn.Counts) {
@@ -115,8 +131,8 @@
 // take returns what was counted since the last call and starts anew.
 func (m *meter) take(self tackid.Peer) (tackburn.Sample, bool) {
 	m.mu.Lock()
-	services, teams := m.services, m.teams
-	m.services, m.teams = nil, nil
+	services, teams, labels := m.services, m.teams, m.labels
+	m.services, m.teams, m.labels = nil, nil, nil
 	m.mu.Unlock()
 	sample := tackburn.Sample{Peer: self}
 	for id, c := range services {
@@ -125,6 +141,9 @@
 	for id, c := range teams {
 		sample.Teams = append(sample.Teams, tackburn.TeamCounts{Team: id, Counts: *c})
 	}
+	for label, c := range labels {
+		sample.Labels = append(sample.Labels, tackburn.LabelCounts{Label: label, Counts: *c})
+	}
 	return sample, len(sample.Services) > 0
 }
 
