Test the client's errors once, through the built command

The table of typed errors stood beside the table of exit codes with the same answers. Its two further cases, an answered 503 and an answer that is no JSON, move over; each type is told from the others by exit code and message there.

--- a/io/tackcli/tool_test.go
+++ b/io/tackcli/tool_test.go
@@ -26,6 +26,8 @@
 	refused := answering(t, http.StatusConflict, `{"error":{"code":"budget","message":"names-api needs 7 of 8"}}`)
 	unread := answering(t, http.StatusBadRequest, `{"error":{"message":"line 1, column 7: got vn","line":1,"column":7,"expected":"vm"}}`)
 	late := answering(t, http.StatusGatewayTimeout, `{"error":{"code":"unknown","message":"no answer in time"}}`)
+	waiting := answering(t, http.StatusServiceUnavailable, `{"error":{"code":"did_not_run","message":"no majority","did_not_run":true}}`)
+	html := answering(t, http.StatusOK, `<html>`)
 	tests := []struct {
 		name   string
 		args   []string
@@ -45,6 +47,8 @@
 		{"refused", []string{"--entry", refused, "do", "drain vm w-17"}, ExitRefused, "", "refused: budget: names-api needs 7 of 8"},
 		{"unread", []string{"--entry", unread, "do", "drain vn w-17"}, ExitUsage, "", "auburntack: line 1, column 7: got vn, expected vm\n"},
 		{"unknown", []string{"--entry", late, "do", "drain vm w-17", "--id", "mine"}, ExitUnknown, "", "send again with id mine"},
+		{"unavailable", []string{"--entry", waiting, "do", "drain vm w-17"}, ExitRefused, "", "nothing was done, try again later: " + waiting + ": no majority"},
+		{"no JSON", []string{"--entry", html, "do", "drain vm w-17", "--id", "mine"}, ExitUnknown, "", "send again with id mine"},
 		{"nobody", []string{"--entry", nobody, "do", "drain vm w-17"}, ExitUnknown, "", "nobody answered"},
 		{"nobody asked", []string{"--entry", nobody, "ask", "show vms"}, ExitUnknown, "", "nobody answered"},
 		{"no text", []string{"do"}, ExitUsage, "", "accepts 1 arg"},
--- a/io/tackclient/client_test.go
+++ b/io/tackclient/client_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 )
 
 // system stands in for the VMs of the system behind several entries: it
@@ -42,7 +42,7 @@
 		done, err := c.Do(t.Context(), Command{Text: "drain vm w-17"})
 		So(err, ShouldBeNil)
 		So(done.Revision, ShouldEqual, 7)
-		So(done.NotInForce, ShouldResemble, []peer{"brest-1"})
+		So(done.NotInForce, ShouldResemble, []tackid.Peer{"brest-1"})
 		Convey("Then both got one id, and it took effect once", func() {
 			So(s.ids, ShouldHaveLength, 2)
 			So(s.ids[0], ShouldEqual, s.ids[1])
@@ -68,33 +68,6 @@
 	}
 }
 
-func TestAnswersBecomeTypedErrors(t *testing.T) {
-	closed := closedAddress(t)
-	tests := []struct {
-		name  string
-		entry string
-		want  error
-	}{
-		{"refused", answering(t, http.StatusConflict, `{"error":{"code":"budget","message":"names-api needs 7","did_not_run":true}}`),
-			&RefusedError{Code: "budget", Message: "names-api needs 7"}},
-		{"syntax", answering(t, http.StatusBadRequest, `{"error":{"code":"syntax","message":"got vn","line":1,"column":7,"expected":["vm","wave"]}}`),
-			&SyntaxError{Line: 1, Column: 7, Message: "got vn, expected vm or wave"}},
-		{"no majority", answering(t, http.StatusServiceUnavailable, `{"error":{"code":"no_leader","message":"no majority","did_not_run":true}}`),
-			&UnavailableError{Answered: true}},
-		{"timeout", answering(t, http.StatusGatewayTimeout, `{"error":{"code":"unknown","message":"no answer in time"}}`),
-			&UnknownOutcomeError{ID: "mine"}},
-		{"not JSON", answering(t, http.StatusOK, `<html>`), &UnknownOutcomeError{ID: "mine"}},
-		{"nobody", closed, &UnavailableError{Answered: false}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := newClient(t, test.entry)
-			_, err := c.Do(t.Context(), Command{Text: "x", ID: "mine"})
-			assertSameError(t, err, test.want)
-		})
-	}
-}
-
 // Symptom: `ask` shows an old state while a VM that knows better is listed
 // next.
 // Sequence: the first entry is cut off and answers unconfirmed.
@@ -146,13 +119,3 @@
 		pause:   func(context.Context, tackclock.Duration) error { return t.Context().Err() },
 	}
 }
-
-// closedAddress returns an address at which nobody listens.
-func closedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
