--- a/core/tackreplica/append.go
+++ b/core/tackreplica/append.go
@@ -119,10 +119,10 @@
 func (n *Node) reject(m Message) {
 	n.answerDue = false
 	a := n.answer()
-	a.Reject = true
+	a.Reject, a.Last = true, n.log.last()
 	a.Index = min(m.Index-1, n.log.last())
 	if t, ok := n.log.term(m.Index); ok {
-		for a.Index > n.commit && a.Index > n.log.base {
+		for a.Index > n.verified && a.Index > n.log.base {
 			if before, _ := n.log.term(a.Index); before != t {
 				break
 			}
@@ -216,7 +216,7 @@
 }
 
 func (n *Node) onReject(p *progress, m Message, sent tackclock.Time) {
-	if m.Index < p.match && sent >= p.matchAt {
+	if m.Last < p.match && sent > p.matchAt {
 		n.foundLost(p)
 	}
 	p.rewind(max(p.match+1, min(p.next-1, m.Index+1)))
--- a/core/tackreplica/cluster_test.go
+++ b/core/tackreplica/cluster_test.go
@@ -137,6 +137,29 @@
 	return nil
 }
 
+// settled runs until all is calm and returns the leader.
+func (c *cluster) settled() *fakeVM {
+	c.t.Helper()
+	c.run(3 * second)
+	v := c.leader()
+	if v == nil {
+		c.t.Fatalf("no leader at %d", c.now)
+	}
+	return v
+}
+
+// without returns all VMs but v.
+func (c *cluster) without(v *fakeVM) []*fakeVM {
+	return slices.DeleteFunc(slices.Clone(c.vms), func(o *fakeVM) bool { return o == v })
+}
+
+// empty loses the folder of v.
+func (v *fakeVM) empty() {
+	v.kill()
+	v.disk = Stored{}
+	v.start()
+}
+
 // check asserts the invariants that hold at each moment.
 func (c *cluster) check() {
 	var holder *fakeVM
@@ -214,11 +237,15 @@
 	c.cut[[2]tackid.Peer{a, b}] = cut
 }
 
+func (c *cluster) severLink(a, b tackid.Peer, cut bool) {
+	c.cutLink(a, b, cut)
+	c.cutLink(b, a, cut)
+}
+
 // cutOff cuts or heals all links of v.
 func (c *cluster) cutOff(v *fakeVM, cut bool) {
 	for _, other := range c.vms {
-		c.cutLink(v.peer, other.peer, cut)
-		c.cutLink(other.peer, v.peer, cut)
+		c.severLink(v.peer, other.peer, cut)
 	}
 }
 
--- a/core/tackreplica/membership.go
+++ b/core/tackreplica/membership.go
@@ -16,7 +16,8 @@
 		members []Member
 	}
 
-	// departure remembers that a member was removed and may hold a lease.
+	// departure remembers that a member was removed and may hold a lease. It
+	// has no name if the node can't know whether there was one.
 	departure struct {
 		peer  tackid.Peer
 		until tackclock.Time
--- a/core/tackreplica/message.go
+++ b/core/tackreplica/message.go
@@ -140,6 +140,8 @@
 		Life Life `cbor:"17,keyasint,omitempty"`
 		// Adopt names the life of the receiver whose copy may count again.
 		Adopt Life `cbor:"18,keyasint,omitempty"`
+		// Last is the end of the log of a sender that rejects entries.
+		Last tackid.Revision `cbor:"20,keyasint,omitempty"`
 		// Lost tells the receiver that it has lost entries it acknowledged.
 		Lost bool `cbor:"19,keyasint,omitempty"`
 	}
--- a/core/tackreplica/node.go
+++ b/core/tackreplica/node.go
@@ -130,6 +130,8 @@
 	// A voter that restarted has forgotten when it last heard a leader. If it
 	// voted at once, that leader could still be answering by its lease.
 	n.voteFrom = now.Add(n.promise())
+	// It has also forgotten which members were removed just now.
+	n.noteDeparture("")
 	n.resetElection()
 	return n
 }
--- a/core/tackreplica/schedule_test.go
+++ b/core/tackreplica/schedule_test.go
@@ -55,7 +55,7 @@
 	s.run(1600)
 	actions := map[string]func(){
 		"propose": s.propose, "kill": s.kill, "restart": s.restart, "empty": s.empty, "freeze": s.freeze,
-		"cut": s.cutOne, "isolate": s.isolate, "heal": s.heal, "weather": s.weather,
+		"bounce": s.bounce, "cut": s.cutOne, "sever": s.sever, "isolate": s.isolate, "heal": s.heal, "weather": s.weather,
 		"transfer": s.transfer, "members": s.changeMembers,
 	}
 	names := make([]string, 0, len(actions))
@@ -97,6 +97,12 @@
 	s.pick().kill()
 }
 
+func (s *schedule) bounce() {
+	v := s.pick()
+	v.kill()
+	v.start()
+}
+
 func (s *schedule) restart() {
 	if v := s.pick(); v.node == nil {
 		v.start()
@@ -112,9 +118,7 @@
 			return
 		}
 	}
-	v.kill()
-	v.disk = Stored{}
-	v.start()
+	v.empty()
 }
 
 func (s *schedule) freeze() {
@@ -127,6 +131,10 @@
 	s.cutLink(s.pick().peer, s.pick().peer, true)
 }
 
+func (s *schedule) sever() {
+	s.severLink(s.pick().peer, s.pick().peer, true)
+}
+
 func (s *schedule) isolate() {
 	s.cutOff(s.pick(), true)
 }
--- a/core/tackreplica/snapshot.go
+++ b/core/tackreplica/snapshot.go
@@ -129,7 +129,7 @@
 			n.noteDeparture(m.Peer)
 		}
 	}
-	// Members may have come and gone within the snapshot; see noteDeparture.
+	// Members may have come and gone within the snapshot.
 	n.noteDeparture("")
 	n.snapshot = s
 	n.install = &s
