--- a/core/tackreplica/failure_test.go
+++ b/core/tackreplica/failure_test.go
@@ -10,12 +10,12 @@
 )
 
 func assertNotLeading(v *fakeVM) {
-	_, _, err := v.propose()
-	convey.So(err, convey.ShouldHaveSameTypeAs, &NotLeaderError{})
 	convey.So(v.node.LeaderLease(v.now()), convey.ShouldBeFalse)
 	convey.So(v.node.Leased(v.now()), convey.ShouldBeFalse)
 	done, _ := v.node.InForce(v.now(), 1)
 	convey.So(done, convey.ShouldBeFalse)
+	_, _, err := v.propose()
+	convey.So(err, convey.ShouldHaveSameTypeAs, &NotLeaderError{})
 }
 
 // Symptom: a clerk is told by a VM that slept that an old setting stands.
