--- a/core/tackreplica/cluster_test.go
+++ b/core/tackreplica/cluster_test.go
@@ -12,7 +12,11 @@
 	"auburntack/core/tackid"
 )
 
-const second = tackclock.Second
+const (
+	second = tackclock.Second
+	// snapshotEach is how many entries a fake owner applies between snapshots.
+	snapshotEach = 20
+)
 
 type (
 	fataler interface {
@@ -379,7 +383,7 @@
 }
 
 func (v *fakeVM) compact() {
-	if v.applied < v.disk.Snapshot.Index+20 {
+	if v.applied < v.disk.Snapshot.Index+snapshotEach {
 		return
 	}
 	s, ok := v.node.SnapshotAt(v.applied, v.value)
--- /dev/null
+++ b/core/tackreplica/cost_test.go
@@ -0,0 +1,198 @@
+package tackreplica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	killTrials    = 200
+	changesPerDay = 3300
+	// controlBudget is what a VM may spend on all control, in bytes a second.
+	controlBudget = 21_000
+)
+
+// fleet returns n VMs of which the first voters vote, with names as long as in
+// use, and the configuration to start them.
+func fleet(n, voters int) (Config, []tackid.Peer) {
+	var cfg Config
+	var names []tackid.Peer
+	for i := range n {
+		p := tackid.Peer(fmt.Sprintf("cotabato-hall-%d", i))
+		names = append(names, p)
+		cfg.Members = append(cfg.Members, Member{Peer: p, DataCentre: "cotabato-hall", Voter: i < voters, Address: "127.0.0.1:7002"})
+	}
+	return cfg, names
+}
+
+func quantiles(of []tackclock.Duration) (median, p99 tackclock.Duration) {
+	slices.Sort(of)
+	return of[len(of)/2], of[len(of)*99/100]
+}
+
+func TestTimeWithoutLeader(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d voters", voters), func(t *testing.T) {
+			var gaps []tackclock.Duration
+			for seed := range uint64(killTrials) {
+				cfg, names := fleet(voters, voters)
+				c := newClusterOf(t, seed, cfg, names...)
+				leader := c.settled()
+				c.run(tackclock.Duration(c.rand.IntN(500)))
+				leader.kill()
+				killed := c.now
+				for c.leader() == nil {
+					c.run(1)
+				}
+				gaps = append(gaps, c.now.Sub(killed))
+			}
+			median, p99 := quantiles(gaps)
+			t.Logf("%d kills: median %v, p99 %v, longest %v", killTrials, median, p99, gaps[len(gaps)-1])
+			convey.Convey("Within 3 s, and within 1.5 s at the median", t, func() {
+				convey.So(gaps[len(gaps)-1], convey.ShouldBeLessThanOrEqualTo, 3*second)
+				convey.So(median, convey.ShouldBeLessThanOrEqualTo, 1500)
+			})
+		})
+	}
+}
+
+func TestIdleTraffic(t *testing.T) {
+	for _, n := range []int{3, 8, 12} {
+		for _, heartbeat := range []tackclock.Duration{100, 200} {
+			for _, changes := range []int{0, changesPerDay} {
+				t.Run(fmt.Sprintf("%d VMs, %v, %d changes a day", n, heartbeat, changes), func(t *testing.T) {
+					measureTraffic(t, n, heartbeat, changes)
+				})
+			}
+		}
+	}
+}
+
+func measureTraffic(t *testing.T, n int, heartbeat tackclock.Duration, changes int) {
+	const length = 300
+	cfg, names := fleet(n, min(n, 5))
+	cfg.Heartbeat = heartbeat
+	c := newClusterOf(t, 1, cfg, names...)
+	leader := c.settled()
+	clear(c.messages)
+	clear(c.bytes)
+	for i := range length {
+		if i*changes/86400 != (i+1)*changes/86400 {
+			_, _, _ = leader.propose()
+		}
+		c.run(second)
+	}
+	follower := c.without(leader)[0]
+	bytes := c.bytes[leader.peer] / length
+	t.Logf("a second, sent and received: leader %d messages %d bytes, other %d messages %d bytes",
+		c.messages[leader.peer]/length, bytes, c.messages[follower.peer]/length, c.bytes[follower.peer]/length)
+	convey.Convey("At 200 ms the leader takes under half of the budget", t, func() {
+		if heartbeat == 200 {
+			convey.So(bytes, convey.ShouldBeLessThan, controlBudget/2)
+		}
+	})
+}
+
+// inForceAfter returns how long a change takes until no VM can rely on what
+// was before.
+func inForceAfter(c *cluster, leader *fakeVM) tackclock.Duration {
+	proposed := c.now
+	i, _, _ := leader.propose()
+	for c.inForce < i {
+		c.run(1)
+	}
+	return c.now.Sub(proposed)
+}
+
+func TestTimeUntilInForce(t *testing.T) {
+	cfg, names := fleet(8, 5)
+	c := newClusterOf(t, 1, cfg, names...)
+	leader := c.settled()
+	var well, frozen []tackclock.Duration
+	for range 200 {
+		well = append(well, inForceAfter(c, leader))
+		c.run(37)
+	}
+	for range 50 {
+		c.without(leader)[6].freeze(5 * second)
+		c.run(tackclock.Duration(c.rand.IntN(200)))
+		frozen = append(frozen, inForceAfter(c, leader))
+		c.run(6 * second)
+	}
+	median, p99 := quantiles(well)
+	frozenMedian, frozenP99 := quantiles(frozen)
+	t.Logf("8 VMs, links of 1 to 2 ms, syncs of 0 to 1 ms: median %v, p99 %v; one frozen: median %v, p99 %v",
+		median, p99, frozenMedian, frozenP99)
+	convey.Convey("Within 50 ms with all well, and 4 s with one frozen", t, func() {
+		convey.So(p99, convey.ShouldBeLessThan, 50)
+		convey.So(frozenP99, convey.ShouldBeLessThan, 4*second)
+	})
+}
+
+func TestEntriesReplayedAtRestart(t *testing.T) {
+	convey.Convey("A restart after 1,000 changes replays less than one snapshot's interval", t, func() {
+		c := newCluster(t, 1, "a", "b", "c")
+		leader := c.settled()
+		for range 1000 {
+			_, _, err := leader.propose()
+			convey.So(err, convey.ShouldBeNil)
+			c.run(5)
+		}
+		c.run(100)
+		v := c.without(leader)[0]
+		v.kill()
+		v.replayed = 0
+		v.start()
+		c.run(2 * second)
+		t.Logf("%d entries applied after the restart, snapshots each %d", v.replayed, snapshotEach)
+		convey.So(v.applied, convey.ShouldBeGreaterThan, 1000)
+		convey.So(v.replayed, convey.ShouldBeLessThan, snapshotEach)
+	})
+}
+
+// BenchmarkCommit proposes one entry at a time to a leader with one follower
+// that answers at once.
+func BenchmarkCommit(b *testing.B) {
+	b.ReportAllocs()
+	n, sent := elected()
+	follower := New(Config{Self: "b", Members: threeVoters, KeepEntries: 100}, Stored{Hard: HardState{Term: 3, Eligible: true}, Entries: []Entry{{Index: 1, Term: 2}}}, 0)
+	now := tackclock.Time(3000)
+	exchange := func(messages []Message) {
+		for len(messages) > 0 {
+			var back []Message
+			for _, m := range messages {
+				switch m.To {
+				case "a":
+					n.Step(now, m)
+					back = append(back, drain(n)...)
+				case "b":
+					follower.Step(now, m)
+					back = append(back, drain(follower)...)
+				}
+			}
+			messages = back
+		}
+	}
+	exchange(sent)
+	data := make([]byte, 100)
+	for b.Loop() {
+		if _, _, err := n.Propose(now, data); err != nil {
+			b.Fatal(err)
+		}
+		exchange(drain(n))
+		n.Applied(n.commit)
+		follower.Applied(follower.commit)
+		for _, node := range []*Node{n, follower} {
+			if s, ok := node.SnapshotAt(node.applied, nil); ok && s.Index%1000 == 0 {
+				node.Compact(s)
+			}
+		}
+	}
+	b.ReportMetric(float64(n.commit)/float64(b.N), "commits/op")
+}
