--- a/core/tackreplica/cluster_test.go
+++ b/core/tackreplica/cluster_test.go
@@ -204,7 +204,9 @@
 }
 
 func (c *cluster) transmit(m Message) {
-	data, err := cbor.Marshal(m)
+	wire := m
+	wire.From, wire.To = "", ""
+	data, err := cbor.Marshal(wire)
 	if err != nil {
 		c.t.Fatalf("encode: %v", err)
 	}
@@ -233,6 +235,7 @@
 	if err := cbor.Unmarshal(data, &received); err != nil {
 		c.t.Fatalf("decode: %v", err)
 	}
+	received.From, received.To = m.From, m.To
 	v.inbox = append(v.inbox, received)
 	v.work()
 }
--- a/core/tackreplica/cost_test.go
+++ b/core/tackreplica/cost_test.go
@@ -14,8 +14,9 @@
 const (
 	killTrials    = 200
 	changesPerDay = 3300
-	// controlBudget is what a VM may spend on all control, in bytes a second.
-	controlBudget = 21_000
+	// idleBytes is what a leader may send and receive for each other VM, in
+	// bytes a second at a heartbeat of 200 ms. Measured: 265.
+	idleBytes = 300
 )
 
 // fleet returns n VMs of which the first voters vote, with names as long as in
@@ -75,7 +76,7 @@
 }
 
 func measureTraffic(t *testing.T, n int, heartbeat tackclock.Duration, changes int) {
-	const length = 300
+	const length = 60
 	cfg, names := fleet(n, min(n, 5))
 	cfg.Heartbeat = heartbeat
 	c := newClusterOf(t, 1, cfg, names...)
@@ -92,10 +93,8 @@
 	bytes := c.bytes[leader.peer] / length
 	t.Logf("a second, sent and received: leader %d messages %d bytes, other %d messages %d bytes",
 		c.messages[leader.peer]/length, bytes, c.messages[follower.peer]/length, c.bytes[follower.peer]/length)
-	convey.Convey("At 200 ms the leader takes under half of the budget", t, func() {
-		if heartbeat == 200 {
-			convey.So(bytes, convey.ShouldBeLessThan, controlBudget/2)
-		}
+	convey.Convey("The leader stays within the bytes for each other VM", t, func() {
+		convey.So(bytes, convey.ShouldBeLessThan, (n-1)*idleBytes*200/int(heartbeat))
 	})
 }
 
--- a/core/tackreplica/message.go
+++ b/core/tackreplica/message.go
@@ -105,11 +105,13 @@
 	}
 
 	// Message is what nodes send each other. Fields that a kind does not use
-	// are zero and take no bytes on the wire.
+	// are zero and take no bytes on the wire. An owner whose links know both
+	// ends clears From and To before it encodes and sets them again after it
+	// has decoded: they are half of a heartbeat.
 	Message struct {
 		Kind MessageKind `cbor:"1,keyasint"`
-		From tackid.Peer `cbor:"2,keyasint"`
-		To   tackid.Peer `cbor:"3,keyasint"`
+		From tackid.Peer `cbor:"2,keyasint,omitempty"`
+		To   tackid.Peer `cbor:"3,keyasint,omitempty"`
 		Term Term        `cbor:"4,keyasint"`
 
 		// Index and LogTerm are the position before Entries; of a vote, the
--- a/core/tackreplica/snapshot.go
+++ b/core/tackreplica/snapshot.go
@@ -121,14 +121,8 @@
 // dropped, unless it is known to go on from s.
 func (n *Node) installSnapshot(s Snapshot) {
 	n.incoming = incomingSnapshot{}
-	before := n.Members()
 	n.log.reset(&s)
 	n.configs = []config{{index: s.Index, members: s.Members}}
-	for _, m := range before {
-		if n.member(m.Peer) == nil {
-			n.noteDeparture(m.Peer)
-		}
-	}
 	// Members may have come and gone within the snapshot.
 	n.noteDeparture("")
 	n.snapshot = s
--- a/core/tackreplica/step_test.go
+++ b/core/tackreplica/step_test.go
@@ -114,6 +114,29 @@
 	})
 }
 
+// Symptom: an acknowledged entry is on too few disks, or a voter whose disk was
+// lost votes.
+// Sequence: messages to or from an earlier life of an emptied voter arrive.
+// Cause: they were taken for the life that runs. Fails with any life accepted
+// in acceptAdoption, and with old answers accepted in countsNow.
+func TestEarlierLivesDoNotCount(t *testing.T) {
+	convey.Convey("Adoption holds for one life", t, func() {
+		n := New(Config{Self: "b", Members: threeVoters}, Stored{}, 0)
+		n.Step(1, Message{Kind: MessageHeartbeat, From: "a", To: "b", Term: 1, Stamp: 1, Adopt: n.life + 1})
+		convey.So(n.hard.Eligible, convey.ShouldBeFalse)
+		n.Step(1, Message{Kind: MessageHeartbeat, From: "a", To: "b", Term: 1, Stamp: 1, Adopt: n.life})
+		convey.So(n.hard.Eligible, convey.ShouldBeTrue)
+	})
+	convey.Convey("An acknowledgement of the life before does not count", t, func() {
+		n, sent := elected()
+		now := Message{Kind: MessageAnswer, From: "b", To: "a", Term: 3, Echo: sent[0].Stamp, Ineligible: true, Life: 5}
+		before := Message{Kind: MessageAnswer, From: "b", To: "a", Term: 3, Echo: sent[0].Stamp, Index: 2}
+		n.Step(2003, now)
+		n.Step(2004, before)
+		convey.So(n.commit, convey.ShouldEqual, 0)
+	})
+}
+
 // Symptom: a removed VM's stale answer stops the service for a second.
 // Sequence: a VM that is no member answers with a higher term.
 // Cause: the leader stepped down. Fails without the check in stepInTerm.
@@ -208,6 +231,90 @@
 	}
 }
 
+// Symptom: a VM goes by a membership that was never accepted.
+// Sequence: a leader that is cut off proposes one; the others elect another.
+// Cause: the entry was replaced and its members were not. Fails without
+// forgetMembership.
+func TestReplacedMembershipIsForgotten(t *testing.T) {
+	convey.Convey("The membership goes with its entry", t, func() {
+		c := newCluster(t, 13, "a", "b", "c")
+		old := c.settled()
+		c.cutOff(old, true)
+		convey.So(old.removeMember(c.without(old)[0].peer), convey.ShouldBeNil)
+		c.settled()
+		clear(c.cut)
+		c.run(second)
+		convey.So(old.node.Members(), convey.ShouldResemble, threeVoters)
+	})
+}
+
+// Symptom: a change is reported in force while a VM that was just removed still
+// serves by the state before.
+// Sequence: a learner is removed, and leadership is handed to a VM that has
+// restarted, or that learned of it by a snapshot only.
+// Cause: the new leader did not know that there was a lease to wait for. Fails,
+// by cluster.check, with noteDeparture left out of New and installSnapshot.
+func TestRemovedMembersLeaseIsWaitedFor(t *testing.T) {
+	for name, restart := range map[string]bool{"restarted": true, "by snapshot": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newClusterOf(t, 14, Config{Members: threeVoters, KeepEntries: 5, Heartbeat: 50}, "a", "b", "c", "d")
+			leader := c.settled()
+			next := c.without(leader)[0]
+			c.cutOff(next, !restart)
+			_, _, err := leader.node.ProposeMembership(leader.now(), append([]Member{{Peer: "d"}}, threeVoters...))
+			c.run(500)
+			removed := leader.removeMember("d")
+			for range 30 {
+				_, _, _ = leader.propose()
+				c.run(3)
+			}
+			if restart {
+				next.kill()
+				next.start()
+			}
+			c.cutOff(next, false)
+			c.run(30)
+			leader.node.Transfer(leader.now(), next.peer)
+			leader.work()
+			for deadline := c.now + 300; c.leader() != next && c.now < deadline; {
+				c.run(5)
+			}
+			convey.Convey("The handed-over leader waits", t, func() {
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(removed, convey.ShouldBeNil)
+				convey.So(c.leader(), convey.ShouldEqual, next)
+				i, _, _ := next.propose()
+				c.run(20)
+				convey.So(c.vm("d").node.Leased(c.vm("d").now()), convey.ShouldBeTrue)
+				convey.So(c.inForce, convey.ShouldBeLessThan, i)
+				c.run(second)
+				convey.So(c.inForce, convey.ShouldBeGreaterThanOrEqualTo, i)
+			})
+		})
+	}
+}
+
+// Symptom: a VM that was away never catches up while changes go on.
+// Sequence: its snapshot takes longer than the time between two snapshots.
+// Cause: each new snapshot made the leader begin again. Fails with sendChunk
+// always taking the newest.
+func TestSnapshotIsFinishedWhileOthersFollow(t *testing.T) {
+	convey.Convey("A snapshot under way is finished", t, func() {
+		c := newClusterOf(t, 15, Config{Members: threeVoters, MaxBatchBytes: 1, KeepEntries: 200}, "a", "b", "c")
+		leader := c.settled()
+		away := c.without(leader)[0]
+		c.cutOff(away, true)
+		for i := range 600 {
+			if i == 300 {
+				c.cutOff(away, false)
+			}
+			_, _, _ = leader.propose()
+			c.run(5)
+		}
+		convey.So(away.applied, convey.ShouldBeGreaterThan, 250)
+	})
+}
+
 // Symptom: the leader's memory grows without bound, or a VM that slept never
 // catches up.
 // Sequence: a follower is frozen while many entries are proposed.
