--- a/core/tackreplica/append.go
+++ b/core/tackreplica/append.go
@@ -16,7 +16,7 @@
 // sent has not been answered. A batch that a link dropped would otherwise
 // never arrive, because the leader takes it as being under way.
 func (n *Node) rewindSilent(p *progress) {
-	if len(p.flights) > 0 && n.now.Sub(p.sentAt) >= n.resendAfter() {
+	if len(p.inflight) > 0 && n.now.Sub(p.sentAt) >= n.resendAfter() {
 		p.rewind(p.match + 1)
 	}
 }
@@ -33,7 +33,7 @@
 		}
 		return
 	}
-	for p.next <= n.log.last() && p.inFlight < windowBatches*n.cfg.MaxBatchBytes {
+	for p.next <= n.log.last() && p.inflightBytes < windowBatches*n.cfg.MaxBatchBytes {
 		n.sendBatch(p)
 	}
 }
@@ -49,7 +49,7 @@
 	p.sentAt = n.now
 	p.commit = max(p.commit, m.Commit)
 	if len(entries) > 0 && !p.probing {
-		p.launch(entries, size)
+		p.addInflight(entries, size)
 	}
 }
 
@@ -235,7 +235,7 @@
 	if m.Index > p.match {
 		p.match, p.matchAt = m.Index, n.now
 	}
-	p.land(p.match)
+	p.freeInflight(p.match)
 	p.next = max(p.next, p.match+1)
 	if p.probing && p.match+1 >= p.next {
 		p.probing = false
--- a/core/tackreplica/cluster_test.go
+++ b/core/tackreplica/cluster_test.go
@@ -1,7 +1,6 @@
 package tackreplica
 
 import (
-	"bytes"
 	"container/heap"
 	"math/rand/v2"
 	"slices"
@@ -46,25 +45,6 @@
 		messages, bytes map[tackid.Peer]int
 	}
 
-	// fakeVM is the owner of one node.
-	fakeVM struct {
-		c      *cluster
-		peer   tackid.Peer
-		node   *Node
-		disk   Stored
-		life   int
-		offset tackclock.Time
-		drift  int64 // of 1,000
-		frozen tackclock.Time
-		ready  *Ready
-		inbox  []Message
-
-		applied  tackid.Revision
-		value    []byte
-		replayed int
-		onApply  func(*fakeVM, Entry)
-	}
-
 	event struct {
 		at  tackclock.Time
 		seq int
@@ -157,13 +137,6 @@
 	return slices.DeleteFunc(slices.Clone(c.vms), func(o *fakeVM) bool { return o == v })
 }
 
-// empty loses the folder of v.
-func (v *fakeVM) empty() {
-	v.kill()
-	v.disk = Stored{}
-	v.start()
-}
-
 // check asserts the invariants that hold at each moment.
 func (c *cluster) check() {
 	var holder *fakeVM
@@ -255,145 +228,3 @@
 		c.severLink(v.peer, other.peer, cut)
 	}
 }
-
-func (v *fakeVM) now() tackclock.Time {
-	return v.offset + v.c.now + tackclock.Time(int64(v.c.now)*v.drift/1000)
-}
-
-func (v *fakeVM) awake() bool {
-	return v.node != nil && v.frozen <= v.c.now
-}
-
-// start begins a new life with what is on the disk and a clock set anew.
-func (v *fakeVM) start() {
-	c := v.c
-	v.life++
-	v.offset = tackclock.Time(c.rand.Int64N(100_000))
-	cfg := c.cfg
-	cfg.Self, cfg.Seed = v.peer, c.rand.Uint64()
-	v.applied, v.value = v.disk.Snapshot.Index, v.disk.Snapshot.Data
-	v.node = New(cfg, v.disk, v.now())
-	v.tick(v.life)
-}
-
-// kill ends the life; what was not synced is gone.
-func (v *fakeVM) kill() {
-	v.life++
-	v.node, v.ready, v.inbox, v.frozen = nil, nil, nil, 0
-}
-
-func (v *fakeVM) freeze(d tackclock.Duration) {
-	v.frozen = v.c.now.Add(d)
-	life := v.life
-	v.c.after(d, func() {
-		if v.life == life {
-			v.work()
-		}
-	})
-}
-
-func (v *fakeVM) tick(life int) {
-	if v.life != life {
-		return
-	}
-	if v.awake() {
-		v.node.Tick(v.now())
-		v.work()
-	}
-	v.c.after(25, func() { v.tick(life) })
-}
-
-// work steps what has arrived and begins to sync what the node has ready.
-func (v *fakeVM) work() {
-	if !v.awake() || v.ready != nil {
-		return
-	}
-	for _, m := range v.inbox {
-		v.node.Step(v.now(), m)
-	}
-	v.inbox = nil
-	r, ok := v.node.Ready()
-	if !ok {
-		return
-	}
-	v.ready = &r
-	life := v.life
-	v.c.after(tackclock.Duration(v.c.rand.IntN(2)), func() { v.finish(life) })
-}
-
-func (v *fakeVM) finish(life int) {
-	if v.life != life {
-		return
-	}
-	if !v.awake() {
-		v.c.after(20, func() { v.finish(life) })
-		return
-	}
-	r := *v.ready
-	v.ready = nil
-	v.persist(r)
-	for _, m := range r.Messages {
-		v.c.transmit(m)
-	}
-	for _, e := range r.Committed {
-		v.apply(e)
-	}
-	v.node.Applied(v.applied)
-	v.node.Advance(r)
-	v.compact()
-	v.work()
-}
-
-func (v *fakeVM) persist(r Ready) {
-	if r.Hard != nil {
-		v.disk.Hard = *r.Hard
-	}
-	if s := r.Snapshot; s != nil {
-		if s.Index < v.applied {
-			v.c.t.Fatalf("%s falls from %d to %d", v.peer, v.applied, s.Index)
-		}
-		v.disk.Snapshot, v.disk.Entries = *s, nil
-		v.applied, v.value = s.Index, s.Data
-	}
-	if len(r.Entries) > 0 {
-		keep := int(r.Entries[0].Index - v.disk.Snapshot.Index - 1)
-		v.disk.Entries = append(slices.Clone(v.disk.Entries[:keep]), r.Entries...)
-	}
-}
-
-func (v *fakeVM) apply(e Entry) {
-	c := v.c
-	if e.Index != v.applied+1 {
-		c.t.Fatalf("%s applies %d after %d", v.peer, e.Index, v.applied)
-	}
-	if int(e.Index) > len(c.log) {
-		if len(c.log) > 0 && e.Time < c.log[len(c.log)-1].Time {
-			c.t.Fatalf("the time of entry %d falls", e.Index)
-		}
-		c.log = append(c.log, e)
-	}
-	if known := c.log[e.Index-1]; known.Term != e.Term || !bytes.Equal(known.Data, e.Data) {
-		c.t.Fatalf("%s applies another entry at %d", v.peer, e.Index)
-	}
-	v.applied++
-	v.replayed++
-	if e.Kind == EntryNormal {
-		v.value = e.Data
-	}
-	if v.onApply != nil {
-		v.onApply(v, e)
-	}
-}
-
-func (v *fakeVM) compact() {
-	if v.applied < v.disk.Snapshot.Index+snapshotEach {
-		return
-	}
-	s, ok := v.node.SnapshotAt(v.applied, v.value)
-	if !ok {
-		return
-	}
-	v.disk.Entries = slices.Clone(v.disk.Entries[s.Index-v.disk.Snapshot.Index:])
-	v.disk.Snapshot = s
-	v.node.Compact(s)
-}
--- a/core/tackreplica/lease.go
+++ b/core/tackreplica/lease.go
@@ -140,7 +140,7 @@
 	if !n.LeaderLease(now) || i > n.commit || i > n.applied {
 		return false, nil
 	}
-	done = !n.departedLeased()
+	done = !n.removedLeased()
 	for _, p := range n.others() {
 		if p.applied >= i {
 			continue
--- a/core/tackreplica/membership.go
+++ b/core/tackreplica/membership.go
@@ -16,9 +16,9 @@
 		members []Member
 	}
 
-	// departure remembers that a member was removed and may hold a lease. It
+	// removal remembers that a member was removed and may hold a lease. It
 	// has no name if the node can't know whether there was one.
-	departure struct {
+	removal struct {
 		peer  tackid.Peer
 		until tackclock.Time
 	}
@@ -82,7 +82,7 @@
 	n.configs = append(n.configs, config{index: index, members: members})
 	for _, m := range before {
 		if n.member(m.Peer) == nil {
-			n.noteDeparture(m.Peer)
+			n.noteRemoval(m.Peer)
 		}
 	}
 	if n.role != Leader {
@@ -98,16 +98,16 @@
 	}
 }
 
-// noteDeparture remembers a removed member for as long as a lease that it was
+// noteRemoval remembers a removed member for as long as a lease that it was
 // granted before can last. Without it a change would be reported in force
 // while the removed VM still serves by the state before.
-func (n *Node) noteDeparture(peer tackid.Peer) {
-	n.departed = append(n.departed, departure{peer: peer, until: n.now.Add(n.promise())})
+func (n *Node) noteRemoval(peer tackid.Peer) {
+	n.removed = append(n.removed, removal{peer: peer, until: n.now.Add(n.promise())})
 }
 
-func (n *Node) departedLeased() bool {
-	n.departed = slices.DeleteFunc(n.departed, func(d departure) bool { return d.until <= n.now })
-	return len(n.departed) > 0
+func (n *Node) removedLeased() bool {
+	n.removed = slices.DeleteFunc(n.removed, func(d removal) bool { return d.until <= n.now })
+	return len(n.removed) > 0
 }
 
 // forgetMembership goes back to the membership that held at i.
--- a/core/tackreplica/node.go
+++ b/core/tackreplica/node.go
@@ -85,8 +85,8 @@
 		applied  tackid.Revision
 		verified tackid.Revision // equal to the leader's log up to here
 
-		configs  []config
-		departed []departure
+		configs []config
+		removed []removal
 
 		electionAt tackclock.Time
 		votes      map[tackid.Peer]bool
@@ -131,7 +131,7 @@
 	// voted at once, that leader could still be answering by its lease.
 	n.voteFrom = now.Add(n.promise())
 	// It has also forgotten which members were removed just now.
-	n.noteDeparture("")
+	n.noteRemoval("")
 	n.resetElection()
 	return n
 }
--- a/core/tackreplica/progress.go
+++ b/core/tackreplica/progress.go
@@ -8,16 +8,16 @@
 type (
 	// progress is what a leader knows of one member.
 	progress struct {
-		peer     tackid.Peer
-		match    tackid.Revision // the member has the leader's log up to here
-		matchAt  tackclock.Time
-		next     tackid.Revision
-		applied  tackid.Revision
-		commit   tackid.Revision // the highest commit index sent to it
-		probing  bool            // where the logs agree is not known yet
-		flights  []flight
-		inFlight int // bytes
-		sentAt   tackclock.Time
+		peer          tackid.Peer
+		match         tackid.Revision // the member has the leader's log up to here
+		matchAt       tackclock.Time
+		next          tackid.Revision
+		applied       tackid.Revision
+		commit        tackid.Revision // the highest commit index sent to it
+		probing       bool            // where the logs agree is not known yet
+		inflight      []inflightBatch
+		inflightBytes int
+		sentAt        tackclock.Time
 
 		heard  tackclock.Time
 		acked  tackclock.Time // newest of the leader's stamps it answered
@@ -33,8 +33,8 @@
 		adopt      tackid.Revision
 	}
 
-	// flight is one batch that was sent and not yet acknowledged.
-	flight struct {
+	// inflightBatch is one batch that was sent and not yet acknowledged.
+	inflightBatch struct {
 		last tackid.Revision
 		size int
 	}
@@ -47,26 +47,26 @@
 	}
 }
 
-func (p *progress) launch(entries []Entry, size int) {
+func (p *progress) addInflight(entries []Entry, size int) {
 	last := entries[len(entries)-1].Index
-	p.flights = append(p.flights, flight{last: last, size: size})
-	p.inFlight += size
+	p.inflight = append(p.inflight, inflightBatch{last: last, size: size})
+	p.inflightBytes += size
 	p.next = last + 1
 }
 
-func (p *progress) land(match tackid.Revision) {
+func (p *progress) freeInflight(match tackid.Revision) {
 	i := 0
-	for i < len(p.flights) && p.flights[i].last <= match {
-		p.inFlight -= p.flights[i].size
+	for i < len(p.inflight) && p.inflight[i].last <= match {
+		p.inflightBytes -= p.inflight[i].size
 		i++
 	}
-	p.flights = append(p.flights[:0], p.flights[i:]...)
+	p.inflight = append(p.inflight[:0], p.inflight[i:]...)
 }
 
 // rewind goes back to the last entry that the member is known to have.
 func (p *progress) rewind(next tackid.Revision) {
-	p.flights = p.flights[:0]
-	p.inFlight = 0
+	p.inflight = p.inflight[:0]
+	p.inflightBytes = 0
 	p.probing = true
 	p.sentAt = 0
 	p.next = max(next, 1)
--- a/core/tackreplica/schedule_test.go
+++ b/core/tackreplica/schedule_test.go
@@ -55,7 +55,7 @@
 	s.run(1600)
 	actions := map[string]func(){
 		"propose": s.propose, "kill": s.kill, "restart": s.restart, "empty": s.empty, "freeze": s.freeze,
-		"bounce": s.bounce, "cut": s.cutOne, "sever": s.sever, "isolate": s.isolate, "heal": s.heal, "weather": s.weather,
+		"bounce": s.bounce, "cut": s.cutOne, "sever": s.sever, "isolate": s.isolate, "heal": s.heal, "degrade": s.degrade,
 		"transfer": s.transfer, "members": s.changeMembers,
 	}
 	names := make([]string, 0, len(actions))
@@ -144,7 +144,7 @@
 	s.loss, s.doubled, s.delay = 0, 0, 2
 }
 
-func (s *schedule) weather() {
+func (s *schedule) degrade() {
 	s.loss = rapid.SampledFrom([]int{0, 20, 200}).Draw(s.rt, "loss")
 	s.doubled = rapid.SampledFrom([]int{0, 50, 300}).Draw(s.rt, "doubled")
 	s.delay = rapid.SampledFrom([]int{2, 20, 400}).Draw(s.rt, "delay")
--- a/core/tackreplica/snapshot.go
+++ b/core/tackreplica/snapshot.go
@@ -134,7 +134,7 @@
 	n.log.reset(&s)
 	n.configs = []config{{index: s.Index, members: s.Members}}
 	// Members may have come and gone within the snapshot.
-	n.noteDeparture("")
+	n.noteRemoval("")
 	n.snapshot = s
 	n.install = &s
 	n.commit, n.handed, n.verified = s.Index, s.Index, s.Index
--- a/core/tackreplica/step_test.go
+++ b/core/tackreplica/step_test.go
@@ -274,7 +274,7 @@
 // Sequence: a learner is removed, and leadership is handed to a VM that has
 // restarted, or that learned of it by a snapshot only.
 // Cause: the new leader did not know that there was a lease to wait for. Fails,
-// by cluster.check, with noteDeparture left out of New and installSnapshot.
+// by cluster.check, with noteRemoval left out of New and installSnapshot.
 func TestRemovedMembersLeaseIsWaitedFor(t *testing.T) {
 	for name, restart := range map[string]bool{"restarted": true, "by snapshot": false} {
 		t.Run(name, func(t *testing.T) {
