Let a leader that began its removal stand; lease to committed members only

100,000 random schedules, run for the first time, found two in which nobody could lead although a quorum was up: the old leader had the longest log and did not stand, because the uncommitted change it had begun left it out. Reading the same rule showed that a learner was granted a lease before its membership was committed, for which the next leader would not wait.

--- a/core/tackreplica/election.go
+++ b/core/tackreplica/election.go
@@ -1,6 +1,8 @@
 package tackreplica
 
 import (
+	"slices"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -51,9 +53,15 @@
 	n.transfer = transfer{}
 }
 
+// mayCampaign also lets a voter stand that a change removes which is not known
+// to be committed. A leader that began its own removal may hold the longest log
+// of all that are left; if it did not stand, nobody could be elected.
 func (n *Node) mayCampaign() bool {
-	m := n.member(n.cfg.Self)
-	return n.hard.Eligible && m != nil && m.Voter
+	return n.hard.Eligible && (n.votesIn(n.Members()) || n.votesIn(n.membersAt(n.commit)))
+}
+
+func (n *Node) votesIn(members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Peer == n.cfg.Self && m.Voter })
 }
 
 // preCampaign asks whether an election could be won, without raising the term:
--- a/core/tackreplica/eligible.go
+++ b/core/tackreplica/eligible.go
@@ -36,7 +36,7 @@
 	if n.hard.Eligible || !n.logEmpty() {
 		return
 	}
-	if m := n.member(n.cfg.Self); m == nil || !m.Voter {
+	if !n.votesIn(n.Members()) {
 		return
 	}
 	n.countReports()
--- a/core/tackreplica/lease.go
+++ b/core/tackreplica/lease.go
@@ -76,9 +76,11 @@
 }
 
 // grantLease puts a lease for p into m. Only a leader that holds its own lease
-// grants any: so all leases of one leader begin before the next is elected.
+// grants any: so all leases of one leader begin before the next is elected. And
+// only members by a committed entry get one: the next leader knows of no other,
+// and would not wait for their leases to run out.
 func (n *Node) grantLease(p *progress, m *Message) {
-	if p.stamp == 0 || n.commit < n.termStart || n.now >= n.leaderLeaseUntil() {
+	if p.stamp == 0 || n.commit < n.termStart || n.now >= n.leaderLeaseUntil() || !n.committedMember(p.peer) {
 		return
 	}
 	m.Echo, m.Required = p.stamp, n.commit
--- a/core/tackreplica/membership.go
+++ b/core/tackreplica/membership.go
@@ -40,6 +40,10 @@
 	return nil
 }
 
+func (n *Node) committedMember(peer tackid.Peer) bool {
+	return slices.ContainsFunc(n.membersAt(n.commit), func(m Member) bool { return m.Peer == peer })
+}
+
 // others returns what the leader knows of every other member.
 func (n *Node) others() []*progress {
 	var ps []*progress
@@ -205,7 +209,7 @@
 	if n.transfer.to != "" || n.configs[len(n.configs)-1].index > n.commit {
 		return
 	}
-	if m := n.member(n.cfg.Self); m == nil || !m.Voter {
+	if !n.votesIn(n.Members()) {
 		n.Transfer(n.now, "")
 	}
 }
