--- a/core/tackreplica/message.go
+++ b/core/tackreplica/message.go
@@ -41,6 +41,12 @@
 	MessageProbeAnswer
 )
 
+// known reports whether this version knows the kind. A later version's kinds
+// are passed over whole: even their term must not depose a leader.
+func (k MessageKind) known() bool {
+	return k >= MessageAppend && k <= MessageProbeAnswer
+}
+
 type (
 	// Term counts the leaders there have been.
 	Term uint64
@@ -105,11 +111,13 @@
 	}
 
 	// Message is what nodes send each other. Fields that a kind does not use
-	// are zero and take no bytes on the wire.
+	// are zero and take no bytes on the wire. An owner whose links know both
+	// ends clears From and To before it encodes and sets them again after it
+	// has decoded: they are half of a heartbeat.
 	Message struct {
 		Kind MessageKind `cbor:"1,keyasint"`
-		From tackid.Peer `cbor:"2,keyasint"`
-		To   tackid.Peer `cbor:"3,keyasint"`
+		From tackid.Peer `cbor:"2,keyasint,omitempty"`
+		To   tackid.Peer `cbor:"3,keyasint,omitempty"`
 		Term Term        `cbor:"4,keyasint"`
 
 		// Index and LogTerm are the position before Entries; of a vote, the
@@ -140,6 +148,8 @@
 		Life Life `cbor:"17,keyasint,omitempty"`
 		// Adopt names the life of the receiver whose copy may count again.
 		Adopt Life `cbor:"18,keyasint,omitempty"`
+		// Last is the end of the log of a sender that rejects entries.
+		Last tackid.Revision `cbor:"20,keyasint,omitempty"`
 		// Lost tells the receiver that it has lost entries it acknowledged.
 		Lost bool `cbor:"19,keyasint,omitempty"`
 	}
