--- a/io/tackhttp/harness_test.go
+++ b/io/tackhttp/harness_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 
@@ -22,6 +23,9 @@
 )
 
 func TestMain(m *testing.M) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	DivertStandardLog(quiet)
 	goleak.VerifyTestMain(m)
 }
 
