--- /dev/null
+++ b/io/tackhttp/callers_test.go
@@ -0,0 +1,247 @@
+package tackhttp
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackledger"
+)
+
+// await waits until cond holds.
+func await(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain: " + what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Symptom: backend servers work for callers that have left, and the queue
+// holds places for them.
+// Sequence: callers hang up while their requests run or wait.
+// Cause: nothing told the dispatch or the queue.
+func TestCallerHangsUp(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	backend := newScript(t, func(s *script, n int, c net.Conn, r *bufio.Reader) {
+		if n > 0 {
+			echo(s, n, c, r)
+			return
+		}
+		s.take(r)
+		r.ReadByte() // until the entry VM closes the connection
+		closed <- struct{}{}
+	})
+	e := newEntry(t, Config{}, backend.address)
+	e.table.Services["names"][0].Slots = 1
+	var callers []net.Conn
+	for range 40 {
+		c, err := net.Dial("tcp", e.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "POST /names HTTP/1.1\r\nHost: names\r\nContent-Length: 0\r\n\r\n")
+		callers = append(callers, c)
+		if len(callers) == 1 {
+			await(t, "the first runs", func() bool { return e.InFlight("w-0") == 1 })
+		}
+	}
+	s := e.service(&e.table, "names")
+	waiting := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.gate.Waiting()
+	}
+	await(t, "the others wait", func() bool { return waiting() == 39 })
+	for _, c := range callers[1:] {
+		c.Close()
+	}
+	await(t, "they left the queue", func() bool { return waiting() == 0 })
+	if n := backend.runs(); n != 1 {
+		t.Errorf("%d executions, want 1", n)
+	}
+	callers[0].Close()
+	<-closed
+	await(t, "nothing is in flight", func() bool { return e.Idle("w-0") })
+	assertContains(t, exchange(t, e.address, request("GET", "/names")), "HTTP/1.1 200 OK\r\n")
+}
+
+func TestExpectContinue(t *testing.T) {
+	backend := newScript(t, echo)
+	e := newEntry(t, Config{}, backend.address)
+	for name, test := range map[string]struct {
+		length int
+		want   string
+	}{
+		"held":     {5, "HTTP/1.1 100 Continue"},
+		"streamed": {2 << 20, "HTTP/1.1 100 Continue"},
+		"refused":  {1 << 40, "HTTP/1.1 413 "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", e.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, request("POST", "/names", "Expect: 100-continue", fmt.Sprint("Content-Length: ", test.length)))
+			r := bufio.NewReader(c)
+			line, _ := r.ReadString('\n')
+			assertContains(t, line, test.want)
+			if !strings.Contains(line, "100") {
+				return
+			}
+			body := strings.Repeat("x", test.length)
+			io.WriteString(c, body)
+			rest, _ := io.ReadAll(r)
+			assertContains(t, string(rest[:100]), "HTTP/1.1 200 OK\r\n")
+			if n := strings.Count(string(rest), "x"); n < test.length {
+				t.Errorf("%d bytes came back", n)
+			}
+		})
+	}
+}
+
+// Symptom: an entry VM runs out of memory or connections.
+// Sequence: callers begin a header or a body and send no more.
+// Cause: nothing bounded the wait for the rest.
+func TestSlowCallersAreCut(t *testing.T) {
+	backend := newScript(t, echo)
+	limits := quick()
+	limits.HeaderWait = 200 * tackclock.Millisecond
+	e := newEntry(t, Config{Limits: limits}, backend.address)
+	if got := exchange(t, e.address, "GET /names HTTP/1.1\r\nHost:"); strings.Contains(got, "200") {
+		t.Errorf("half a header got %q", got)
+	}
+	got := exchange(t, e.address, request("POST", "/names", "Content-Length: 5")+"he")
+	assertOwn(t, got, http.StatusRequestTimeout, codeSlowBody, tackledger.OutcomeDidNotRun)
+	if n := backend.runs(); n != 0 {
+		t.Errorf("%d executions", n)
+	}
+	streamed := exchange(t, e.address, request("POST", "/names", "Content-Length: 2000000")+"he")
+	if strings.Contains(streamed, "200 OK") || backend.runs() != 0 {
+		t.Errorf("half a body got %q", streamed)
+	}
+	await(t, "nothing is in flight", func() bool { return e.Idle("w-0") })
+}
+
+// Symptom: the memory of an entry VM grows with the size of what passes.
+// Sequence: large bodies are sent both ways.
+// Cause: a body was held instead of passed on.
+func TestStreamsAtFlatMemory(t *testing.T) {
+	const size = 256 << 20
+	backend := newScript(t, func(_ *script, _ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, req.Body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n)
+		io.Copy(c, io.LimitReader(zeros{}, n))
+	})
+	e := newEntry(t, Config{}, backend.address)
+	c, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	fmt.Fprintf(c, "POST /names HTTP/1.1\r\nHost: names\r\nContent-Length: %d\r\n\r\n", size)
+	io.Copy(c, io.LimitReader(zeros{}, size))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || n != size {
+		t.Errorf("%d bytes came back, %v", n, err)
+	}
+	runtime.ReadMemStats(&after)
+	if grown := after.TotalAlloc - before.TotalAlloc; grown > 4<<20 {
+		t.Errorf("%d bytes were allocated for %d that passed", grown, size)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// Symptom: a request that was accepted is cut by a planned stop.
+// Sequence: the entry VM is told to stop while requests run.
+// Cause: the stop did not wait for them.
+func TestShutdownFinishesWhatRuns(t *testing.T) {
+	release := make(chan struct{})
+	backend := newScript(t, func(s *script, n int, c net.Conn, r *bufio.Reader) {
+		s.take(r)
+		<-release
+		io.WriteString(c, ok)
+	})
+	h := newEntry(t, Config{}, backend.address)
+	server := NewServer(h.Handler)
+	l, err := server.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(l)
+	var running sync.WaitGroup
+	for range 8 {
+		running.Go(func() {
+			got := exchange(t, l.Addr().String(), "POST /names HTTP/1.1\r\nHost: names\r\nContent-Length: 0\r\n\r\n")
+			assertContains(t, got, "HTTP/1.1 200 OK\r\n", "Connection: close\r\n", "\r\n\r\nok")
+		})
+	}
+	await(t, "they run", func() bool { return h.InFlight("w-0") == 8 })
+	running.Go(func() {
+		if err := server.Shutdown(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+	await(t, "the stop has begun", func() bool {
+		_, err := net.Dial("tcp", l.Addr().String())
+		return err != nil
+	})
+	close(release)
+	running.Wait()
+}
+
+// Symptom: a line break that a caller sent forges a line of the log, or a body
+// is found there.
+// Sequence: callers send malformed and unusual requests.
+// Cause: what they sent was logged as it came.
+func TestNothingOfCallersIsLoggedRaw(t *testing.T) {
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	logger.SetLevel(logrus.DebugLevel)
+	backend := newScript(t, say(""))
+	e := newEntry(t, Config{Logger: logger}, backend.address)
+	for _, text := range []string{
+		"GET /names\x1b[31m HTTP/1.1\r\n\r\n",
+		request("POST", "/names", "X: a\rforged", "Content-Length: 6") + "secret",
+		request("POST", "/names/%0aforged", "Content-Length: 6") + "secret",
+	} {
+		exchange(t, e.address, text)
+	}
+	e.running.Wait()
+	for _, bad := range []string{"secret", "\x1b", "\nforged", "level=info"} {
+		if strings.Contains(out.String(), bad) {
+			t.Errorf("%q is in the log:\n%s", bad, out.String())
+		}
+	}
+}
--- a/io/tackhttp/harness_test.go
+++ b/io/tackhttp/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,9 @@
 	goleak.VerifyTestMain(m)
 }
 
+// peers counts the entry VMs of all tests, so that each has a name of its own.
+var peers atomic.Int64
+
 // entry is an entry VM on loopback with a table that a test sets.
 type entry struct {
 	*Handler
@@ -49,7 +53,7 @@
 			Connections:   1024,
 		})
 	}
-	cfg.Self = "rennes-a-1"
+	cfg.Self = tackid.Peer(fmt.Sprint("rennes-a-", peers.Add(1)))
 	cfg.Routes = func() *tackroute.Table { return &e.table }
 	e.Handler = New(cfg)
 	server := NewServer(e.Handler)
