--- a/io/tackhttp/keyed_test.go
+++ b/io/tackhttp/keyed_test.go
@@ -139,14 +139,15 @@
 		"short, then well": {firstThen(say(ok[:len(ok)-1])), func(t *testing.T, got string) {
 			assertOwn(t, got, http.StatusGatewayTimeout, codeKeyUnknown, tackledger.OutcomeUnknown)
 		}, 1},
-		"refuses, then well": {firstThen(say("HTTP/1.1 503 Busy\r\nAuburntack-Outcome: did_not_run\r\nContent-Length: 0\r\n\r\n")), func(t *testing.T, got string) {
+		"refuses, then well": {firstThen(say("HTTP/1.1 503 Busy\r\nAuburntack-Outcome: did_not_run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), func(t *testing.T, got string) {
 			assertContains(t, got, "HTTP/1.1 200 OK\r\n")
 		}, 2},
 	} {
 		for _, method := range []string{"POST", "GET", "PUT"} {
 			t.Run(name+" "+method, func(t *testing.T) {
 				backend := newScript(t, test.play)
-				e := newEntry(t, Config{Ledger: new(majority)}, backend.address)
+				e := newEntry(t, Config{Ledger: new(majority)}, backend.address, backend.address)
+				e.fillBudget()
 				exchange(t, e.address, keyed(method, "k", "{}"))
 				test.again(t, exchange(t, e.address, keyed(method, "k", "{}")))
 				if n := backend.runs(); n != test.runs {
