--- a/io/tackhttp/conn.go
+++ b/io/tackhttp/conn.go
@@ -46,7 +46,8 @@
 	// if the socket holds nothing either.
 	backendConn struct {
 		net.Conn
-		held atomic.Pointer[dispatch]
+		peeker *peeker // used by the one goroutine that writes
+		held   atomic.Pointer[dispatch]
 
 		mu      sync.Mutex
 		cond    sync.Cond
@@ -56,7 +57,7 @@
 )
 
 func newBackendConn(c net.Conn) *backendConn {
-	b := &backendConn{Conn: c}
+	b := &backendConn{Conn: c, peeker: newPeeker(c)}
 	b.cond.L = &b.mu
 	return b
 }
@@ -116,7 +117,7 @@
 	if closed {
 		return net.ErrClosed
 	}
-	return pending(c.Conn)
+	return c.peeker.pending()
 }
 
 // send asks to write to c. First is true for the first write of the dispatch.
--- a/io/tackhttp/conn_test.go
+++ b/io/tackhttp/conn_test.go
@@ -77,7 +77,7 @@
 // awaitPending waits until what the far end did has arrived.
 func awaitPending(t *testing.T, c *backendConn) {
 	t.Helper()
-	for end := time.Now().Add(10 * time.Second); pending(c.Conn) == nil; {
+	for end := time.Now().Add(10 * time.Second); c.peeker.pending() == nil; {
 		if time.Now().After(end) {
 			t.Fatal("nothing arrived")
 		}
