--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -25,9 +25,8 @@
 const (
 	// defaultQueue is the longest queue of a Gate with a zero Settings.
 	defaultQueue = 4096
-	// reserveDivisor is the part of the slots that only urgent requests may
-	// fill: one of 32, and one at least where there are two.
-	reserveDivisor = 32
+	// sureDivisor is the part of the queue that every team may always fill.
+	sureDivisor = 256
 	// lowerDivisor is the part of the slots that the lower classes may hold
 	// while a higher class could fill them all.
 	lowerDivisor = 16
@@ -61,7 +60,8 @@
 
 	// Settings are the tunables of a Gate. A zero field takes its default.
 	Settings struct {
-		// Queue is the largest number of requests that wait.
+		// Queue is the number of requests that may wait, beyond a few that
+		// every team may always have waiting.
 		Queue int
 	}
 
@@ -70,18 +70,22 @@
 	// use. The slices that its methods return are valid until the next call.
 	Gate struct {
 		Settings Settings
+		// Quotas is shared with the Gates of other services, so that a team
+		// is bounded over all of them. A Gate without has its own.
+		Quotas *Quotas
 
 		capacity int
-		quotas   map[tackid.Team]int
 
 		entries map[uint64]*entry
 		teams   map[tackid.Team]*team
+		parked  []*team
 		fair    [classes]fairQueue
 		running [classes]int
 		waiting [classes]int
 		lastRun [classes]tackclock.Time
 		wheel   wheel
 		drain   drain
+		urgent  peak
 		stale   []uint64
 		started []uint64
 		expired []uint64
@@ -93,6 +97,9 @@
 		Request
 		team    *team
 		running bool
+		// stale says that it left the queue too late to start, which the next
+		// Tick reports.
+		stale   bool
 		started tackclock.Time
 		// giveUp is when a request that still waits cannot be answered in
 		// time any more; zero if there is no deadline.
@@ -114,7 +121,7 @@
 		return g.refuse(now, r, CodeDuplicate, 0)
 	}
 	t := g.teamOf(r.Team)
-	if g.startsAtOnce(now, t, r) {
+	if g.startsAtOnce(now, t, r) && g.quotas().take(t.name) {
 		e := g.newEntry(r, t)
 		g.start(now, e)
 		return Verdict{Decision: Admitted}
@@ -137,6 +144,7 @@
 	}
 	g.running[e.Class]--
 	g.drain.released(now, e)
+	g.quotas().give(e.team.name)
 	e.team.released(g, e.Class)
 	g.remove(e)
 	g.startWaiting(now)
@@ -150,7 +158,9 @@
 	if e == nil || e.running {
 		return false
 	}
-	g.unqueue(e)
+	if !e.stale {
+		g.unqueue(e)
+	}
 	g.remove(e)
 	return true
 }
@@ -160,16 +170,15 @@
 // SetQuotas.
 func (g *Gate) Tick(now tackclock.Time) (started, expired []uint64) {
 	g.started = g.started[:0]
-	g.expired = append(g.expired[:0], g.stale...)
-	g.stale = g.stale[:0]
+	g.expired = g.expired[:0]
+	g.unpark()
 	g.wheel.advance(now, func(e *entry) {
 		g.expired = append(g.expired, e.ID)
 		g.unqueue(e)
 		g.remove(e)
 	})
 	g.startWaiting(now)
-	g.expired = append(g.expired, g.stale...)
-	g.stale = g.stale[:0]
+	g.expireStale()
 	return g.started, g.expired
 }
 
@@ -179,13 +188,19 @@
 	g.capacity = max(n, 0)
 }
 
-// SetQuotas sets the number of slots that each team may hold at once. A team
-// that is missing or has zero is bounded by its fair share alone.
+// SetQuotas sets the number of slots that each team may hold at once, over all
+// Gates that share the Quotas. A team that is missing is bounded by its fair
+// share alone.
 func (g *Gate) SetQuotas(quotas map[tackid.Team]int) {
-	g.quotas = quotas
-	for _, t := range g.teams {
-		t.setQuota(g, quotas[t.name])
+	g.quotas().Set(quotas)
+}
+
+// quotas returns the Quotas in use.
+func (g *Gate) quotas() *Quotas {
+	if g.Quotas == nil {
+		g.Quotas = new(Quotas)
 	}
+	return g.Quotas
 }
 
 // Waiting returns the number of requests that wait.
@@ -206,44 +221,27 @@
 	return n
 }
 
-// startsAtOnce reports whether a request that arrives now may overtake the
-// queue: a slot is free and nothing of its class or a higher one could use it.
+// startsAtOnce reports whether a request that arrives now goes before all that
+// wait: a slot is free for it, none that waits in a higher class may take that,
+// and its team is ahead in the fair order of its own class.
 func (g *Gate) startsAtOnce(now tackclock.Time, t *team, r Request) bool {
-	if t.blocked() || !g.slotFor(now, r) {
+	if t.parked || !g.slotFor(now, t, r) {
 		return false
 	}
 	for _, class := range ranks {
-		if !g.fair[class].empty() {
-			return false
-		}
 		if class == r.Class {
-			return true
+			break
+		}
+		if g.first(now, class) != nil {
+			return false
 		}
 	}
-	return true
-}
-
-// slotFor reports whether a slot is free that the request may take.
-func (g *Gate) slotFor(now tackclock.Time, r Request) bool {
-	if g.Running() >= g.capacity {
-		return false
-	}
-	if r.Class == tackid.ClassUrgent {
+	next := g.fair[r.Class].first()
+	if next == nil {
 		return true
 	}
-	lower := g.running[tackid.ClassNormal] + g.running[tackid.ClassBatch]
-	return lower < g.capacity-g.reserve() || g.drain.short(now, r)
-}
-
-// reserve is the number of slots that long work of the lower classes must not
-// fill. Without it a flood of slow batch requests takes every slot at once,
-// and an urgent request that comes next waits until the first of them ends,
-// however long that is.
-func (g *Gate) reserve() int {
-	if g.capacity < 2 {
-		return 0
-	}
-	return max(1, g.capacity/reserveDivisor)
+	own := &t.lanes[r.Class]
+	return own.length == 0 && (own.running < next.running || g.first(now, r.Class) == nil)
 }
 
 // startWaiting fills the free slots from the queue.
@@ -253,22 +251,39 @@
 		if e == nil {
 			return
 		}
-		g.unqueue(e)
 		if e.giveUp != 0 && !now.Before(e.giveUp) {
+			g.unqueue(e)
+			e.stale = true
 			g.stale = append(g.stale, e.ID)
-			g.remove(e)
 			continue
 		}
+		if !g.quotas().take(e.team.name) {
+			g.park(e.team)
+			continue
+		}
+		g.unqueue(e)
 		g.start(now, e)
 		g.started = append(g.started, e.ID)
 	}
 }
 
+// expireStale reports the requests whose time was found to have run out when
+// they were next, unless they were cancelled since.
+func (g *Gate) expireStale() {
+	for _, id := range g.stale {
+		if e := g.entries[id]; e != nil && e.stale {
+			g.expired = append(g.expired, id)
+			g.remove(e)
+		}
+	}
+	g.stale = g.stale[:0]
+}
+
 // choose returns the request that starts next, or nil. The highest class that
 // waits goes first, unless a lower one is due.
 func (g *Gate) choose(now tackclock.Time) *entry {
 	for i := len(ranks) - 1; i > 0; i-- {
-		if e := g.first(now, ranks[i]); e != nil && g.due(now, ranks[i]) {
+		if e := g.firstDue(now, ranks[i]); e != nil {
 			return e
 		}
 	}
@@ -284,18 +299,32 @@
 // if none may take a slot.
 func (g *Gate) first(now tackclock.Time, class tackid.Class) *entry {
 	l := g.fair[class].first()
-	if l == nil || !g.slotFor(now, l.head.Request) {
+	if l == nil || !g.slotFor(now, l.team, l.head.Request) {
 		return nil
 	}
 	return l.head
 }
 
-// due reports whether a lower class must get a start ahead of a higher one. A
-// higher class that fills all slots would otherwise starve it for ever. The
-// class is kept to a small part of the slots, since requests that run long
-// would take over all of them one start at a time.
-func (g *Gate) due(now tackclock.Time, class tackid.Class) bool {
-	return g.running[class] < max(1, g.capacity/lowerDivisor) && now.Sub(g.lastRun[class]) >= lowerInterval
+// firstDue returns the request of a lower class that must start ahead of a
+// higher class, or nil. A higher class that fills all slots would otherwise
+// starve it for ever. The class is kept to a small part of the slots, since
+// requests that run long would take over all of them one start at a time. While
+// all lower classes hold less than that part, they do not heed the reserves,
+// which a flood of urgent work keeps free for itself.
+func (g *Gate) firstDue(now tackclock.Time, class tackid.Class) *entry {
+	part := max(1, g.capacity/lowerDivisor)
+	if g.running[class] >= part || now.Sub(g.lastRun[class]) < lowerInterval {
+		return nil
+	}
+	if l := g.fair[class].first(); l != nil && g.lower() < part {
+		return l.head
+	}
+	return g.first(now, class)
+}
+
+// lower returns the number of slots that the lower classes hold.
+func (g *Gate) lower() int {
+	return g.running[tackid.ClassNormal] + g.running[tackid.ClassBatch]
 }
 
 // start gives the entry a slot.
@@ -305,6 +334,9 @@
 	g.running[e.Class]++
 	g.lastRun[e.Class] = now
 	g.drain.start(now, e.Class)
+	if e.Class == tackid.ClassUrgent {
+		g.urgent.add(now, g.running[e.Class])
+	}
 	e.team.started(g, e.Class)
 }
 
