Await slow answers, stream both ways at once, share slots and set jobs aside

- A GET that needs more than half of its time was given up for another try again and again.
It is asked for elsewhere only when it takes four times as long as the slowest recent answer, never past a quarter of the time left, and only if the budget grants the try; otherwise it is awaited.
Seen failing with halves and without the grant (TestSlowAnswerIsAwaited).
Streams end by count and use full duplex.
- The handler fills the shares of core/tackshare and bounds teams over all services; jobs that break each backend server are set aside.
- tackretry: a Budget starts with a full burst.
With an empty one the first requests after a start failed by one silent connection.

--- a/core/tackretry/budget.go
+++ b/core/tackretry/budget.go
@@ -68,11 +68,13 @@
 	}
 
 	// Budget pays for the retries of one service. Its zero value is ready to
-	// use, with an empty balance. It is not safe for concurrent use.
+	// use and has a full burst saved up: with an empty one the first requests
+	// after a start would fail by one silent connection, though another
+	// backend server could have run them. It is not safe for concurrent use.
 	Budget struct {
 		Settings Settings
 
-		balance  float64
+		spent    float64 // of the burst
 		requests uint64
 		retries  uint64
 	}
@@ -82,7 +84,7 @@
 // into the budget. It is called once a request, before its first dispatch.
 func (b *Budget) Record(tackclock.Time) {
 	b.requests++
-	b.balance = min(b.balance+b.ratio(), b.burst())
+	b.spent = max(b.spent-b.ratio(), 0)
 }
 
 // Decide says whether the attempt may be followed by another, on another
@@ -91,7 +93,7 @@
 	if reason := b.refuses(a); reason != ReasonNone {
 		return Decision{Reason: reason}
 	}
-	b.balance--
+	b.spent++
 	b.retries++
 	return Decision{Retry: true}
 }
@@ -115,7 +117,7 @@
 		return ReasonTries
 	case a.TimeLeft < b.minLeft():
 		return ReasonTime
-	case b.balance < 1:
+	case b.burst()-b.spent < 1:
 		return ReasonBudget
 	}
 	return ReasonNone
--- a/io/tackhttp/answer.go
+++ b/io/tackhttp/answer.go
@@ -30,6 +30,7 @@
 	codeAnswerNotKept  Code = "answer_not_kept"
 	codeLedgerFull     Code = "ledger_full"
 	codeReleased       Code = "claim_given_up"
+	codeSetAside       Code = "set_aside"
 	codeCallerGone     Code = "caller_gone"
 )
 
@@ -47,6 +48,7 @@
 		message    string
 		didNotRun  bool
 		retryAfter tackclock.Duration
+		broke      bool // the backend server broke off while it ran the request
 	}
 
 	// failureBody is a failure as JSON.
--- a/io/tackhttp/answers_test.go
+++ b/io/tackhttp/answers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"auburntack/core/tackledger"
+	"auburntack/core/tackretry"
 )
 
 // say answers each request with the text that answers gives for its number on
@@ -141,6 +142,25 @@
 	}
 }
 
+// Symptom: work that takes long is never answered, though it is done in time.
+// Sequence: the backend servers need more than half of the caller's time.
+// Cause: the request was given up for another try, again and again.
+func TestSlowAnswerIsAwaited(t *testing.T) {
+	slow := func(s *script, _ int, c net.Conn, r *bufio.Reader) {
+		s.take(r)
+		time.Sleep(900 * time.Millisecond)
+		io.WriteString(c, ok)
+	}
+	for name, burst := range map[string]float64{"with a retry": 20, "without a budget": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newScript(t, slow), newScript(t, slow)
+			e := newEntry(t, Config{Retry: tackretry.Settings{Burst: burst}}, a.address, b.address)
+			got := exchange(t, e.address, request("GET", "/names", "Auburntack-Timeout-Ms: 1700"))
+			assertContains(t, got, "HTTP/1.1 200 OK\r\n", "\r\n\r\nok")
+		})
+	}
+}
+
 // Symptom: a correction is printed twice.
 // Sequence: a request that is not idempotent is sent; the backend server runs
 // it and breaks off, stays silent or closes a connection that is used again.
--- a/io/tackhttp/attempt.go
+++ b/io/tackhttp/attempt.go
@@ -18,13 +18,10 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackledger"
+	"auburntack/core/tackretry"
 	"auburntack/core/tackroute"
 )
 
-// minFirstByte is the least time that an answer is given to begin, where the
-// rest is kept for a second try.
-const minFirstByte = 250 * tackclock.Millisecond
-
 var (
 	errNoProgress = errors.New("tackhttp: no progress in time")
 	errTimeUp     = errors.New("tackhttp: the caller's time is up")
@@ -42,6 +39,7 @@
 	ctx       context.Context
 	watch     *time.Timer
 	begun     atomic.Bool // the answer has begun
+	early     atomic.Bool // the watch ends before the caller's time, to ask elsewhere
 	stream    *streamReader
 
 	resp  *http.Response
@@ -70,6 +68,7 @@
 	}
 	a.resp = resp
 	a.begun.Store(true)
+	c.service.began(c.h.clock.Now().Sub(a.began))
 	// An answer that came before the request left is another one's.
 	if !a.sent() {
 		c.h.meters.unsolicited.Inc(1)
@@ -98,7 +97,7 @@
 	req.Proto, req.ProtoMajor, req.ProtoMinor = "HTTP/1.1", 1, 1
 	switch {
 	case c.streamed:
-		a.stream = &streamReader{attempt: a, rc: http.NewResponseController(c.w)}
+		a.stream = newStreamReader(a)
 		req.Body, req.ContentLength = a.stream, c.r.ContentLength
 	case len(c.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
@@ -157,17 +156,20 @@
 	a.wait(a.firstByteWait())
 }
 
-// firstByteWait is how long the answer may take to begin. A request that may
-// run twice doesn't spend all its time on one backend server: a connection
-// that went silent for good looks like a slow answer, and half of the time is
-// kept to ask another.
+// firstByteWait is how long the answer may take to begin before the request is
+// asked for elsewhere, or the time left if it is not.
 func (a *attempt) firstByteWait() tackclock.Duration {
 	c := a.call
 	left := c.left()
-	if !c.repeatable() || c.tries >= c.h.tries() {
+	if !c.repeatable() || c.tries >= c.h.tries() || c.tries >= len(c.table.Services[c.service.name]) {
+		return left
+	}
+	early := c.service.earlyWait(left)
+	if early >= left {
 		return left
 	}
-	return min(left, max(minFirstByte, min(left/2, c.h.limits.FirstByte)))
+	a.early.Store(true)
+	return early
 }
 
 // gotInformational passes an informational answer on. What was passed on can't
@@ -194,13 +196,24 @@
 	a.watch.Reset(max(d.Std(), time.Millisecond))
 }
 
-// expire ends the attempt for lack of progress.
+// expire ends the attempt for lack of progress. An answer that is only later
+// than usual is awaited further unless another try is granted: the backend
+// servers may all be slow, and giving up on them would turn each late answer
+// into none.
 func (a *attempt) expire() {
-	if a.call.left() <= 0 {
+	c := a.call
+	left := c.left()
+	switch {
+	case left <= 0 && !a.begun.Load():
 		a.cancel(errTimeUp)
-		return
+	case !a.early.Swap(false) || a.begun.Load():
+		a.cancel(errNoProgress)
+	case c.service.retry(tackretry.Attempt{Idempotent: true, Tries: c.tries, TimeLeft: left}):
+		c.granted.Store(true)
+		a.cancel(errNoProgress)
+	default:
+		a.wait(left)
 	}
-	a.cancel(errNoProgress)
 }
 
 // checkAnswer looks at the answer's head. A backend server that says that it
@@ -257,6 +270,7 @@
 	c := a.call
 	c.h.log.WithError(err).WithField("backend_server", string(a.candidate.BackendServer)).Debug("dispatch failed")
 	result, f := a.classify(err, sent)
+	f.broke = f.code == codeBrokenAnswer || f.code == codeSilent && sent
 	a.end(result)
 	a.free()
 	return f
--- a/io/tackhttp/body.go
+++ b/io/tackhttp/body.go
@@ -115,9 +115,20 @@
 	mu      sync.Mutex
 	attempt *attempt
 	rc      *http.ResponseController
+	left    int64 // bytes to come
 	ended   bool
 }
 
+// newStreamReader returns the body of a's request. The answer may begin while
+// the body is still on its way. Without full duplex the server would then
+// close the body, the transport would take that for an error, close the
+// backend server's connection, and the answer would be cut.
+func newStreamReader(a *attempt) *streamReader {
+	s := &streamReader{attempt: a, rc: http.NewResponseController(a.call.w), left: a.call.r.ContentLength}
+	s.rc.EnableFullDuplex()
+	return s
+}
+
 // Read implements io.Reader. Each part that was read counts as progress.
 func (s *streamReader) Read(p []byte) (int, error) {
 	s.mu.Lock()
@@ -125,17 +136,22 @@
 	if s.ended {
 		return 0, context.Canceled
 	}
+	if s.left <= 0 {
+		return 0, io.EOF
+	}
 	c := s.attempt.call
 	c.touched.Store(true)
 	wait := c.h.limits.BodyWait
 	s.attempt.wait(2 * wait)
 	s.rc.SetReadDeadline(time.Now().Add(wait.Std()))
 	n, err := c.r.Body.Read(p)
+	s.left -= int64(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.h.meters.slowCallers.Inc(1)
 	}
-	if errors.Is(err, io.EOF) {
+	if s.left <= 0 {
 		s.rc.SetReadDeadline(time.Time{})
+		return n, io.EOF
 	}
 	return n, err
 }
--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -42,8 +42,9 @@
 	touched  atomic.Bool // some of a streamed body was read
 	reserved int64       // bytes of the body that count in Handler.held
 
-	tries int
-	tried []tackid.BackendServer
+	granted atomic.Bool // another try was granted already
+	tries   int
+	tried   []tackid.BackendServer
 
 	status  int // of the answer, once it began
 	outcome tackledger.Outcome
@@ -63,6 +64,9 @@
 	if f := c.readBody(); f != nil {
 		return f
 	}
+	if f := c.checkAside(); f != nil {
+		return f
+	}
 	if c.key != "" {
 		return c.serveKeyed()
 	}
@@ -186,8 +190,12 @@
 		a := newAttempt(c, candidate)
 		f := a.run()
 		if f == nil {
+			c.ran()
 			return a, nil
 		}
+		if f.broke {
+			c.failedOn(candidate)
+		}
 		last = f
 		c.tried = append(c.tried, candidate.BackendServer)
 		if !c.mayRetry(f) {
@@ -202,6 +210,9 @@
 	if c.r.Context().Err() != nil || c.touched.Load() {
 		return false
 	}
+	if c.granted.Swap(false) {
+		return true
+	}
 	return c.service.retry(tackretry.Attempt{
 		Idempotent:   c.repeatable(),
 		SurelyNotRun: f.didNotRun,
--- a/io/tackhttp/callers_test.go
+++ b/io/tackhttp/callers_test.go
@@ -175,6 +175,43 @@
 	}
 }
 
+// Symptom: the answer to a large upload is cut or never begins.
+// Sequence: the backend server answers before it has read the whole body; the
+// caller sends the rest once it has seen the answer begin.
+// Cause: the server takes the rest of a request's body for itself once the
+// answer begins, and the backend server waits for it in vain.
+func TestEarlyAnswerToUpload(t *testing.T) {
+	const size, rest = 2 << 20, 100 << 10
+	backend := newScript(t, func(_ *script, _ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.CopyN(io.Discard, req.Body, size-rest)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		io.CopyN(c, zeros{}, size/2)
+		if n, _ := io.Copy(io.Discard, req.Body); n == rest {
+			io.CopyN(c, zeros{}, size/2)
+		}
+	})
+	e := newEntry(t, Config{Limits: Limits{BodyWait: 2 * tackclock.Second}}, backend.address)
+	c, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /names HTTP/1.1\r\nHost: names\r\nContent-Length: %d\r\n\r\n", size)
+	io.CopyN(c, zeros{}, size-rest)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.CopyN(c, zeros{}, rest)
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size {
+		t.Errorf("%d bytes came back, %v", n, err)
+	}
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) {
--- a/io/tackhttp/handler.go
+++ b/io/tackhttp/handler.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -89,6 +90,8 @@
 		log     logrus.FieldLogger
 		meters  meters
 		sender  sender
+		quotas  quotas
+		asides  asides
 		life    tackledger.Life
 		prefix  string // of the request ids of this process
 		ids     atomic.Uint64
@@ -131,6 +134,7 @@
 		services: make(map[tackid.Service]*service),
 		stop:     make(chan struct{}),
 	}
+	h.asides.seed = maphash.MakeSeed()
 	h.buffers.New = func() any { return new([bufferSize]byte) }
 	h.sender.init(h.limits, &h.meters)
 	return h
@@ -211,6 +215,10 @@
 	if _, known := table.Services[name]; !known {
 		return nil
 	}
+	return h.serviceNamed(name)
+}
+
+func (h *Handler) serviceNamed(name tackid.Service) *service {
 	h.mu.RLock()
 	s := h.services[name]
 	h.mu.RUnlock()
--- a/io/tackhttp/metrics.go
+++ b/io/tackhttp/metrics.go
@@ -26,6 +26,7 @@
 	opened        metrics.Counter
 	dialFailures  metrics.Counter
 	repeats       metrics.Counter
+	setAside      metrics.Counter
 	finishRetries metrics.Counter
 	finishLost    metrics.Counter
 	took          metrics.Histogram
@@ -51,6 +52,7 @@
 		opened:        counter("connections_opened"),
 		dialFailures:  counter("connections_failed"),
 		repeats:       counter("key_repeats"),
+		setAside:      counter("jobs_set_aside"),
 		finishRetries: counter("key_finish_retries"),
 		finishLost:    counter("key_finish_lost"),
 		took:          metrics.GetOrRegisterHistogram("caller_request_ms", r, metrics.NewUniformSample(sampleSize)),
--- a/io/tackhttp/service.go
+++ b/io/tackhttp/service.go
@@ -13,6 +13,21 @@
 	"auburntack/core/tackroute"
 )
 
+const (
+	// minFirstByte is the least time that an answer is given to begin.
+	minFirstByte = 250 * tackclock.Millisecond
+	// lateFactor is how many times as long as the slowest recent answer one
+	// takes that is late.
+	lateFactor = 4
+	// slowestDecay is how many answers it takes, about, until a slow one is
+	// forgotten.
+	slowestDecay = 64
+	// earlyPart is the part of the time left after which a request may be
+	// asked for elsewhere. Three tries leave the last one more than half of
+	// the time, so work that takes long is still answered.
+	earlyPart = 4
+)
+
 // tickInterval is how often queues are looked at while any request waits.
 const tickInterval = 10 * time.Millisecond
 
@@ -28,6 +43,8 @@
 		gate    tacklimit.Gate
 		budget  tackretry.Budget
 		waiters map[uint64]chan admission
+
+		slowest tackclock.Duration // to the first byte, of the recent answers
 	}
 
 	// admission is what a request that waits is told.
@@ -42,6 +59,7 @@
 func newService(h *Handler, name tackid.Service) *service {
 	s := &service{h: h, name: name, waiters: make(map[uint64]chan admission)}
 	s.gate.Settings = h.cfg.Admit
+	s.gate.Quotas = &h.quotas.Quotas
 	s.budget.Settings = h.cfg.Retry
 	return s
 }
@@ -51,7 +69,7 @@
 	if s.table != table {
 		s.table = table
 		s.chooser.SetCandidates(table.Services[s.name])
-		s.gate.SetQuotas(table.Quotas)
+		s.h.quotas.follow(table)
 	}
 	s.gate.SetCapacity(s.chooser.Capacity(now, s.ask()))
 }
@@ -90,6 +108,8 @@
 // wait waits in the queue.
 func (s *service) wait(ctx context.Context, r tacklimit.Request, waiter chan admission) *failure {
 	s.h.meters.queued.Inc(1)
+	s.h.quotas.wait(r.Team, 1)
+	defer s.h.quotas.wait(r.Team, -1)
 	select {
 	case a := <-waiter:
 		return s.admitted(a, r)
@@ -181,6 +201,36 @@
 	s.chooser.Done(now, c, tackroute.Outcome{Result: result, Latency: latency})
 }
 
+// began learns how long an answer took to begin.
+func (s *service) began(took tackclock.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if took >= s.slowest {
+		s.slowest = took
+		return
+	}
+	s.slowest -= (s.slowest - took) / slowestDecay
+}
+
+// earlyWait returns after how long a request that may run twice is asked for
+// elsewhere. A connection that went silent for good looks like a slow answer;
+// the recent answers tell what is slow.
+func (s *service) earlyWait(left tackclock.Duration) tackclock.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := s.h.limits.FirstByte
+	if s.slowest > 0 {
+		wait = min(wait, lateFactor*s.slowest)
+	}
+	return max(minFirstByte, min(wait, left/earlyPart))
+}
+
+func (s *service) healthy(c tackroute.Candidate) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Healthy(c.BackendServer)
+}
+
 // retry asks whether a failed attempt may be followed by another.
 func (s *service) retry(a tackretry.Attempt) bool {
 	now := s.h.clock.Now()
