--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -46,7 +46,8 @@
 	tries   int
 	tried   []tackid.BackendServer
 
-	status  int // of the answer, once it began
+	hasLeft bool // the place of admission was given back
+	status  int  // of the answer, once it began
 	outcome tackledger.Outcome
 	gone    bool
 }
@@ -73,7 +74,7 @@
 	if f := c.enter(); f != nil {
 		return f
 	}
-	defer c.service.leave(c.id)
+	defer c.leave()
 	a, f := c.dispatchAll()
 	if f != nil {
 		return f
@@ -173,6 +174,14 @@
 	})
 }
 
+// leave gives the place of admission back, once.
+func (c *call) leave() {
+	if !c.hasLeft {
+		c.hasLeft = true
+		c.service.leave(c.id)
+	}
+}
+
 // dispatchAll sends the request to one backend server after another until one
 // answers or no further try is allowed. The attempt that it returns has an
 // answer that has begun.
--- a/io/tackhttp/deliver.go
+++ b/io/tackhttp/deliver.go
@@ -27,6 +27,7 @@
 		// The backend server has done its part; its slot doesn't wait for a
 		// caller that takes its answer slowly.
 		a.end(result)
+		c.leave()
 	}
 	c.status, c.outcome = a.resp.StatusCode, tackledger.OutcomeAnswered
 	c.begin(a.resp)
--- a/io/tackhttp/keyed.go
+++ b/io/tackhttp/keyed.go
@@ -41,7 +41,7 @@
 	if f := c.enter(); f != nil {
 		return f
 	}
-	defer c.service.leave(c.id)
+	defer c.leave()
 	claim, f := c.claim(id, print)
 	if f != nil {
 		return f
