--- a/core/tackledger/snapshot.go
+++ b/core/tackledger/snapshot.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"unique"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -29,21 +30,21 @@
 		Records  []savedRecord        `cbor:"5,keyasint"`
 	}
 
-	// savedRecord is a record with its places in the queues.
+	// savedRecord is a record and the digest that it stands under.
 	savedRecord struct {
-		At          slot             `cbor:"1,keyasint"`
-		Team        tackid.Team      `cbor:"2,keyasint,omitempty"`
-		Fingerprint Fingerprint      `cbor:"3,keyasint"`
-		Request     tackid.RequestID `cbor:"4,keyasint"`
-		Peer        tackid.Peer      `cbor:"5,keyasint,omitempty"`
-		Life        Life             `cbor:"6,keyasint,omitempty"`
-		Begun       tackclock.Time   `cbor:"7,keyasint"`
-		Until       tackclock.Time   `cbor:"8,keyasint,omitempty"`
-		Revision    tackid.Revision  `cbor:"9,keyasint"`
-		Outcome     Outcome          `cbor:"10,keyasint,omitempty"`
-		Answer      *Answer          `cbor:"11,keyasint,omitempty"`
-		Released    tackclock.Time   `cbor:"12,keyasint,omitempty"`
-		Answered    int              `cbor:"13,keyasint,omitempty"`
+		At          digest          `cbor:"1,keyasint"`
+		Team        tackid.Team     `cbor:"2,keyasint,omitempty"`
+		Fingerprint digest          `cbor:"3,keyasint"`
+		Request     digest          `cbor:"4,keyasint"`
+		Peer        tackid.Peer     `cbor:"5,keyasint,omitempty"`
+		Life        Life            `cbor:"6,keyasint,omitempty"`
+		Begun       tackclock.Time  `cbor:"7,keyasint"`
+		Until       tackclock.Time  `cbor:"8,keyasint,omitempty"`
+		Ended       tackclock.Time  `cbor:"9,keyasint,omitempty"`
+		Revision    tackid.Revision `cbor:"10,keyasint"`
+		Finished    tackid.Revision `cbor:"11,keyasint,omitempty"`
+		Outcome     Outcome         `cbor:"12,keyasint,omitempty"`
+		Answer      *Answer         `cbor:"13,keyasint,omitempty"`
 	}
 )
 
@@ -63,29 +64,20 @@
 // Snapshot returns the state as CBOR. Two states that applied the same changes
 // give the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	saved := make(map[slot]*savedRecord, len(s.records))
-	for at, r := range s.records {
-		saved[at] = r.save(at)
-	}
-	for _, e := range s.released.entries[s.released.first:] {
-		if v := saved[e.at]; v != nil && v.Revision == e.revision {
-			v.Released = e.time
-		}
-	}
-	for i, e := range s.answered.entries[s.answered.first:] {
-		if v := saved[e.at]; v != nil && v.Revision == e.revision {
-			v.Answered = i + 1
-		}
+	out := snapshot{
+		Version:  snapshotVersion,
+		Revision: s.revision,
+		Now:      s.now,
+		Lives:    s.lives,
+		Records:  make([]savedRecord, 0, len(s.records)),
 	}
-	out := snapshot{Version: snapshotVersion, Revision: s.revision, Now: s.now, Lives: s.lives}
 	if out.Lives == nil {
 		out.Lives = make(map[tackid.Peer]Life)
 	}
-	for _, v := range saved {
-		out.Records = append(out.Records, *v)
+	for at, r := range s.records {
+		out.Records = append(out.Records, r.save(at))
 	}
 	slices.SortFunc(out.Records, compareSaved)
-	numberAnswered(out.Records)
 	data, err := encoding.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("tackledger: encode snapshot: %w", err)
@@ -111,92 +103,75 @@
 	for i := range in.Records {
 		s.restore(&in.Records[i])
 	}
-	s.requeue(in.Records)
+	s.requeueAnswers(in.Records)
 	return nil
 }
 
 // restore puts one record back.
 func (s *State) restore(v *savedRecord) {
 	r := &record{
-		team:        v.Team,
+		team:        unique.Make(v.Team),
+		peer:        unique.Make(v.Peer),
 		fingerprint: v.Fingerprint,
 		request:     v.Request,
-		peer:        v.Peer,
 		life:        v.Life,
 		begun:       v.Begun,
 		until:       v.Until,
+		ended:       v.Ended,
 		revision:    v.Revision,
+		finished:    v.Finished,
 		outcome:     v.Outcome,
 		answer:      v.Answer,
 	}
 	s.records[v.At] = r
-	s.teams[r.team]++
+	s.teams[v.Team]++
 	if r.answer != nil {
 		s.bytes += r.answer.size()
 	}
-	if v.Released == 0 {
-		s.begun.push(entry{v.At, v.Revision, v.Begun})
+	if r.outcome == OutcomeDidNotRun {
+		s.released.push(entry{v.At, v.Revision, v.Ended})
+		return
 	}
+	s.begun.push(entry{v.At, v.Revision, v.Begun})
 }
 
-// requeue fills the queues that are not in the order of the records.
-func (s *State) requeue(records []savedRecord) {
-	var answered, released []savedRecord
-	for _, v := range records {
-		if v.Answered > 0 {
-			answered = append(answered, v)
-		}
-		if v.Released > 0 {
-			released = append(released, v)
+// requeueAnswers lists the answers in the order in which they came.
+func (s *State) requeueAnswers(records []savedRecord) {
+	var answered []*savedRecord
+	for i := range records {
+		if records[i].Answer != nil {
+			answered = append(answered, &records[i])
 		}
 	}
-	slices.SortFunc(answered, func(a, b savedRecord) int { return cmp.Compare(a.Answered, b.Answered) })
-	slices.SortFunc(released, func(a, b savedRecord) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(answered, func(a, b *savedRecord) int { return cmp.Compare(a.Finished, b.Finished) })
 	for _, v := range answered {
-		s.answered.push(entry{v.At, v.Revision, v.Begun})
-	}
-	for _, v := range released {
-		s.released.push(entry{v.At, v.Revision, v.Released})
+		s.answered.push(entry{v.At, v.Revision, v.Ended})
 	}
 }
 
 // save returns the record in the snapshot's form.
-func (r *record) save(at slot) *savedRecord {
-	return &savedRecord{
+func (r *record) save(at digest) savedRecord {
+	return savedRecord{
 		At:          at,
-		Team:        r.team,
+		Team:        r.team.Value(),
 		Fingerprint: r.fingerprint,
 		Request:     r.request,
-		Peer:        r.peer,
+		Peer:        r.peer.Value(),
 		Life:        r.life,
 		Begun:       r.begun,
 		Until:       r.until,
+		Ended:       r.ended,
 		Revision:    r.revision,
+		Finished:    r.finished,
 		Outcome:     r.outcome,
 		Answer:      r.answer,
 	}
 }
 
-// compareSaved orders records by their Begin, then by slot.
+// compareSaved orders records as their queues do, then by digest.
 func compareSaved(a, b savedRecord) int {
 	if c := cmp.Compare(a.Revision, b.Revision); c != 0 {
 		return c
 	}
 	return bytes.Compare(a.At[:], b.At[:])
 }
-
-// numberAnswered renumbers the answers from 1 without gaps. The queue of one
-// state may hold void entries that a restored one lacks; with gaps, the two
-// would give different bytes.
-func numberAnswered(records []savedRecord) {
-	order := make([]int, 0, len(records))
-	for i := range records {
-		if records[i].Answered > 0 {
-			order = append(order, i)
-		}
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(records[a].Answered, records[b].Answered) })
-	for n, i := range order {
-		records[i].Answered = n + 1
-	}
-}
--- a/core/tackledger/state.go
+++ b/core/tackledger/state.go
@@ -12,6 +12,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"unique"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
@@ -20,9 +21,9 @@
 const (
 	defaultAge         = tackclock.Day
 	defaultReleasedAge = 10 * tackclock.Minute
-	defaultRecords     = 400_000
-	defaultBytes       = 64 << 20
-	teamShare          = 4 // a team holds at most one in teamShare of the records
+	defaultRecords     = 300_000
+	defaultBytes       = 32 << 20
+	teamShare          = 2 // a team holds at most one in teamShare of the records
 )
 
 type (
@@ -31,8 +32,8 @@
 	Limits struct {
 		Age         tackclock.Duration // records end this long after their Begin; 24 h
 		ReleasedAge tackclock.Duration // releases are remembered this long; 10 min
-		Records     int                // records held at most; 400,000
-		Bytes       int                // headers and bodies of answers held at most; 64 MiB
+		Records     int                // records held at most; 300,000
+		Bytes       int                // headers and bodies of answers held at most; 32 MiB
 	}
 
 	// State holds the records. The zero value is empty and ready to use. It
@@ -42,7 +43,7 @@
 
 		revision tackid.Revision
 		now      tackclock.Time
-		records  map[slot]*record
+		records  map[digest]*record
 		teams    map[tackid.Team]int
 		lives    map[tackid.Peer]Life
 		bytes    int
@@ -51,20 +52,24 @@
 		answered queue // records that hold an answer, by their Finish
 	}
 
-	// slot is where a record stands: a digest of its ID, which is a third of
-	// the size of the names and the same size for each.
-	slot [16]byte
+	// digest is the beginning of a SHA-256. Records hold digests in place of
+	// names, which are several times as long; there are hundreds of thousands
+	// of records, on every peer.
+	digest [16]byte
 
-	// record is what is known about one key.
+	// record is what is known about one key. It stands under the digest of
+	// its ID.
 	record struct {
-		team        tackid.Team
-		fingerprint Fingerprint
-		request     tackid.RequestID
-		peer        tackid.Peer
+		team        unique.Handle[tackid.Team]
+		peer        unique.Handle[tackid.Peer]
+		fingerprint digest
+		request     digest
 		life        Life
 		begun       tackclock.Time
 		until       tackclock.Time
+		ended       tackclock.Time  // when the outcome came
 		revision    tackid.Revision // of the change that last queued the record
+		finished    tackid.Revision // of the change that brought the outcome
 		outcome     Outcome         // zero while running
 		answer      *Answer
 	}
@@ -72,7 +77,7 @@
 	// entry is a record's place in a queue. It is void once the record has
 	// another revision.
 	entry struct {
-		at       slot
+		at       digest
 		revision tackid.Revision
 		time     tackclock.Time
 	}
@@ -114,7 +119,7 @@
 // Mismatch are final: the other verdicts may have changed in entries of the
 // log that this peer has not applied yet.
 func (s *State) Lookup(now tackclock.Time, id ID, print Fingerprint) Claim {
-	r := s.records[id.slot()]
+	r := s.records[id.digest()]
 	if r == nil || r.outcome == OutcomeDidNotRun || s.ended(r, now) {
 		return Claim{Kind: Mine}
 	}
@@ -143,7 +148,7 @@
 	s.revision = rev
 	s.now = max(s.now, now)
 	if s.records == nil {
-		s.records = make(map[slot]*record)
+		s.records = make(map[digest]*record)
 		s.teams = make(map[tackid.Team]int)
 		s.lives = make(map[tackid.Peer]Life)
 	}
@@ -166,11 +171,12 @@
 	}
 }
 
-func (s *State) remove(at slot, r *record) {
+func (s *State) remove(at digest, r *record) {
 	s.forgetAnswer(r)
-	s.teams[r.team]--
-	if s.teams[r.team] == 0 {
-		delete(s.teams, r.team)
+	team := r.team.Value()
+	s.teams[team]--
+	if s.teams[team] == 0 {
+		delete(s.teams, team)
 	}
 	delete(s.records, at)
 }
@@ -188,12 +194,12 @@
 	// earlier life began. Seen as: repeats of a key are told "running" long
 	// after the peer died. The life makes them unknown at once.
 	s.lives[b.Peer] = b.Life
-	at := b.ID.slot()
+	at := b.ID.digest()
 	r := s.records[at]
 	if r == nil {
 		return s.claim(at, b)
 	}
-	if r.request == b.Request {
+	if r.request == digestOf(string(b.Request)) {
 		return Claim{Kind: s.repeated(r)}
 	}
 	if r.outcome != OutcomeDidNotRun {
@@ -216,7 +222,7 @@
 }
 
 // claim makes a new record where the limits allow one.
-func (s *State) claim(at slot, b *Begin) Claim {
+func (s *State) claim(at digest, b *Begin) Claim {
 	// Forgetting a key early would let a repeat run a second time. So a full
 	// ledger refuses new keys, and one team can't fill it for all the others.
 	limits := s.Limits.withDefaults()
@@ -224,10 +230,10 @@
 		return Claim{Kind: Full}
 	}
 	r := &record{
-		team:        b.ID.Team,
-		fingerprint: b.Fingerprint,
-		request:     b.Request,
-		peer:        b.Peer,
+		team:        unique.Make(b.ID.Team),
+		peer:        unique.Make(b.Peer),
+		fingerprint: digest(b.Fingerprint[:]),
+		request:     digestOf(string(b.Request)),
 		life:        b.Life,
 		begun:       s.now,
 		until:       s.now.Add(min(b.Within, limits.Age)),
@@ -237,16 +243,16 @@
 	return Claim{Kind: Mine}
 }
 
-func (s *State) insert(at slot, r *record) {
+func (s *State) insert(at digest, r *record) {
 	r.revision = s.revision
 	s.records[at] = r
-	s.teams[r.team]++
+	s.teams[r.team.Value()]++
 }
 
 // verdict tells another request what stands under its key.
 func (s *State) verdict(r *record, print Fingerprint, now tackclock.Time) Claim {
 	switch {
-	case r.fingerprint != print:
+	case r.fingerprint != digest(print[:]):
 		return Claim{Kind: Mismatch}
 	case r.outcome == OutcomeAnswered && r.answer != nil:
 		return Claim{Kind: Recorded, Answer: *r.answer}
@@ -260,7 +266,7 @@
 
 // running reports whether the record's dispatch may still be going on.
 func (s *State) running(r *record, now tackclock.Time) bool {
-	return r.outcome == 0 && s.lives[r.peer] == r.life && !now.After(r.until)
+	return r.outcome == 0 && s.lives[r.peer.Value()] == r.life && !now.After(r.until)
 }
 
 func (s *State) ended(r *record, now tackclock.Time) bool {
@@ -269,24 +275,28 @@
 
 // finish notes the outcome of a dispatch.
 func (s *State) finish(f *Finish) {
-	at := f.ID.slot()
+	at := f.ID.digest()
 	r := s.records[at]
 	switch {
 	case r == nil && f.Outcome == OutcomeDidNotRun:
 		s.releaseAhead(at, f)
-	case r == nil || r.request != f.Request || r.outcome == OutcomeAnswered:
+	case r == nil || r.request != digestOf(string(f.Request)) || r.outcome == OutcomeAnswered:
 	case f.Outcome == OutcomeDidNotRun:
 		s.release(at, r)
 	case f.Outcome == OutcomeAnswered:
 		s.answer(at, r, f.Answer)
 	default:
-		r.outcome = OutcomeUnknown
+		s.end(r, OutcomeUnknown)
 	}
 }
 
+func (s *State) end(r *record, o Outcome) {
+	r.outcome, r.ended, r.finished = o, s.now, s.revision
+}
+
 // release frees the record's key.
-func (s *State) release(at slot, r *record) {
-	r.outcome = OutcomeDidNotRun
+func (s *State) release(at digest, r *record) {
+	s.end(r, OutcomeDidNotRun)
 	r.revision = s.revision
 	s.released.push(entry{at, r.revision, s.now})
 }
@@ -295,15 +305,20 @@
 // peer that gives up on a proposal can't know whether it was lost or is only
 // late. If a late Begin were recorded, nobody would ever finish it and the key
 // would be stuck at unknown, though its caller was told did_not_run.
-func (s *State) releaseAhead(at slot, f *Finish) {
-	r := &record{team: f.ID.Team, request: f.Request, begun: s.now}
+func (s *State) releaseAhead(at digest, f *Finish) {
+	r := &record{
+		team:    unique.Make(f.ID.Team),
+		peer:    unique.Make(tackid.Peer("")),
+		request: digestOf(string(f.Request)),
+		begun:   s.now,
+	}
 	s.insert(at, r)
 	s.release(at, r)
 }
 
 // answer keeps the answer, and gives up the oldest ones beyond the limit.
-func (s *State) answer(at slot, r *record, a Answer) {
-	r.outcome = OutcomeAnswered
+func (s *State) answer(at digest, r *record, a Answer) {
+	s.end(r, OutcomeAnswered)
 	r.answer = &a
 	s.bytes += a.size()
 	s.answered.push(entry{at, r.revision, s.now})
@@ -319,13 +334,17 @@
 	}
 }
 
-// slot returns where the record of id stands.
-func (id ID) slot() slot {
+// digest returns where the record of id stands.
+func (id ID) digest() digest {
 	buf := make([]byte, 0, 128)
 	for _, part := range [...]string{string(id.Service), string(id.Team), string(id.Key)} {
 		buf = binary.AppendUvarint(buf, uint64(len(part)))
 		buf = append(buf, part...)
 	}
-	sum := sha256.Sum256(buf)
-	return slot(sum[:16])
+	return digestOf(string(buf))
+}
+
+func digestOf(text string) digest {
+	sum := sha256.Sum256([]byte(text))
+	return digest(sum[:])
 }
--- a/io/tackhttp/callers_test.go
+++ b/io/tackhttp/callers_test.go
@@ -10,13 +10,16 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 	"auburntack/core/tackledger"
+	"auburntack/core/tackroute"
 )
 
 // await waits until cond holds.
@@ -79,6 +82,47 @@
 	assertContains(t, exchange(t, e.address, request("GET", "/names")), "HTTP/1.1 200 OK\r\n")
 }
 
+// Symptom: a backend server that is leaving gets new work.
+// Sequence: a request waits for a slot; the backend servers leave the table and
+// another one comes; the slot becomes free.
+// Cause: the request was sent by the table of its arrival.
+func TestQueuedRequestFollowsTable(t *testing.T) {
+	release := make(chan struct{})
+	old := newScript(t, func(s *script, _ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, _, err := s.take(r); err != nil {
+				return
+			}
+			<-release
+			io.WriteString(c, ok)
+		}
+	})
+	fresh := newScript(t, echo)
+	e := newEntry(t, Config{}, old.address)
+	e.table.Services["names"][0].Slots = 1
+	var table atomic.Pointer[tackroute.Table]
+	table.Store(&e.table)
+	e.cfg.Routes = table.Load
+	var running sync.WaitGroup
+	for range 2 {
+		running.Go(func() { exchange(t, e.address, request("POST", "/names", "Content-Length: 0")) })
+	}
+	s := e.service(&e.table, "names")
+	await(t, "one runs and one waits", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.gate.Waiting() == 1 && s.chooser.InFlight("w-0") == 1
+	})
+	next := e.table
+	next.Services = map[tackid.Service][]tackroute.Candidate{"names": {{BackendServer: "names-9", VM: "w-9", Address: fresh.address, Slots: 1}}}
+	table.Store(&next)
+	close(release)
+	running.Wait()
+	if old.runs() != 1 || fresh.runs() != 1 {
+		t.Errorf("%d executions on the one that left, %d on the other, want 1 and 1", old.runs(), fresh.runs())
+	}
+}
+
 func TestExpectContinue(t *testing.T) {
 	backend := newScript(t, echo)
 	e := newEntry(t, Config{}, backend.address)
