Check identities of links from both ends

Taken out once each, a test failed without: finding silence, counting a large message as life, the check of the nonce, of the IP number, of the receiver, of the id in an answer and in an envelope, ending a connection that came before the peer's own, the bound of a message, dropping the queue with its connection, ending connections of a peer taken out.

--- a/io/tackpeer/failure_test.go
+++ b/io/tackpeer/failure_test.go
@@ -6,15 +6,18 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
-	"go.uber.org/goleak"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 )
 
 // shortHeartbeat lets tests of silence end soon; nothing depends on it.
@@ -42,7 +45,7 @@
 // way; writes go on succeeding; a new connection would work.
 // Cause: a connection on which nothing arrives is not closed by anybody.
 func TestSilentConnection(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	for name, way := range map[string][2]bool{
 		"both ways": {true, true}, "towards the peer": {true, false}, "answers": {false, true},
 	} {
@@ -58,9 +61,10 @@
 					Peers: []Peer{{ID: "a", Address: la.Addr().String()}}})
 				defer b.stop()
 				arrives(t, a, b)
-				before := a.status("b").FoundSilent
+				found := func() uint64 { return a.status("b").FoundSilent + b.status("a").FoundSilent }
+				before := found() // either end may be the first to find it
 				r.forget(way[0], way[1])
-				eventually(t, "found silent", func() bool { return a.status("b").FoundSilent > before })
+				eventually(t, "found silent", func() bool { return found() > before })
 				for len(b.got) > 0 {
 					<-b.got
 				}
@@ -101,7 +105,7 @@
 // Cause: a queue that outlives the connection, or a check of identities that
 // holds on to the former life.
 func TestPeerRestarts(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	Convey("Links come back both ways, with nothing left over", t, func() {
 		nodes := mesh(t, 2, shortHeartbeat)
 		a, b := nodes[0], nodes[1]
@@ -125,6 +129,15 @@
 	})
 }
 
+// assertEnded waits for the other end to close the connection.
+func assertEnded(ws *websocket.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, _, err := ws.Read(ctx)
+	So(err, ShouldNotBeNil)
+	So(ctx.Err(), ShouldBeNil)
+}
+
 // stranger connects by hand, says h and returns the connection and the answer.
 func stranger(address string, h map[int]any) (*websocket.Conn, hello, error) {
 	ctx := context.Background()
@@ -143,7 +156,7 @@
 // sends under another id later; or the settings name a wrong address.
 // Cause: ids that are believed because they are said.
 func TestIdentityIsChecked(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	Convey("Of those that connect", t, func() {
 		nodes := mesh(t, 2, shortHeartbeat)
 		a := nodes[0]
@@ -166,26 +179,61 @@
 		arrives(t, nodes[1], a)
 	})
 	Convey("Of the one that answers at a peer's address", t, func() {
-		la, lb := listen(t), listen(t)
-		b := serve(Config{Self: "b", Listener: lb, Peers: []Peer{{ID: "a", Address: la.Addr().String()}}})
-		defer b.stop()
-		l := New(Config{Self: "a"})
-		k := newLink(l, Peer{ID: "c", Address: lb.Addr().String()})
+		var ready atomic.Bool
+		ready.Store(true)
+		address := answering(t, hello{Version: 1, From: "b", Nonce: 5}, &ready)
+		k := newLink(New(Config{Self: "a"}), Peer{ID: "c", Address: address})
 		_, _, err := k.dial(context.Background())
-		So(err.Error(), ShouldContainSubstring, "meant for another VM")
-		So(la.Close(), ShouldBeNil)
+		var identity *IdentityError
+		So(errors.As(err, &identity), ShouldBeTrue)
+		So(identity.Got, ShouldEqual, tackid.Peer("b"))
+	})
+	Convey("Of one that came while the peer was down", t, func() {
+		var ready atomic.Bool
+		address := answering(t, hello{Version: 1, From: "b", Nonce: 5}, &ready)
+		la := listen(t)
+		a := serve(Config{Self: "a", Listener: la, Peers: []Peer{{ID: "b", Address: address}, {ID: "c", Address: "127.0.0.2:1"}}})
+		defer a.stop()
+		_, _, err := stranger(la.Addr().String(), map[int]any{1: 1, 2: "c", 3: "a", 4: 1})
+		So(err.Error(), ShouldContainSubstring, "comes from 127.0.0.1")
+		ws, _, err := stranger(la.Addr().String(), map[int]any{1: 1, 2: "b", 3: "a", 4: 1, 6: 30_000})
+		So(err, ShouldBeNil)
+		ready.Store(true)
+		assertEnded(ws)
 	})
 }
 
+// answering answers every connection with h, once ready is set, and returns its
+// address.
+func answering(t *testing.T, h hello, ready *atomic.Bool) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !ready.Load() {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer ws.CloseNow()
+		_, _ = readHello(r.Context(), ws)
+		_ = writeHello(r.Context(), ws, h)
+		_, _, _ = ws.Read(context.Background())
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // Symptom: after an upgrade of one VM the others drop its connections.
 // Sequence: the newer release adds fields and kinds of messages.
 // Cause: a decoder that refuses what it does not know. What breaks the bounds
 // or is no message still ends the connection.
 func TestWhatIsUnknownIsPassedOver(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	text, _ := cbor.Marshal("hello")
 	unknown, _ := cbor.Marshal(map[int]any{3: "kind of tomorrow", 4: 1, 99: "x"})
 	known, _ := cbor.Marshal(map[int]any{3: "text", 4: cbor.RawMessage(text), 98: []int{1}})
+	long, _ := encode("text", strings.Repeat("x", batchBytes))
 	forged, _ := cbor.Marshal(Envelope{From: "c", Kind: "text", Body: text})
 	cases := map[string]struct {
 		batch   []byte
@@ -195,7 +243,7 @@
 		"fields and kinds":  {append(append([]byte{}, unknown...), known...), 1, true},
 		"no message":        {append(append([]byte{}, known...), 0xff, 0x00), 1, false},
 		"under another id":  {forged, 0, false},
-		"over the bound":    {[]byte(strings.Repeat("x", batchBytes+1)), 0, false},
+		"over the bound":    {long, 0, false},
 		"an envelope alone": {known, 1, true},
 	}
 	for name, c := range cases {
@@ -217,8 +265,7 @@
 					So(ws.Ping(context.Background()), ShouldBeNil)
 					return
 				}
-				_, _, err = ws.Read(context.Background())
-				So(err, ShouldNotBeNil)
+				assertEnded(ws)
 				So(len(a.got), ShouldEqual, 0)
 			})
 		})
@@ -254,7 +301,7 @@
 // Sequence: the set of peers changes while connections stand.
 // Cause: connections that are only checked when they are made.
 func TestPeersChange(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	Convey("A peer is taken out and comes back", t, func() {
 		nodes := mesh(t, 3, shortHeartbeat)
 		for _, n := range nodes {
--- a/io/tackpeer/links_test.go
+++ b/io/tackpeer/links_test.go
@@ -27,6 +27,11 @@
 	got    chan string
 }
 
+// noLeaks checks after the test and its cleanups that no goroutine is left.
+func noLeaks(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+}
+
 func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -100,7 +105,7 @@
 }
 
 func TestMessagesArrive(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	noLeaks(t)
 	Convey("Messages arrive whole, in order and under the sender's id", t, func() {
 		nodes := mesh(t, 2, 0)
 		defer nodes[0].stop()
