--- a/io/tackdisk/disk.go
+++ b/io/tackdisk/disk.go
@@ -12,6 +12,7 @@
 	"io"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -43,22 +44,26 @@
 	}
 
 	// Disk is an open data folder. Its methods may be called from several
-	// goroutines, and take effect one after the other.
+	// goroutines; saves go on while a snapshot is written.
 	Disk struct {
-		mu     sync.Mutex
 		folder string
 		opt    Options
 		files  Files
 		lock   io.Closer
 		id     identity
-		state  replay
+		syncs  atomic.Uint64
+		bytes  atomic.Uint64
+
+		// snapshots lets one snapshot be saved at a time; it is taken before
+		// mu, and without mu while the snapshot itself is written.
+		snapshots sync.Mutex
+		mu        sync.Mutex
+		state     replay
 		// sequence is the number of the newest log file.
 		sequence uint64
 		log      *logFile
 		failed   *FailedError
 		closed   bool
-		syncs    uint64
-		bytes    uint64
 	}
 )
 
@@ -108,23 +113,28 @@
 }
 
 // SaveSnapshot makes s durable and then drops the log up to it. A snapshot
-// that is not newer than the one on disk changes nothing. Errors are those of
-// Save.
+// that is not newer than the one on disk changes nothing. Save may be called
+// meanwhile, but not with entries that follow a snapshot which the log
+// disagrees with: those wait until this returns. Errors are those of Save.
 func (d *Disk) SaveSnapshot(s tackreplica.Snapshot) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := d.usable(); err != nil {
+	d.snapshots.Lock()
+	defer d.snapshots.Unlock()
+	newer, err := d.newer(s)
+	if err != nil || !newer {
 		return err
 	}
-	if s.Index <= d.state.mark.Index {
-		return nil
-	}
 	data, err := encodeSnapshot(s, d.id.salt(), d.opt.MaxSnapshotBytes)
 	if err != nil {
 		return err
 	}
-	if err := d.writeFile(snapshotName(s.Index), data); err != nil {
-		return d.fail(err)
+	failed := d.writeFile(snapshotName(s.Index), data)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if failed != nil {
+		return d.fail(failed)
+	}
+	if err := d.usable(); err != nil {
+		return err
 	}
 	d.state.compact(mark{Index: s.Index, Term: s.Term})
 	if err := d.rewrite(); err != nil {
@@ -133,18 +143,21 @@
 	return nil
 }
 
-// Syncs returns the number of syncs of files and folders since Open.
-func (d *Disk) Syncs() uint64 {
+// newer reports whether s is newer than the snapshot on disk.
+func (d *Disk) newer(s tackreplica.Snapshot) (bool, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.syncs
+	return s.Index > d.state.mark.Index, d.usable()
+}
+
+// Syncs returns the number of syncs of files and folders since Open.
+func (d *Disk) Syncs() uint64 {
+	return d.syncs.Load()
 }
 
 // Bytes returns the number of bytes written since Open.
 func (d *Disk) Bytes() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.bytes
+	return d.bytes.Load()
 }
 
 // Err returns the *FailedError of a disk that has failed, or nil.
@@ -159,6 +172,8 @@
 
 // Close releases the folder. All that was saved is durable already.
 func (d *Disk) Close() error {
+	d.snapshots.Lock()
+	defer d.snapshots.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
@@ -184,6 +199,9 @@
 // would follow. One would notice either only at the next restart, as a vote
 // or an entry that was answered for and is gone.
 func (d *Disk) fail(err error) error {
+	if d.failed != nil {
+		return d.failed
+	}
 	d.failed = &FailedError{Folder: d.folder, Err: err}
 	d.opt.Logger.WithError(err).WithField("folder", d.folder).
 		Error("data folder failed, it is not used again before a restart")
@@ -204,14 +222,14 @@
 // append writes one framed record and syncs it.
 func (d *Disk) append(framed []byte) error {
 	n, err := d.log.file.Write(framed)
-	d.bytes += uint64(max(n, 0))
+	d.bytes.Add(uint64(max(n, 0)))
 	if err == nil && n != len(framed) {
 		err = io.ErrShortWrite
 	}
 	if err != nil {
 		return fmt.Errorf("write %s: %w", d.log.name, err)
 	}
-	d.syncs++
+	d.syncs.Add(1)
 	if err := d.log.file.Sync(); err != nil {
 		return fmt.Errorf("sync %s: %w", d.log.name, err)
 	}
--- a/io/tackdisk/disk_test.go
+++ b/io/tackdisk/disk_test.go
@@ -42,3 +42,26 @@
 		So(stored.Entries, ShouldResemble, append(entries(3, 3, 3), entries(4, 4, 6)...))
 	})
 }
+
+// Symptom: a leader loses its lease each time it takes a snapshot.
+// Sequence: the snapshot is large, entries are to be saved while it is
+// written.
+// Cause: a save that waits for the snapshot. It must not, and what it saved
+// meanwhile must outlast the dropping of the log.
+func TestSaveDuringSnapshot(t *testing.T) {
+	Convey("Entries are saved while the snapshot is written", t, func() {
+		files := newFaultyFiles()
+		d, _, err := Open("/state", Options{Peer: "a", Files: files})
+		So(err, ShouldBeNil)
+		So(d.Save(nil, entries(1, 1, 3)), ShouldBeNil)
+		files.onCreate = func(string) {
+			files.onCreate = nil
+			So(d.Save(nil, entries(1, 4, 5)), ShouldBeNil)
+		}
+		So(d.SaveSnapshot(tackreplica.Snapshot{Index: 3, Term: 1}), ShouldBeNil)
+		files.powerCut(func() bool { return false })
+		_, stored, err := Open("/state", Options{Peer: "a", Files: files})
+		So(err, ShouldBeNil)
+		So(stored.Entries, ShouldResemble, entries(1, 4, 5))
+	})
+}
--- a/io/tackdisk/fault_test.go
+++ b/io/tackdisk/fault_test.go
@@ -25,6 +25,7 @@
 		operations int
 		at         int
 		fault      fault
+		onCreate   func(name string)
 	}
 
 	// inode is a file. A failed sync leaves its bytes readable and no longer
@@ -142,6 +143,9 @@
 	if err := f.simple(); err != nil {
 		return nil, err
 	}
+	if f.onCreate != nil {
+		f.onCreate(name)
+	}
 	file := &inode{}
 	f.change(name, file)
 	return &faultyFile{files: f, inode: file}, nil
--- a/io/tackdisk/folder.go
+++ b/io/tackdisk/folder.go
@@ -214,7 +214,7 @@
 	if err := d.files.Rename(temporary, d.path(name)); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	d.syncs++
+	d.syncs.Add(1)
 	if err := d.files.SyncFolder(d.folder); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
@@ -223,14 +223,14 @@
 
 func (d *Disk) fill(file File, data []byte) error {
 	n, err := file.Write(data)
-	d.bytes += uint64(max(n, 0))
+	d.bytes.Add(uint64(max(n, 0)))
 	if err == nil && n != len(data) {
 		err = io.ErrShortWrite
 	}
 	if err != nil {
 		return err
 	}
-	d.syncs++
+	d.syncs.Add(1)
 	return file.Sync()
 }
 
--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -98,8 +99,9 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: l.cfg.DialTimeout.Std(),
+		IdleTimeout:       l.cfg.DialTimeout.Std(),
 		MaxHeaderBytes:    helloBytes,
-		ErrorLog:          log.New(discard{}, "", 0),
+		ErrorLog:          log.New(io.Discard, "", 0),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
@@ -231,13 +233,14 @@
 	notify(k.kick)
 
 	ws.SetReadLimit(int64(max(l.cfg.MaxMessageBytes, batchBytes)))
+	// A handler that panics ends the process, as on any other goroutine. On
+	// this one net/http would recover it, and the VM would go on with a state
+	// that is half changed.
 	var group sync.WaitGroup
-	group.Go(func() {
-		heartbeat := min(max(tackclock.Duration(h.HeartbeatMS), minHeartbeat), maxHeartbeat)
-		cancel(conn.watch(ctx, heartbeat, func() {}))
-		ws.CloseNow()
-	})
-	cancel(l.deliver(ws, k))
+	group.Go(func() { cancel(l.deliver(ws, k)) })
+	heartbeat := min(max(tackclock.Duration(h.HeartbeatMS), minHeartbeat), maxHeartbeat)
+	cancel(conn.watch(ctx, heartbeat, func() {}))
+	ws.CloseNow()
 	group.Wait()
 	return context.Cause(ctx)
 }
@@ -303,7 +306,3 @@
 		l.cfg.Registry.Unregister(prefix + name)
 	}
 }
-
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
