--- a/io/tackdisk/disk_test.go
+++ b/io/tackdisk/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -65,3 +66,20 @@
 		So(stored.Entries, ShouldResemble, entries(1, 4, 5))
 	})
 }
+
+// TestCostOfSaves holds what a save costs the disk, whatever the machine.
+func TestCostOfSaves(t *testing.T) {
+	cases := []struct{ entries, maxBytes int }{{1, 200}, {16, 3_000}, {256, 47_000}}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("entries=%d", c.entries), func(t *testing.T) {
+			Convey("One sync, and few bytes beyond the entries", t, func() {
+				d, _, err := Open("/state", Options{Peer: "a", Files: newFaultyFiles()})
+				So(err, ShouldBeNil)
+				bytes, syncs := d.Bytes(), d.Syncs()
+				So(d.Save(nil, largeEntries(1, c.entries)), ShouldBeNil)
+				So(d.Syncs()-syncs, ShouldEqual, uint64(1))
+				So(d.Bytes()-bytes, ShouldBeLessThanOrEqualTo, uint64(c.maxBytes))
+			})
+		})
+	}
+}
--- a/io/tackpeer/bench_test.go
+++ b/io/tackpeer/bench_test.go
@@ -73,3 +73,27 @@
 		})
 	}
 }
+
+// BenchmarkSilence takes the time from when a connection is forgotten until
+// the link that took its place is up, with the default heartbeat. Run it with
+// -benchtime 20x.
+func BenchmarkSilence(b *testing.B) {
+	b.ReportAllocs()
+	la, lb := listen(b), listen(b)
+	r := newRelay(b, lb.Addr().String())
+	defer r.stop()
+	x := serve(Config{Self: "a", Listener: la, Peers: []Peer{{ID: "b", Address: r.Addr().String()}}})
+	defer x.stop()
+	y := serve(Config{Self: "b", Listener: lb, Peers: []Peer{{ID: "a", Address: la.Addr().String()}}})
+	defer y.stop()
+	var longest time.Duration
+	for b.Loop() {
+		eventually(b, "up", func() bool { return x.up("b") })
+		began := time.Now()
+		r.forget(true, true)
+		eventually(b, "found", func() bool { return !x.up("b") })
+		eventually(b, "up again", func() bool { return x.up("b") })
+		longest = max(longest, time.Since(began))
+	}
+	b.ReportMetric(float64(longest.Milliseconds()), "longest_ms")
+}
--- a/io/tackpeer/codec_test.go
+++ b/io/tackpeer/codec_test.go
@@ -42,6 +42,14 @@
 	})
 }
 
+// TestEnvelopeIsSmall holds what an envelope adds to a body of 200 bytes.
+func TestEnvelopeIsSmall(t *testing.T) {
+	data, err := encode("data", make([]byte, 200))
+	if err != nil || len(data) > 210 {
+		t.Fatalf("%d bytes, error %v", len(data), err)
+	}
+}
+
 // FuzzDecode feeds the decoders what a stranger might send: they must not
 // panic, must give errors of their own types, and no message under another
 // sender's id.
