--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -295,14 +295,3 @@
 func (k *link) log() logrus.FieldLogger {
 	return k.owner.cfg.Logger.WithField("peer", string(k.peer.ID))
 }
-
-// forget removes the metrics of a link that is gone.
-func (l *Links) forget(k *link) {
-	prefix := fmt.Sprintf("peer.%s.", k.peer.ID)
-	for _, name := range []string{
-		"sent_bytes", "received_bytes", "sent_messages", "received_messages",
-		"dropped_messages", "found_silent", "refused_connections", "unknown_kinds",
-	} {
-		l.cfg.Registry.Unregister(prefix + name)
-	}
-}
--- a/io/tackpeer/conn.go
+++ b/io/tackpeer/conn.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"auburntack/core/tackclock"
 )
 
@@ -22,15 +20,6 @@
 )
 
 type (
-	// counters are the metrics of one peer, or of all.
-	counters struct {
-		sentBytes, receivedBytes       metrics.Counter
-		sentMessages, receivedMessages metrics.Counter
-		dropped, foundSilent           metrics.Counter
-		refused, unknownKinds          metrics.Counter
-		total                          *counters
-	}
-
 	// countedConn counts the bytes that cross a connection.
 	countedConn struct {
 		net.Conn
@@ -50,40 +39,6 @@
 	}
 )
 
-func newCounters(r metrics.Registry, prefix string, total *counters) *counters {
-	counter := func(name string) metrics.Counter {
-		return metrics.GetOrRegisterCounter(prefix+name, r)
-	}
-	return &counters{
-		sentBytes:        counter("sent_bytes"),
-		receivedBytes:    counter("received_bytes"),
-		sentMessages:     counter("sent_messages"),
-		receivedMessages: counter("received_messages"),
-		dropped:          counter("dropped_messages"),
-		foundSilent:      counter("found_silent"),
-		refused:          counter("refused_connections"),
-		unknownKinds:     counter("unknown_kinds"),
-		total:            total,
-	}
-}
-
-// add adds n to the counter that which picks, of the peer and of the total.
-func (c *counters) add(which func(*counters) metrics.Counter, n int) {
-	which(c).Inc(int64(n))
-	if c.total != nil {
-		which(c.total).Inc(int64(n))
-	}
-}
-
-func sentBytes(c *counters) metrics.Counter        { return c.sentBytes }
-func receivedBytes(c *counters) metrics.Counter    { return c.receivedBytes }
-func sentMessages(c *counters) metrics.Counter     { return c.sentMessages }
-func receivedMessages(c *counters) metrics.Counter { return c.receivedMessages }
-func dropped(c *counters) metrics.Counter          { return c.dropped }
-func foundSilent(c *counters) metrics.Counter      { return c.foundSilent }
-func refused(c *counters) metrics.Counter          { return c.refused }
-func unknownKinds(c *counters) metrics.Counter     { return c.unknownKinds }
-
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/io/tackpeer/link.go
+++ b/io/tackpeer/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -44,11 +43,10 @@
 }
 
 func newLink(owner *Links, peer Peer) *link {
-	prefix := fmt.Sprintf("peer.%s.", peer.ID)
 	return &link{
 		owner:    owner,
 		peer:     peer,
-		counters: newCounters(owner.cfg.Registry, prefix, owner.total),
+		counters: newCounters(owner.cfg.Registry, metricPrefix(peer.ID), owner.total),
 		wake:     make(chan struct{}, 1),
 		kick:     make(chan struct{}, 1),
 		cancel:   func() {},
