--- a/io/tackdisk/disk.go
+++ b/io/tackdisk/disk.go
@@ -71,7 +71,8 @@
 // what it holds. A torn last record is left out and logged: it was never
 // answered as durable. The error is a *CorruptError where anything else is
 // broken, an *InUseError where another process has the folder open, an
-// *IdentityError where the folder belongs to another VM.
+// *IdentityError where the folder belongs to another VM, a *VersionError where
+// a later release wrote it.
 func Open(folder string, opt Options) (*Disk, tackreplica.Stored, error) {
 	d := &Disk{folder: folder, opt: opt.withDefaults()}
 	d.files = d.opt.Files
--- a/io/tackdisk/folder.go
+++ b/io/tackdisk/folder.go
@@ -94,6 +94,9 @@
 	if err := decoding.Unmarshal(payload, &d.id); err != nil {
 		return d.corrupt(identityName, 0, err)
 	}
+	if d.id.Version > formatVersion {
+		return &VersionError{Version: d.id.Version}
+	}
 	if d.id.Peer != d.opt.Peer {
 		return &IdentityError{Folder: d.folder, Want: d.opt.Peer, Got: d.id.Peer}
 	}
--- a/io/tackdisk/log.go
+++ b/io/tackdisk/log.go
@@ -118,6 +118,9 @@
 			return content, d.corrupt(name, at.offset, errFrame)
 		}
 		next, err := content.add(payload, n == 0)
+		if errors.As(err, new(*VersionError)) {
+			return content, err
+		}
 		if err != nil {
 			return content, d.corrupt(name, at.offset, err)
 		}
--- a/io/tackpeer/link.go
+++ b/io/tackpeer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,10 +129,7 @@
 		size += len(k.queue[n])
 		n++
 	}
-	batch := make([]byte, 0, size)
-	for _, data := range k.queue[:n] {
-		batch = append(batch, data...)
-	}
+	batch := slices.Concat(k.queue[:n]...)
 	k.queue = k.queue[n:]
 	k.queued -= size
 	if len(k.queue) == 0 {
