--- a/io/tackpeer/failure_test.go
+++ b/io/tackpeer/failure_test.go
@@ -129,6 +129,22 @@
 	})
 }
 
+// Symptom: a planned stop of the leader costs an election.
+// Sequence: it hands leadership over and stops; the message is still queued.
+// Cause: connections that are closed with messages waiting.
+func TestStopSendsWhatWaits(t *testing.T) {
+	noLeaks(t)
+	Convey("What was queued before the stop arrives", t, func() {
+		nodes := mesh(t, 2, 0)
+		defer nodes[1].stop()
+		for i := range 50 {
+			So(nodes[0].links.Send("vm-1", "text", fmt.Sprint(i)), ShouldBeNil)
+		}
+		nodes[0].stop()
+		eventually(t, "all arrive", func() bool { return len(nodes[1].got) == 50 })
+	})
+}
+
 // assertEnded waits for the other end to close the connection.
 func assertEnded(ws *websocket.Conn) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
