--- a/io/tackpeer/outgoing.go
+++ b/io/tackpeer/outgoing.go
@@ -118,7 +118,7 @@
 }
 
 func (k *link) dialCounted(ctx context.Context, network, address string) (*countedConn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{LocalAddr: k.owner.localAddr()}
 	plain, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -128,6 +128,26 @@
 	return conn, nil
 }
 
+// localAddr returns the IP number that this VM listens on, for connecting
+// from there too, or nil where it listens on all that it has. A VM with
+// several numbers would else come from one that its peers don't know it by,
+// and two such VMs would refuse each other for good.
+func (l *Links) localAddr() net.Addr {
+	address := l.cfg.Listen
+	if l.cfg.Listener != nil {
+		address = l.cfg.Listener.Addr().String()
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 // greet says who this VM is and checks that the peer is the one wanted.
 func (k *link) greet(ctx context.Context, ws *websocket.Conn) error {
 	ws.SetReadLimit(helloBytes)
--- a/io/tackpeer/socket_linux_test.go
+++ b/io/tackpeer/socket_linux_test.go
@@ -36,3 +36,23 @@
 		}
 	})
 }
+
+// Symptom: two VMs refuse each other from the first start on.
+// Sequence: each has several IP numbers and listens on one that is not its
+// first; the kernel has them connect from the first.
+// Cause: neither comes from the number that the other knows it by.
+func TestConnectsFromWhereItListens(t *testing.T) {
+	noLeaks(t)
+	Convey("Two VMs that each listen on a second number", t, func() {
+		la, err := net.Listen("tcp", "127.0.0.2:0")
+		So(err, ShouldBeNil)
+		lb, err := net.Listen("tcp", "127.0.0.3:0")
+		So(err, ShouldBeNil)
+		a := serve(Config{Self: "a", Listener: la, Peers: []Peer{{ID: "b", Address: lb.Addr().String()}}})
+		defer a.stop()
+		b := serve(Config{Self: "b", Listener: lb, Peers: []Peer{{ID: "a", Address: la.Addr().String()}}})
+		defer b.stop()
+		arrives(t, a, b)
+		arrives(t, b, a)
+	})
+}
