--- a/core/tackcommand/command_test.go
+++ b/core/tackcommand/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -151,3 +152,21 @@
 		}
 	})
 }
+
+// TestPage reads every example of the operators' page.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/LANGUAGE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(page), "```command\n")[1:]
+	if len(blocks) == 0 {
+		t.Fatal("the page has no example")
+	}
+	for _, block := range blocks {
+		example, _, _ := strings.Cut(block, "\n```")
+		for line := range strings.SplitSeq(example, "\n") {
+			assertText(t, line, line)
+		}
+	}
+}
--- a/core/tackquery/query_test.go
+++ b/core/tackquery/query_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -179,3 +180,23 @@
 		}
 	})
 }
+
+// TestPage reads every example of the operators' page.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/LANGUAGE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(page), "```query\n")[1:]
+	if len(blocks) == 0 {
+		t.Fatal("the page has no example")
+	}
+	for _, block := range blocks {
+		example, _, _ := strings.Cut(block, "\n```")
+		for line := range strings.SplitSeq(example, "\n") {
+			if q, err := Parse(line); err != nil || q.Text() != line {
+				t.Errorf("%s: reads as %q, %v", line, q.Text(), err)
+			}
+		}
+	}
+}
