--- a/core/tacklimit/refusal.go
+++ b/core/tacklimit/refusal.go
@@ -83,28 +83,29 @@
 }
 
 // room is how many requests of a class one team may have waiting: a multiple
-// of the free part of the queue. One team that floods stops at a part of the
-// queue, two at less each, and there is always room left for the next; with a
-// plain bound one team fills the queue and every other one is refused.
+// of the free part of the queue, and a few in any case. One team that floods
+// stops at a part of the queue and two at less each, and there is always room
+// for the next; with a plain bound one team fills the queue and every other one
+// is refused.
 func (g *Gate) room(class tackid.Class) int {
 	limit := g.Settings.Queue
 	if limit == 0 {
 		limit = defaultQueue
 	}
-	free := limit - g.Waiting()
+	room := limit - g.Waiting()
 	switch class {
 	case tackid.ClassUrgent:
-		return 2 * free
+		room *= 2
 	case tackid.ClassBatch:
-		return (free + 1) / 2
+		room /= 2
 	}
-	return free
+	return max(room, limit/sureDivisor, 1)
 }
 
 // expectedWait is how long a request of the team and class that came now would
 // wait, by the present drain rate: behind the higher classes, and behind its
 // own class in fair order, of which its team gets one turn in as many as there
-// are teams waiting.
+// are teams waiting. A team at its quota waits for slots of its own.
 func (g *Gate) expectedWait(now tackclock.Time, t *team, class tackid.Class) tackclock.Duration {
 	own := 0
 	if t != nil {
@@ -117,7 +118,11 @@
 		}
 		ahead += g.waiting[higher]
 	}
-	return g.drain.timeFor(now, ahead, class, g.capacity)
+	wait := g.drain.timeFor(now, ahead, class, g.capacity)
+	if t != nil && t.parked {
+		wait = max(wait, g.drain.typical()*tackclock.Duration(own+1)/tackclock.Duration(max(t.running, 1)))
+	}
+	return wait
 }
 
 // retryAfter bounds the time and spreads it by the request's ID.
