Answer a query about what does not exist with 404

tackquery.NotFoundError fell through to 504 unknown, which told the operator to send again. tackcommand.SyntaxError and tackquery.SyntaxError are one type, so one case serves both.

--- a/io/tackoperator/server.go
+++ b/io/tackoperator/server.go
@@ -320,15 +320,15 @@
 // writeFailure answers with the status that the contract gives for err.
 func writeFailure(w http.ResponseWriter, err error) {
 	var syntax *tackcommand.SyntaxError
-	var querySyntax *tackquery.SyntaxError
+	var missing *tackquery.NotFoundError
 	var field *tackmember.FieldError
 	var refused *tackfleet.RefusedError
 	var notRun *NotRunError
 	switch {
 	case errors.As(err, &syntax):
 		writeSyntaxError(w, syntax.Line, syntax.Column, syntax.Expected, err)
-	case errors.As(err, &querySyntax):
-		writeSyntaxError(w, querySyntax.Line, querySyntax.Column, querySyntax.Expected, err)
+	case errors.As(err, &missing):
+		writeError(w, http.StatusNotFound, errorDetail{Code: string(tackfleet.CodeMissing), Message: err.Error(), DidNotRun: true})
 	case errors.As(err, &field):
 		writeError(w, http.StatusBadRequest, errorDetail{Code: "bad_request", Message: err.Error(), DidNotRun: true, Field: field.Field})
 	case errors.As(err, &refused):
