--- a/core/tackfleet/benchmark_test.go
+++ b/core/tackfleet/benchmark_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
 	"auburntack/core/tackcommand"
 	"auburntack/core/tackid"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -82,6 +85,39 @@
 	}
 }
 
+// TestChangeBytes holds the bytes of the commonest changes in a log entry, and
+// those that a remembered command takes in a snapshot.
+func TestChangeBytes(t *testing.T) {
+	f := newFleet(t)
+	id := tackid.CommandID("0f8fad5b-d9cb-469f-a165-0e02b2c3d479")
+	var step []tackid.VM
+	for i := range 20 {
+		step = append(step, tackid.VM(fmt.Sprintf("worker-%04d", i)))
+	}
+	remembered := storedAnswer{ID: id, Time: 1_764_000_000_000, Answer: answer{Revision: 1_000_000}}
+	tests := []struct {
+		name  string
+		value any
+		bound int
+	}{
+		{"drain", Change{ID: id, Command: f.parse("drain vm worker-0001")}, 60},
+		{"set_config", Change{ID: id, Command: f.parse("set config log.level debug")}, 65},
+		{"observe", Change{Observe: []Observation{{VM: step[1], DataCentre: "rennes-a", Rack: "r4", Cores: 16, MemoryMB: 32768, Health: HealthServing}}}, 45},
+		{"wave_step_of_20", Change{WaveStep: &WaveStep{Wave: "night-12", VMs: step}}, 260},
+		{"wave_phase", Change{WavePhases: []WavePhase{{Wave: "night-12", VM: step[1], Phase: PhaseOperating, Operation: "night-12/worker-0001/1"}}}, 55},
+		{"remembered_command", remembered, 85},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			data, err := cbor.Marshal(test.value)
+			t.Logf("%d bytes", len(data))
+			if err != nil || len(data) > test.bound {
+				t.Fatalf("%d bytes, %v, want at most %d", len(data), err, test.bound)
+			}
+		})
+	}
+}
+
 // TestApplyAllocations holds the allocations of the commonest changes.
 func TestApplyAllocations(t *testing.T) {
 	f := fleetOf(t, sizes[2])
@@ -199,3 +235,48 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkCheckedBefore counts how often a budget would break if it were
+// checked by whoever proposes, against the state that it has applied, and not
+// again when the change is applied: with up to three changes under way, each
+// drains one of the 64 VMs of a pool with a budget of 80% or gives it back.
+func BenchmarkCheckedBefore(b *testing.B) {
+	const window, changes = 3, 10_000
+	for _, underWay := range []int{0, 1, window} {
+		b.Run(fmt.Sprintf("under_way=%d", underWay), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				broken := raceBudgets(b, underWay, changes)
+				b.ReportMetric(float64(broken)*1000/changes, "breaches/1000_changes")
+			}
+		})
+	}
+}
+
+// raceBudgets returns how many of the drains that had room when they were
+// proposed had none when they were applied, underWay changes later.
+func raceBudgets(b *testing.B, underWay, changes int) int {
+	f := fleetOf(b, sizes[2])
+	f.must("set budget service-0 min_available 80%")
+	random := rand.New(rand.NewPCG(1, 2))
+	var queue []Change
+	broken := 0
+	for range changes {
+		id := tackid.VM(fmt.Sprintf("worker-%04d", random.IntN(63)*benchPools))
+		v, _ := f.VM(id)
+		switch {
+		case v.State != VMInService:
+			queue = append(queue, Change{Command: &tackcommand.Command{UndrainVM: &tackcommand.UndrainVM{VM: id}}})
+		case f.CanTake([]tackid.VM{id}) == nil:
+			queue = append(queue, Change{Command: &tackcommand.Command{DrainVM: &tackcommand.DrainVM{VM: id}}})
+		}
+		if len(queue) <= underWay {
+			continue
+		}
+		if r := f.apply(queue[0]); r.Refused != nil && r.Refused.Code == CodeBudget {
+			broken++
+		}
+		queue = queue[1:]
+	}
+	return broken
+}
