--- a/core/tackfleet/change.go
+++ b/core/tackfleet/change.go
@@ -1,38 +1,12 @@
 package tackfleet
 
 import (
-	"fmt"
-
 	"auburntack/core/tackclock"
 	"auburntack/core/tackcommand"
 	"auburntack/core/tackid"
 )
 
-const (
-	// CodeBudget refuses what would break an availability budget.
-	CodeBudget Code = "budget"
-	// CodeStale refuses a command whose expected revision has passed.
-	CodeStale Code = "stale_revision"
-	// CodeExists refuses to create what exists.
-	CodeExists Code = "exists"
-	// CodeMissing refuses to change what does not exist.
-	CodeMissing Code = "not_found"
-	// CodeInUse refuses to take what something else holds.
-	CodeInUse Code = "in_use"
-	// CodeState refuses what the thing's state does not allow.
-	CodeState Code = "wrong_state"
-	// CodeInvalid refuses a value out of range.
-	CodeInvalid Code = "invalid"
-	// CodeQuota refuses what goes beyond a team's quota.
-	CodeQuota Code = "quota"
-	// CodeReused refuses a command id that came with another command.
-	CodeReused Code = "command_id_reused"
-)
-
 type (
-	// Code says in one word why a command was refused.
-	Code string
-
 	// Change is what one log entry asks of the fleet: exactly one of Command,
 	// which an operator gave, and the others, which the leader proposes from
 	// what it sees. A WaveStep takes all of its VMs or none. Of the lists,
@@ -53,49 +27,6 @@
 		Tasks      []TaskChange  `cbor:"10,keyasint,omitempty"`
 	}
 
-	// Observation tells what the announcements say of one VM.
-	Observation struct {
-		VM           tackid.VM         `cbor:"1,keyasint"`
-		DataCentre   tackid.DataCentre `cbor:"2,keyasint,omitempty"`
-		Rack         tackid.Rack       `cbor:"3,keyasint,omitempty"`
-		Cores        int               `cbor:"4,keyasint,omitempty"`
-		MemoryMB     int               `cbor:"5,keyasint,omitempty"`
-		Health       Health            `cbor:"6,keyasint,omitempty"`
-		Accelerators int               `cbor:"7,keyasint,omitempty"`
-	}
-
-	// WaveStep takes VMs out of service for a wave. All of them are drained,
-	// or none where a budget forbids it.
-	WaveStep struct {
-		Wave tackid.Wave `cbor:"1,keyasint"`
-		VMs  []tackid.VM `cbor:"2,keyasint"`
-	}
-
-	// WavePhase takes one VM to the next phase of a wave.
-	WavePhase struct {
-		Wave      tackid.Wave      `cbor:"1,keyasint"`
-		VM        tackid.VM        `cbor:"2,keyasint"`
-		Phase     Phase            `cbor:"3,keyasint"`
-		Operation tackid.Operation `cbor:"4,keyasint,omitempty"`
-	}
-
-	// WaveEnd ends or stops a wave.
-	WaveEnd struct {
-		Wave   tackid.Wave `cbor:"1,keyasint"`
-		Status WaveStatus  `cbor:"2,keyasint"`
-		Reason string      `cbor:"3,keyasint,omitempty"`
-	}
-
-	// TaskChange takes one task to the next state. Tries counts up when
-	// State is TaskRunning.
-	TaskChange struct {
-		Task         tackid.Task `cbor:"1,keyasint"`
-		State        TaskState   `cbor:"2,keyasint"`
-		Worker       tackid.VM   `cbor:"3,keyasint,omitempty"`
-		Reason       string      `cbor:"4,keyasint,omitempty"`
-		Checkpointed bool        `cbor:"5,keyasint,omitempty"`
-	}
-
 	// Result is what applying a change came to. Revision is where the change
 	// stands; for a command that was sent before, it is the first one's.
 	// Refused is nil for an accepted change.
@@ -106,11 +37,11 @@
 		PassedOver int
 	}
 
-	// RefusedError says why a change was refused. Nothing was done.
-	RefusedError struct {
-		Code   Code            `cbor:"1,keyasint"`
-		Reason string          `cbor:"2,keyasint"`
-		At     tackid.Revision `cbor:"3,keyasint,omitempty"`
+	// Setting is one configured value and the revision that set it.
+	Setting struct {
+		Key      string          `cbor:"1,keyasint"`
+		Value    string          `cbor:"2,keyasint"`
+		Revision tackid.Revision `cbor:"3,keyasint"`
 	}
 
 	// Event is one line of the history.
@@ -123,8 +54,3 @@
 		Key      string           `cbor:"6,keyasint,omitempty"`
 	}
 )
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("refused: %s: %s", e.Code, e.Reason)
-}
--- a/core/tackfleet/history.go
+++ b/core/tackfleet/history.go
@@ -63,8 +63,8 @@
 // record adds an event at the current revision. The oldest events are dropped
 // a quarter of the limit at a time, so that they are not shifted each time.
 func (s *State) record(e Event) {
-	e.Revision = s.revision
-	e.Time = s.now
+	e.Revision = s.at.Revision
+	e.Time = s.at.Time
 	e.ID = s.command
 	s.events = append(s.events, e)
 	if len(s.events) > EventLimit {
--- a/core/tackfleet/query.go
+++ b/core/tackfleet/query.go
@@ -3,91 +3,80 @@
 import (
 	"iter"
 
+	"auburntack/core/tackbudget"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
 
 // Revision returns the revision of the last change that was applied.
 func (s *State) Revision() tackid.Revision {
-	return s.revision
+	return s.at.Revision
 }
 
 // Now returns the time of the last change that was applied.
 func (s *State) Now() tackclock.Time {
-	return s.now
+	return s.at.Time
 }
 
 // VM returns one VM and whether there is such a VM.
 func (s *State) VM(id tackid.VM) (VM, bool) {
-	return valueOf(s.vms.Get(id))
+	return valueOf(s.roster.VM(id))
 }
 
 // VMs returns every VM, sorted by id.
 func (s *State) VMs() []VM {
-	return s.vms.Values()
+	return s.roster.VMs()
 }
 
 // EachVM ranges over every VM, sorted by id, without copying them all.
 func (s *State) EachVM() iter.Seq[*VM] {
-	return func(yield func(*VM) bool) {
-		for _, v := range s.vms.All() {
-			if !yield(v) {
-				return
-			}
-		}
-	}
+	return s.roster.EachVM()
 }
 
 // VMsOf returns the VMs of a pool, sorted by id. A VM that is moving away is
 // still among them; one that is moving in is not.
 func (s *State) VMsOf(pool tackid.Pool) []VM {
-	ids := s.members[pool]
+	ids := s.roster.Members(pool)
 	vms := make([]VM, 0, len(ids))
 	for _, id := range ids {
-		vms = append(vms, *s.vms.Get(id))
+		vms = append(vms, *s.roster.VM(id))
 	}
 	return vms
 }
 
 // Pool returns one pool and whether there is such a pool.
 func (s *State) Pool(id tackid.Pool) (Pool, bool) {
-	return valueOf(s.pools.Get(id))
+	return valueOf(s.roster.Pool(id))
 }
 
 // Pools returns every pool, sorted by id.
 func (s *State) Pools() []Pool {
-	return s.pools.Values()
+	return s.roster.Pools()
 }
 
 // Service returns one service and whether there is such a service.
 func (s *State) Service(id tackid.Service) (Service, bool) {
-	return valueOf(s.services.Get(id))
+	return valueOf(s.roster.Service(id))
 }
 
 // Services returns every service, sorted by id.
 func (s *State) Services() []Service {
-	return s.services.Values()
+	return s.roster.Services()
 }
 
 // ServicesOn returns the services that are placed on a pool, sorted by id.
 func (s *State) ServicesOn(pool tackid.Pool) []Service {
-	var services []Service
-	for _, v := range s.services.All() {
-		if v.Pool == pool {
-			services = append(services, *v)
-		}
-	}
-	return services
+	return s.roster.ServicesOn(pool)
 }
 
 // Quota returns the quota of a team and whether one was set.
 func (s *State) Quota(team tackid.Team) (Quota, bool) {
-	return valueOf(s.quotas.Get(team))
+	return valueOf(s.tasks.Quota(team))
 }
 
 // Quotas returns every quota, sorted by team.
 func (s *State) Quotas() []Quota {
-	return s.quotas.Values()
+	return s.tasks.Quotas()
 }
 
 // Setting returns the value of a configuration key and whether it was set.
@@ -102,32 +91,43 @@
 
 // Wave returns one wave and whether there is such a wave.
 func (s *State) Wave(id tackid.Wave) (Wave, bool) {
-	return valueOf(s.waves.Get(id))
+	return valueOf(s.rollouts.Wave(id))
 }
 
 // Waves returns every wave, sorted by id.
 func (s *State) Waves() []Wave {
-	return s.waves.Values()
+	return s.rollouts.Waves()
 }
 
 // Task returns one task and whether there is such a task.
 func (s *State) Task(id tackid.Task) (Task, bool) {
-	return valueOf(s.tasks.Get(id))
+	return valueOf(s.tasks.Task(id))
 }
 
 // Tasks returns every task, sorted by id.
 func (s *State) Tasks() []Task {
-	return s.tasks.Values()
+	return s.tasks.Tasks()
 }
 
 // RunningOn returns how many tasks run on a worker.
 func (s *State) RunningOn(worker tackid.VM) int {
-	return s.running[worker]
+	return s.tasks.RunningOn(worker)
 }
 
 // CoresOf returns how many cores the team's running tasks hold.
 func (s *State) CoresOf(team tackid.Team) int {
-	return s.cores[team]
+	return s.tasks.CoresOf(team)
+}
+
+// CanTake reports whether the VMs may all be taken out of service now,
+// together; nil means that they may. Apply asks the same again.
+func (s *State) CanTake(vms []tackid.VM) *RefusedError {
+	return s.roster.CanTake(vms)
+}
+
+// Count returns how the VMs of a pool stand towards its budgets now.
+func (s *State) Count(pool tackid.Pool) tackbudget.Count {
+	return s.roster.Count(pool)
 }
 
 // valueOf returns a copy of a row and whether there was one.
--- a/core/tackfleet/state.go
+++ b/core/tackfleet/state.go
@@ -1,6 +1,10 @@
 // Package tackfleet is the state machine that the replicated log drives: VMs,
 // pools, services and their budgets, quotas, settings, waves and tasks. The
 // same changes in the same order give the same state on every peer.
+//
+// The rules are in the packages tackroster, tackrollout and tacktask. This one
+// decides between them, answers a command once however often it is sent, and
+// keeps the settings and the history.
 package tackfleet
 
 import (
@@ -9,8 +13,12 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackcommand"
+	"auburntack/core/tackentry"
 	"auburntack/core/tackid"
+	"auburntack/core/tackrollout"
+	"auburntack/core/tackroster"
 	"auburntack/core/tacktable"
+	"auburntack/core/tacktask"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -23,47 +31,20 @@
 	CommandLimit = 200_000
 	// EventLimit is how many events the history keeps.
 	EventLimit = 10_000
-	// EndedAge is how long a task that ended is kept.
-	EndedAge = 24 * tackclock.Hour
-	// EndedTaskLimit is how many ended tasks are kept at most.
-	EndedTaskLimit = 10_000
-	// EndedWaveLimit is how many ended waves are kept at most.
-	EndedWaveLimit = 200
-	// RemovedAge is how long a removed VM is remembered, so that one added
-	// again at once is fenced from its old pool first.
-	RemovedAge = 10 * tackclock.Minute
-	// RemovedLimit is how many removed VMs are remembered at most.
-	RemovedLimit = 10_000
 )
 
-const waveAge = 365 * tackclock.Day
-
 type (
 	// State is the fleet at one revision. Its zero value is an empty fleet.
 	// It is not safe for concurrent use; what the query methods return must
 	// not be changed by the caller and holds until the next Apply.
 	State struct {
-		revision tackid.Revision
-		now      tackclock.Time
-
-		vms      tacktable.Table[tackid.VM, VM]
-		pools    tacktable.Table[tackid.Pool, Pool]
-		services tacktable.Table[tackid.Service, Service]
-		quotas   tacktable.Table[tackid.Team, Quota]
+		at       tackentry.At
+		roster   tackroster.Roster
+		rollouts tackrollout.Rollouts
+		tasks    tacktask.Tasks
 		settings tacktable.Table[string, Setting]
-		waves    tacktable.Table[tackid.Wave, Wave]
-		tasks    tacktable.Table[tackid.Task, Task]
-
-		answers    tacktable.Recent[tackid.CommandID, answer]
-		removed    tacktable.Recent[tackid.VM, struct{}]
-		endedTasks tacktable.Recent[tackid.Task, struct{}]
-		endedWaves tacktable.Recent[tackid.Wave, struct{}]
-		events     []Event
-
-		// What follows is worked out from the above.
-		members map[tackid.Pool][]tackid.VM
-		running map[tackid.VM]int
-		cores   map[tackid.Team]int
+		answers  tacktable.Recent[tackid.CommandID, answer]
+		events   []Event
 
 		// command is the id of the command that is being applied.
 		command tackid.CommandID
@@ -88,9 +69,11 @@
 // Without that, an operator who lost the answer and sends again through
 // another peer would drain or start twice.
 func (s *State) Apply(revision tackid.Revision, now tackclock.Time, c Change) Result {
-	s.revision = revision
-	s.now = max(s.now, now)
-	s.trim()
+	s.at = tackentry.At{Revision: revision, Time: max(s.at.Time, now)}
+	s.answers.Trim(s.at.Time, CommandAge, CommandLimit)
+	s.roster.Trim(s.at.Time)
+	s.rollouts.Trim(s.at.Time)
+	s.tasks.Trim(s.at.Time)
 	if c.ID == "" {
 		return s.change(&c)
 	}
@@ -101,35 +84,13 @@
 	s.command = c.ID
 	result := s.change(&c)
 	s.command = ""
-	s.answers.Put(s.now, c.ID, answer{Revision: revision, Print: printed, Refused: result.Refused})
+	s.answers.Put(s.at.Time, c.ID, answer{Revision: revision, Print: printed, Refused: result.Refused})
 	return result
 }
 
-// trim drops what is too old or too much to be kept.
-func (s *State) trim() {
-	s.answers.Trim(s.now, CommandAge, CommandLimit)
-	s.removed.Trim(s.now, RemovedAge, RemovedLimit)
-	for _, ended := range s.endedTasks.Trim(s.now, EndedAge, EndedTaskLimit) {
-		s.tasks.Delete(ended.Key)
-	}
-	for _, ended := range s.endedWaves.Trim(s.now, waveAge, EndedWaveLimit) {
-		s.dropWave(ended.Key)
-	}
-}
-
-// dropWave forgets an ended wave, unless it still holds a VM: without its
-// wave the VM could never come back.
-func (s *State) dropWave(id tackid.Wave) {
-	if w := s.waves.Get(id); w != nil && w.Holding() > 0 {
-		s.endedWaves.Put(s.now, id, struct{}{})
-		return
-	}
-	s.waves.Delete(id)
-}
-
 // change applies c, which is known not to be a repetition.
 func (s *State) change(c *Change) Result {
-	result := Result{Revision: s.revision}
+	result := Result{Revision: s.at.Revision}
 	switch {
 	case c.Command != nil:
 		result.Refused = s.commanded(c.Command, c.Expect)
@@ -174,7 +135,7 @@
 	if a.Print != printed {
 		return Result{
 			Revision: a.Revision,
-			Refused:  refuse(CodeReused, "command id %q came with another command at revision %d", id, a.Revision),
+			Refused:  tackentry.Refuse(CodeReused, "command id %q came with another command at revision %d", id, a.Revision),
 		}
 	}
 	return Result{Revision: a.Revision, Repeated: true, Refused: a.Refused}
@@ -190,8 +151,3 @@
 	sum := sha256.Sum256(data)
 	return fingerprint(sum[:len(fingerprint{})])
 }
-
-// refuse returns a refusal with a formatted reason.
-func refuse(code Code, format string, args ...any) *RefusedError {
-	return &RefusedError{Code: code, Reason: fmt.Sprintf(format, args...)}
-}
--- a/core/tackfleet/phase.go
+++ b/core/tackrollout/phase.go
@@ -1,4 +1,4 @@
-package tackfleet
+package tackrollout
 
 import (
 	"slices"
@@ -67,7 +67,10 @@
 
 // Member returns the VM's way through the wave and whether it is part of it.
 func (w *Wave) Member(id tackid.VM) (WaveVM, bool) {
-	return valueOf(w.member(id))
+	if m := w.member(id); m != nil {
+		return *m, true
+	}
+	return WaveVM{}, false
 }
 
 // member returns the wave's record of a VM, or nil. The records are sorted.
@@ -91,8 +94,3 @@
 func (w *Wave) ended() bool {
 	return w.Status == WaveFinished || w.Status == WaveCancelled
 }
-
-// ended reports whether the task needs nothing more by itself.
-func (t *Task) ended() bool {
-	return t.State != TaskQueued && t.State != TaskRunning
-}
--- /dev/null
+++ b/core/tackroster/vms.go
@@ -0,0 +1,222 @@
+package tackroster
+
+import (
+	"auburntack/core/tackcommand"
+	"auburntack/core/tackentry"
+	"auburntack/core/tackid"
+)
+
+// AddVM puts a new VM into a pool; its health is unknown until it announces
+// itself. A VM that was removed a short while ago enters like a moved one: a
+// peer that has not applied the removal yet still routes to it by its old
+// pool, and the VM would serve two pools at once.
+func (r *Roster) AddVM(at tackentry.At, c *tackcommand.AddVM) *tackentry.RefusedError {
+	if v := r.vms.Get(c.VM); v != nil {
+		return tackentry.Refuse(tackentry.CodeExists, "vm %q exists in pool %q", c.VM, v.Pool)
+	}
+	if refused := r.NeedPool(c.Pool); refused != nil {
+		return refused
+	}
+	v := VM{ID: c.VM, Pool: c.Pool, Since: at.Time, Touched: at.Revision}
+	if _, found := r.removed.Get(c.VM); found {
+		v.State = VMMoving
+		v.MovingTo = c.Pool
+		v.Fence = at.Revision
+	}
+	r.vms.Put(c.VM, v)
+	r.join(at, c.Pool, c.VM)
+	return nil
+}
+
+// MoveVM makes the VM leave its pool. It stays counted as a down member of
+// the old pool until Joined puts it in the new one.
+func (r *Roster) MoveVM(at tackentry.At, c *tackcommand.MoveVM) *tackentry.RefusedError {
+	v, refused := r.Unheld(c.VM)
+	if refused != nil {
+		return refused
+	}
+	if refused := r.NeedPool(c.Pool); refused != nil {
+		return refused
+	}
+	if v.Pool == c.Pool {
+		return tackentry.Refuse(tackentry.CodeState, "vm %q is in pool %q", c.VM, c.Pool)
+	}
+	if v.State == VMMoving || v.State == VMFailed {
+		return v.refuse("move")
+	}
+	if refused := r.CanTake([]tackid.VM{c.VM}); refused != nil {
+		return refused
+	}
+	v.enter(at, VMMoving)
+	v.MovingTo = c.Pool
+	v.Touched = at.Revision
+	r.touchPool(at, v.Pool)
+	return nil
+}
+
+// DrainVM takes a VM out of service by an operator's wish.
+func (r *Roster) DrainVM(at tackentry.At, c *tackcommand.DrainVM) *tackentry.RefusedError {
+	v, refused := r.Unheld(c.VM)
+	if refused != nil {
+		return refused
+	}
+	if v.State != VMInService {
+		return v.refuse("drain")
+	}
+	if refused := r.CanTake([]tackid.VM{c.VM}); refused != nil {
+		return refused
+	}
+	v.enter(at, VMDraining)
+	v.Touched = at.Revision
+	return nil
+}
+
+// UndrainVM puts a drained or failed VM back in service.
+func (r *Roster) UndrainVM(at tackentry.At, c *tackcommand.UndrainVM) *tackentry.RefusedError {
+	v, refused := r.Unheld(c.VM)
+	if refused != nil {
+		return refused
+	}
+	switch v.State {
+	case VMDraining, VMDrained, VMFailed:
+		v.enter(at, VMInService)
+		v.Touched = at.Revision
+		return nil
+	}
+	return v.refuse("undrain")
+}
+
+// RemoveVM forgets a VM.
+func (r *Roster) RemoveVM(at tackentry.At, c *tackcommand.RemoveVM) *tackentry.RefusedError {
+	v, refused := r.Unheld(c.VM)
+	if refused != nil {
+		return refused
+	}
+	if refused := r.CanTake([]tackid.VM{c.VM}); refused != nil {
+		return refused
+	}
+	r.leave(at, v.Pool, c.VM)
+	r.vms.Delete(c.VM)
+	r.removed.Put(at.Time, c.VM, struct{}{})
+	return nil
+}
+
+// Drained notes that no work is left on a VM that an operator drained.
+func (r *Roster) Drained(at tackentry.At, id tackid.VM) *tackentry.RefusedError {
+	v, refused := r.Unheld(id)
+	if refused != nil {
+		return refused
+	}
+	if v.State != VMDraining {
+		return v.refuse("end the drain of")
+	}
+	v.enter(at, VMDrained)
+	return nil
+}
+
+// Joined puts a moving VM into its new pool. The leader proposes it only once
+// no peer can route to the VM by the old pool. The backend servers of the new
+// pool have not been seen yet, so the health starts as unknown.
+func (r *Roster) Joined(at tackentry.At, id tackid.VM) *tackentry.RefusedError {
+	v, refused := r.Unheld(id)
+	if refused != nil {
+		return refused
+	}
+	if v.State != VMMoving {
+		return v.refuse("join")
+	}
+	r.leave(at, v.Pool, v.ID)
+	v.Pool = v.MovingTo
+	v.MovingTo = ""
+	r.join(at, v.Pool, v.ID)
+	v.enter(at, VMInService)
+	v.Health = HealthUnknown
+	v.HealthSince = at.Time
+	v.Touched = at.Revision
+	return nil
+}
+
+// Observe takes over what a VM announced and reports whether its health
+// changed. It never changes a pool.
+func (r *Roster) Observe(at tackentry.At, o *Observation) (bool, *tackentry.RefusedError) {
+	v := r.vms.Get(o.VM)
+	if v == nil {
+		return false, tackentry.Refuse(tackentry.CodeMissing, "no vm %q", o.VM)
+	}
+	v.describe(o)
+	if v.Health == o.Health {
+		return false, nil
+	}
+	v.Health = o.Health
+	v.HealthSince = at.Time
+	return true, nil
+}
+
+// Unheld returns a VM that no wave holds.
+func (r *Roster) Unheld(id tackid.VM) (*VM, *tackentry.RefusedError) {
+	v := r.vms.Get(id)
+	if v == nil {
+		return nil, tackentry.Refuse(tackentry.CodeMissing, "no vm %q", id)
+	}
+	if v.Wave != "" {
+		return nil, tackentry.Refuse(tackentry.CodeInUse, "wave %q holds vm %q, pause or cancel it first", v.Wave, id)
+	}
+	return v, nil
+}
+
+// Hold drains a VM for a wave, which has asked CanTake.
+func (r *Roster) Hold(at tackentry.At, id tackid.VM, wave tackid.Wave) {
+	v := r.vms.Get(id)
+	v.enter(at, VMDraining)
+	v.Wave = wave
+	v.Touched = at.Revision
+}
+
+// Progress takes a VM that a wave holds to its next state.
+func (r *Roster) Progress(at tackentry.At, id tackid.VM, state VMState) {
+	r.vms.Get(id).enter(at, state)
+}
+
+// GiveBack ends a wave's hold on a VM and leaves it in a state.
+func (r *Roster) GiveBack(at tackentry.At, id tackid.VM, state VMState) {
+	v := r.vms.Get(id)
+	v.Wave = ""
+	v.Touched = at.Revision
+	v.enter(at, state)
+}
+
+// enter changes the VM's state and sets the fence where the VM stops being
+// routable.
+func (v *VM) enter(at tackentry.At, state VMState) {
+	was := v.Routable()
+	v.State = state
+	v.Since = at.Time
+	if was && !v.Routable() {
+		v.Fence = at.Revision
+	}
+}
+
+// describe takes over where the VM is and what it has. What was not announced
+// stays as it was.
+func (v *VM) describe(o *Observation) {
+	if o.DataCentre != "" {
+		v.DataCentre = o.DataCentre
+	}
+	if o.Rack != "" {
+		v.Rack = o.Rack
+	}
+	if o.Cores > 0 {
+		v.Cores = o.Cores
+	}
+	if o.MemoryMB > 0 {
+		v.MemoryMB = o.MemoryMB
+	}
+	if o.Accelerators > 0 {
+		v.Accelerators = o.Accelerators
+	}
+}
+
+// refuse refuses what the VM's state does not allow.
+func (v *VM) refuse(what string) *tackentry.RefusedError {
+	return tackentry.Refuse(tackentry.CodeState, "can't %s vm %q, it is %s", what, v.ID, v.State)
+}
--- a/core/tacktable/recent.go
+++ b/core/tacktable/recent.go
@@ -17,8 +17,8 @@
 
 	// Stamp is a key and the time at which it came.
 	Stamp[K comparable] struct {
-		Key  K
-		Time tackclock.Time
+		Key  K              `cbor:"1,keyasint"`
+		Time tackclock.Time `cbor:"2,keyasint"`
 	}
 )
 
