Reach more steps at random, and check the tables by themselves

Random wave steps mostly name VMs of the wave's pool. New failure cases: a wave that starts while a VM is moving away, a join while a task runs.

--- a/core/tackfleet/property_test.go
+++ b/core/tackfleet/property_test.go
@@ -30,8 +30,7 @@
 	case 3, 4:
 		return Change{Observe: []Observation{{VM: draw(t, someVMs), Health: draw(t, []Health{HealthServing, HealthServing, HealthServing, HealthLost, HealthUnknown})}}}
 	case 5, 6:
-		vms := rapid.SliceOfNDistinct(rapid.SampledFrom(someVMs), 1, 3, rapid.ID).Draw(t, "step")
-		return Change{WaveStep: &WaveStep{Wave: draw(t, someWaves), VMs: vms}}
+		return Change{WaveStep: drawStep(t, s)}
 	case 7, 8:
 		return Change{WavePhases: []WavePhase{drawPhase(t, s)}}
 	case 9:
@@ -43,6 +42,20 @@
 	return Change{Tasks: []TaskChange{{Task: draw(t, someTasks), State: state, Worker: draw(t, someVMs)}}}
 }
 
+// drawStep draws a step of a wave, mostly with VMs of its pool.
+func drawStep(t *rapid.T, s *State) *WaveStep {
+	step := &WaveStep{Wave: draw(t, someWaves)}
+	vms := someVMs
+	if w, found := s.Wave(step.Wave); found && len(s.VMsOf(w.Pool)) > 0 && rapid.IntRange(0, 7).Draw(t, "own pool") > 0 {
+		vms = nil
+		for _, v := range s.VMsOf(w.Pool) {
+			vms = append(vms, v.ID)
+		}
+	}
+	step.VMs = rapid.SliceOfNDistinct(rapid.SampledFrom(vms), 1, min(3, len(vms)), rapid.ID).Draw(t, "step")
+	return step
+}
+
 // drawPhase draws a phase for a VM, mostly the one that comes next for a VM
 // that a wave holds.
 func drawPhase(t *rapid.T, s *State) WavePhase {
--- a/core/tackfleet/waves_test.go
+++ b/core/tackfleet/waves_test.go
@@ -70,6 +70,10 @@
 	assertRefused(t, f.do("undrain vm w-1"), CodeInUse)
 	f.must("move vm w-2 to pool b")
 	assertPhase(t, f, "m", "w-2", PhaseSkipped)
+	f.must("create wave o over pool a action reboot", "start wave o")
+	if w, _ := f.Wave("o"); len(w.VMs) != 1 {
+		t.Fatalf("wave o waits for %v, want w-1 only", w.VMs)
+	}
 	end := Change{WaveEnd: &WaveEnd{Wave: "m", Status: WaveFinished}}
 	assertRefused(t, f.apply(end), CodeState)
 	assertAccepted(t, f.phase("m", "w-1", PhaseOperating))
@@ -95,7 +99,13 @@
 	assertAccepted(t, run("once", TaskRunning))
 	assertRefused(t, run("often", TaskRunning), CodeQuota)
 	assertRefused(t, f.do("remove vm w-1"), CodeInUse)
+	f.must("create pool b", "move vm w-1 to pool b")
+	assertRefused(t, f.apply(Change{Joined: []tackid.VM{"w-1"}}), CodeInUse)
 	assertAccepted(t, run("once", TaskQueued))
+	assertAccepted(t, f.apply(Change{Joined: []tackid.VM{"w-1"}}))
+	assertRefused(t, run("often", TaskRunning), CodeState)
+	f.must("move vm w-1 to pool a")
+	assertAccepted(t, f.apply(Change{Joined: []tackid.VM{"w-1"}}))
 	assertRefused(t, run("once", TaskRunning), CodeState)
 	last := tackid.Token(0)
 	for range MaxTries {
