--- a/core/tackcommand/command_test.go
+++ b/core/tackcommand/command_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"auburntack/core/tackid"
+	"auburntack/core/tacksyntax"
 
 	"pgregory.net/rapid"
 )
@@ -87,9 +88,10 @@
 		{"set quota t slots 99999999999", 1, 19, "99999999999", "a number"},
 		{"create task t for x on pool p cores 1 memory_mb 1 class slow", 1, 57, "slow", "batch or normal or urgent"},
 		{"drain w-1", 1, 7, "w-1", "vm"},
+		{"drain vm " + strings.Repeat("w", tacksyntax.MaxText), 1, 1, "more", "at most 16384 bytes"},
 	}
 	for _, test := range tests {
-		t.Run(test.text, func(t *testing.T) {
+		t.Run(test.text[:min(40, len(test.text))], func(t *testing.T) {
 			_, err := Parse(test.text)
 			var e *SyntaxError
 			if !errors.As(err, &e) {
--- a/core/tacksyntax/language.go
+++ b/core/tacksyntax/language.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"regexp"
 	"slices"
 	"strings"
@@ -14,6 +15,10 @@
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
+// MaxText is how long a text may be, in bytes. An error tries every keyword
+// in its place, so an endless text would keep a peer busy.
+const MaxText = 16 << 10
+
 const (
 	// endOfText is what an error expects where nothing further may follow.
 	endOfText = "the end of the text"
@@ -84,6 +89,9 @@
 
 // Parse reads a text. The error is an *Error.
 func (l *Language[G]) Parse(text string) (*G, error) {
+	if len(text) > MaxText {
+		return nil, &Error{Line: 1, Column: 1, Expected: []string{fmt.Sprintf("at most %d bytes", MaxText)}, Got: "more"}
+	}
 	g, err := l.parser.ParseString("", text)
 	if err == nil {
 		return g, nil
