--- a/core/tackquery/run.go
+++ b/core/tackquery/run.go
@@ -138,7 +138,7 @@
 }
 
 func history(q *History, src Source) Table {
-	table := Table{Columns: []string{"revision", "time", "event", "command_id"}}
+	table := Table{Columns: []string{"revision", "time", "event", "command_id"}, Rows: [][]any{}}
 	for _, e := range src.Fleet().History(tackfleet.Filter{VM: q.VM, Key: q.Key}) {
 		table.Rows = append(table.Rows, []any{uint64(e.Revision), e.Time.String(), e.Text, string(e.ID)})
 	}
