--- /dev/null
+++ b/core/tackbudget/example_test.go
@@ -0,0 +1,19 @@
+package tackbudget_test
+
+import (
+	"fmt"
+
+	"auburntack/core/tackbudget"
+)
+
+// Ten VMs, one of them lost and one settling, under a budget of 80%: taking
+// one more would leave seven proven VMs where eight are asked for.
+func ExampleShort() {
+	var count tackbudget.Count
+	for i := range 10 {
+		count.Add(tackbudget.Standing{Available: i != 0, Settling: i == 1, Taken: i == 2})
+	}
+	budget := tackbudget.Budget{MinAvailable: 80, Percent: true}
+	fmt.Println(tackbudget.Required(budget, count.Total), count.Available, count.Proven, tackbudget.Short(budget, count))
+	// Output: 8 8 7 1
+}
