Explain a wrong value that stands before the place of an error

Fuzzing for 60 s found 'set config ""': the parser reports the missing value, nothing could follow the empty key, and the error expected nothing.

--- a/core/tackcommand/command_test.go
+++ b/core/tackcommand/command_test.go
@@ -80,6 +80,7 @@
 		{"create pool", 1, 12, "", "a name"},
 		{"create pool p\n  extra", 2, 3, "extra", "the end of the text"},
 		{"create pool \"\"", 1, 13, `""`, "a name"},
+		{"set config \"\"", 1, 12, `""`, "a name"},
 		{"create pool \"open", 1, 13, `"open`, "a closing quote"},
 		{"create service s pool p", 1, 18, "pool", "on"},
 		{"create wave w over pool p action kill", 1, 34, "kill", "reboot or upgrade"},
--- a/core/tacksyntax/language.go
+++ b/core/tacksyntax/language.go
@@ -113,7 +113,24 @@
 		e.Expected = []string{closingQuote}
 		return e
 	}
-	e.Expected = l.expected(text[:pos.Offset])
+	prefix := text[:pos.Offset]
+	e.Expected = l.expected(prefix)
+	if len(e.Expected) == 0 {
+		return l.explainEarlier(prefix, e)
+	}
+	return e
+}
+
+// explainEarlier explains a text in which nothing may follow the prefix,
+// since a value in the prefix itself is wrong: the parser looks at the values
+// only after it has read all the words.
+func (l *Language[G]) explainEarlier(prefix string, e *Error) *Error {
+	_, err := l.parser.ParseString("", prefix+" "+valueProbes[0].text)
+	var positioned participle.Error
+	if errors.As(err, &positioned) && positioned.Position().Offset < len(prefix) {
+		return l.explain(prefix, err)
+	}
+	e.Expected = []string{endOfText}
 	return e
 }
 
