Keep the allocations of an observation at three

Formatting its event by fmt had brought a fourth, and a fifth under the race detector, which the bound of four refused (go test -race, failed once).

--- a/core/tackfleet/proposed.go
+++ b/core/tackfleet/proposed.go
@@ -11,7 +11,7 @@
 func (s *State) observe(o *Observation) *RefusedError {
 	changed, refused := s.roster.Observe(s.at, o)
 	if changed {
-		s.record(eventOf(o.VM, "vm %s is %s", o.VM, o.Health))
+		s.record(eventOf(o.VM, "is "+o.Health.String()))
 	}
 	return refused
 }
@@ -24,7 +24,7 @@
 	if refused := s.roster.Drained(s.at, *id); refused != nil {
 		return refused
 	}
-	s.record(eventOf(*id, "vm %s is drained", *id))
+	s.record(eventOf(*id, "is drained"))
 	return nil
 }
 
@@ -36,7 +36,7 @@
 	if refused := s.roster.Joined(s.at, *id); refused != nil {
 		return refused
 	}
-	s.record(eventOf(*id, "vm %s joined pool %s", *id, s.roster.VM(*id).Pool))
+	s.record(eventOf(*id, "joined pool "+string(s.roster.VM(*id).Pool)))
 	return nil
 }
 
@@ -61,7 +61,7 @@
 		return refused
 	}
 	if c.Phase == PhaseDone || c.Phase == PhaseFailed {
-		s.record(eventOf(c.VM, "vm %s is %s in wave %s", c.VM, c.Phase, c.Wave))
+		s.record(eventOf(c.VM, "is "+c.Phase.String()+" in wave "+string(c.Wave)))
 	}
 	return nil
 }
@@ -103,7 +103,7 @@
 	return nil
 }
 
-// eventOf returns an event that concerns one VM.
-func eventOf(id tackid.VM, format string, args ...any) Event {
-	return Event{Text: fmt.Sprintf(format, args...), VMs: []tackid.VM{id}}
+// eventOf returns an event that tells what became of one VM.
+func eventOf(id tackid.VM, what string) Event {
+	return Event{Text: "vm " + string(id) + " " + what, VMs: []tackid.VM{id}}
 }
