--- a/core/tackcommand/command_test.go
+++ b/core/tackcommand/command_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
 
 	"auburntack/core/tackid"
+	"auburntack/core/tacksyntax"
 
 	"pgregory.net/rapid"
 )
@@ -78,6 +80,7 @@
 		{"create pool", 1, 12, "", "a name"},
 		{"create pool p\n  extra", 2, 3, "extra", "the end of the text"},
 		{"create pool \"\"", 1, 13, `""`, "a name"},
+		{"set config \"\"", 1, 12, `""`, "a name"},
 		{"create pool \"open", 1, 13, `"open`, "a closing quote"},
 		{"create service s pool p", 1, 18, "pool", "on"},
 		{"create wave w over pool p action kill", 1, 34, "kill", "reboot or upgrade"},
@@ -86,9 +89,10 @@
 		{"set quota t slots 99999999999", 1, 19, "99999999999", "a number"},
 		{"create task t for x on pool p cores 1 memory_mb 1 class slow", 1, 57, "slow", "batch or normal or urgent"},
 		{"drain w-1", 1, 7, "w-1", "vm"},
+		{"drain vm " + strings.Repeat("w", tacksyntax.MaxText), 1, 1, "more", "at most 16384 bytes"},
 	}
 	for _, test := range tests {
-		t.Run(test.text, func(t *testing.T) {
+		t.Run(test.text[:min(40, len(test.text))], func(t *testing.T) {
 			_, err := Parse(test.text)
 			var e *SyntaxError
 			if !errors.As(err, &e) {
@@ -151,3 +155,21 @@
 		}
 	})
 }
+
+// TestPage reads every example of the operators' page.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/LANGUAGE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(page), "```command\n")[1:]
+	if len(blocks) == 0 {
+		t.Fatal("the page has no example")
+	}
+	for _, block := range blocks {
+		example, _, _ := strings.Cut(block, "\n```")
+		for line := range strings.SplitSeq(example, "\n") {
+			assertText(t, line, line)
+		}
+	}
+}
