Keep the number of VMs out at once steady through a night

A wave that slowed down whenever it was ahead had to take 3 at once for its last VMs, and one slow first VM made the whole night look late.

--- a/core/tackwave/bench_test.go
+++ b/core/tackwave/bench_test.go
@@ -22,6 +22,7 @@
 		only   int // how many of the nights are run, 0 for all
 		faults faults
 		losses bool // a rack and a data centre are lost under waves
+		step   tackclock.Duration
 	}
 
 	poolSize struct {
@@ -44,10 +45,10 @@
 )
 
 var (
-	brittany = scenario{name: "Brittany", dcs: 4, nights: 1, pools: []poolSize{
+	brittany = scenario{name: "Brittany", dcs: 4, nights: 1, step: tackclock.Second, pools: []poolSize{
 		{"names-api", 8, 75}, {"communes", 9, 75}, {"addresses", 11, 75}, {"heritage", 12, 75}, {"backoffice", 8, 75},
 		{"workers", 50, 80}}}
-	mindanao = scenario{name: "Mindanao", dcs: 3, nights: 1, prefer: PreferTime, pools: []poolSize{
+	mindanao = scenario{name: "Mindanao", dcs: 3, nights: 1, step: tackclock.Second, prefer: PreferTime, pools: []poolSize{
 		{"dawn-svc", 9, 75}, {"ramadan-svc", 9, 75}, {"jumuah-svc", 11, 75}, {"eid-svc", 12, 75}, {"member-svc", 8, 75},
 		{"workers", 50, 80}}}
 	letter = scenario{name: "letter 1", dcs: 10, nights: 18, prefer: PreferTime, pools: letterPools(2300), losses: true,
@@ -107,6 +108,7 @@
 func (s scenario) measure(p policy) outcome {
 	w := newWorld(1)
 	w.cfg.Prefer = s.prefer
+	w.step = cmp.Or(s.step, w.step)
 	for _, pool := range s.pools {
 		w.addPool(pool.name, pool.vms, s.dcs, percent(pool.budget), p.group == nil)
 	}
--- a/core/tackwave/phase.go
+++ b/core/tackwave/phase.go
@@ -76,7 +76,7 @@
 	case t.idle(m.VM, m.Fence):
 		p.Phase = tackfleet.PhaseOperating
 		p.Operation = operationID(w, m)
-		t.times.drain.add(waited)
+		t.times.drain.add(waited, expectedDrain)
 	case waited >= t.cfg.DrainLimit:
 		p.Phase = tackfleet.PhaseWaiting
 		t.busy[m.VM] = t.now
@@ -97,7 +97,7 @@
 	switch {
 	case confirmed && st.State == PlatformServing:
 		p.Phase = tackfleet.PhaseReturning
-		t.times.operation.add(waited)
+		t.times.operation.add(waited, t.cfg.Reboot)
 		delete(t.asked, m.Operation)
 	case confirmed && st.State == PlatformFailed && tries(m.Operation) < t.cfg.MaxTries:
 		p.Operation = operationID(w, m)
@@ -117,7 +117,7 @@
 	switch {
 	case vm.Health == tackfleet.HealthServing:
 		p.Phase = tackfleet.PhaseSettling
-		t.times.back.add(waited)
+		t.times.back.add(waited, expectedBack)
 	case waited >= domainPatience*t.cfg.OperationLimit,
 		waited >= t.cfg.OperationLimit && !t.domainLost(w, vm):
 		p.Phase = tackfleet.PhaseFailed
--- a/core/tackwave/planner.go
+++ b/core/tackwave/planner.go
@@ -32,6 +32,7 @@
 		base    census                    // scratch of room
 		sizes   map[tackid.DataCentre]int // scratch of room
 		count   int                       // ticks so far
+		fewest  int                       // VMs out at once that end the waves in time
 		held    map[tackid.Wave][]Hold
 		binds   map[tackid.Wave]string
 	}
--- a/core/tackwave/share.go
+++ b/core/tackwave/share.go
@@ -44,14 +44,17 @@
 // share sets how many more VMs the waves may take together. To hold few VMs
 // idle, waves over several pools take turns as long as all of them end in
 // time: for each end, the VMs of the waves due by then must fit into the
-// rounds that are left until then.
+// rounds that are left until then. The number does not go down again before
+// the waves have ended: a wave that slowed down whenever it was ahead would
+// have to take more VMs at once for its last ones.
 func (t *tick) share(running []runningWave) {
 	t.slots = math.MaxInt
-	if t.cfg.Prefer != PreferBuffer {
+	if t.cfg.Prefer != PreferBuffer || len(running) == 0 {
+		t.fewest = 1
 		return
 	}
 	cycle := t.times.away(t.cfg) + t.settling()
-	fewest, due, held := 1, 0, 0
+	due, held := 0, 0
 	for i := range running {
 		r := &running[i]
 		due += r.todo()
@@ -61,7 +64,7 @@
 		if rounds < 1 {
 			return
 		}
-		fewest = max(fewest, (due+rounds-1)/rounds)
+		t.fewest = max(1, t.fewest, (due+rounds-1)/rounds)
 	}
-	t.slots = fewest - held
+	t.slots = t.fewest - held
 }
--- a/core/tackwave/times.go
+++ b/core/tackwave/times.go
@@ -11,6 +11,8 @@
 const (
 	// learnRate is the weight of the newest duration, one part in learnRate.
 	learnRate = 8
+	// priorWeight is how many durations the expectation counts for.
+	priorWeight = 3
 
 	// repairHorizon is how long after a repair a loss counts as the second
 	// one, and the longest settling time.
@@ -34,7 +36,7 @@
 	// span is a learned duration. Its zero value has seen nothing.
 	span struct {
 		mean tackclock.Duration
-		seen bool
+		seen int // up to learnRate-priorWeight
 	}
 
 	// times are the durations of one VM's maintenance.
@@ -58,16 +60,18 @@
 // noLoss stands for a repair that no loss followed.
 const noLoss = repairHorizon + 1
 
-func (s *span) add(d tackclock.Duration) {
-	if !s.seen {
-		s.mean, s.seen = d, true
-		return
+// add takes in a duration that was seen. What was expected before the first
+// one counts like a few: one slow VM must not make a whole night look late.
+func (s *span) add(d, expected tackclock.Duration) {
+	if s.seen == 0 {
+		s.mean = expected
 	}
-	s.mean += (d - s.mean) / learnRate
+	s.seen = min(s.seen+1, learnRate-priorWeight)
+	s.mean += (d - s.mean) / tackclock.Duration(s.seen+priorWeight)
 }
 
 func (s *span) or(d tackclock.Duration) tackclock.Duration {
-	if s.seen {
+	if s.seen > 0 {
 		return s.mean
 	}
 	return d
