--- a/core/tackwave/bench_test.go
+++ b/core/tackwave/bench_test.go
@@ -52,8 +52,8 @@
 		{"dawn-svc", 9, 75}, {"ramadan-svc", 9, 75}, {"jumuah-svc", 11, 75}, {"eid-svc", 12, 75}, {"member-svc", 8, 75},
 		{"workers", 50, 80}}}
 	letter = scenario{name: "letter 1", dcs: 10, nights: 18, prefer: PreferTime, pools: letterPools(2300), losses: true,
-		// 16 failures and 530 restarts a day among 2,300 VMs, by steps of 5 s.
-		faults: faults{loss: 546.0 / 2300 / 17280, second: 0.02}}
+		// 16 failures and 530 restarts a day among 2,300 VMs, by steps of 2 s.
+		step: 2 * tackclock.Second, faults: faults{loss: 546.0 / 2300 / 43200, second: 0.02}}
 	scenarios = []scenario{brittany, mindanao, letter}
 
 	policies = []policy{
@@ -217,9 +217,9 @@
 		length  float64 // minutes
 		reserve float64 // times the bound with the reserve
 	}{
-		{brittany, 2, 240, 10},
-		{mindanao, 17, 40, 1.6},
-		{short, 12, 200, 2.1},
+		{brittany, 2, 200, 8},
+		{mindanao, 17, 38, 1.5},
+		{short, 12, 195, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := c.measure(policies[0])
