--- a/core/tackwave/cost.go
+++ b/core/tackwave/cost.go
@@ -72,30 +72,37 @@
 // is the time of the newest change. The answer comes from the planner that
 // runs waves, over a copy of the pool, with what it expects by the settings.
 func Cost(f *tackfleet.State, pool tackid.Pool, action tackfleet.Action, maxParallel int, cfg Settings) Plan {
-	p := &Planner{}
-	return p.cost(f, f.Now(), pool, action, maxParallel, cfg, true)
+	r := newRun(&Planner{}, cfg, f.Now(), true)
+	return r.cost(f, pool, action, maxParallel)
 }
 
 // Cost is like the function Cost, at the view's time and with the durations
 // that the planner has learned.
 func (p *Planner) Cost(v View, pool tackid.Pool, action tackfleet.Action, maxParallel int, cfg Settings) Plan {
-	return p.cost(v.Fleet(), v.Now(), pool, action, maxParallel, cfg, v.Platform())
+	r := newRun(p, cfg, v.Now(), v.Platform())
+	return r.cost(v.Fleet(), pool, action, maxParallel)
 }
 
-func (p *Planner) cost(f *tackfleet.State, now tackclock.Time, pool tackid.Pool, action tackfleet.Action, maxParallel int, cfg Settings, platform bool) Plan {
-	cfg = cfg.withDefaults()
-	m := &model{
+// newRun returns a run with what the planner has learned.
+func newRun(p *Planner, cfg Settings, now tackclock.Time, platform bool) *run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &run{cfg: cfg.withDefaults(), binds: make(map[string]tackclock.Duration)}
+	r.p.times = p.times
+	r.p.repair.settled = p.repair.settled
+	r.m = &model{
 		now:        now,
 		f:          &tackfleet.State{},
 		drain:      p.times.drain.or(expectedDrain),
-		operation:  p.times.operation.or(cfg.Reboot) + p.times.back.or(expectedBack),
+		operation:  p.times.operation.or(r.cfg.Reboot) + p.times.back.or(expectedBack),
 		operations: make(map[tackid.VM]modelOperation),
 		platform:   platform,
 	}
-	m.copyPool(f, pool)
-	r := &run{m: m, cfg: cfg, binds: make(map[string]tackclock.Duration)}
-	r.p.times = p.times
-	r.p.repair.settled = p.repair.settled
+	return r
+}
+
+func (r *run) cost(f *tackfleet.State, pool tackid.Pool, action tackfleet.Action, maxParallel int) Plan {
+	r.m.copyPool(f, pool)
 	r.start(pool, action, maxParallel)
 	r.drive()
 	r.plan.Moves = runningOn(f, pool)
--- a/core/tackwave/planner.go
+++ b/core/tackwave/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
@@ -19,9 +20,10 @@
 	// Planner decides how waves go on. What it keeps is only learned: how
 	// long drains and operations take, and how often a VM is lost again after
 	// a repair. A new one starts from the settings and makes the same
-	// decisions but for that. The zero value is ready; it is not safe for
-	// concurrent use.
+	// decisions but for that. The zero value is ready; it is safe for
+	// concurrent use, since operators ask for costs and holds meanwhile.
 	Planner struct {
+		mu     sync.Mutex
 		times  times
 		repair repairs
 		asked  map[tackid.Operation]tackclock.Time
@@ -66,6 +68,8 @@
 // so. A change it proposes may get lost or be refused: the next tick sees the
 // state as it is and proposes again.
 func (p *Planner) Decide(v View, cfg Settings) Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.init()
 	t := &tick{Planner: p, v: v, f: v.Fleet(), now: v.Now(), cfg: cfg.withDefaults()}
 	t.done = make(map[tackid.VM]bool)
@@ -86,12 +90,16 @@
 
 // Holds returns the VMs that kept the wave waiting at the last tick.
 func (p *Planner) Holds(w tackid.Wave) []Hold {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.held[w]
 }
 
 // Binds returns what kept the wave from taking more VMs at the last tick; it
 // is empty where nothing did.
 func (p *Planner) Binds(w tackid.Wave) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.binds[w]
 }
 
