--- a/core/tackwave/step.go
+++ b/core/tackwave/step.go
@@ -103,7 +103,7 @@
 	}
 	others := 0
 	for _, vm := range t.members[w.Pool] {
-		if vm.Wave == "" && vm.State == tackfleet.VMInService && vm.Health == tackfleet.HealthLost &&
+		if vm.Wave == "" && vm.State == tackfleet.VMInService && vm.Health != tackfleet.HealthServing &&
 			t.now.Sub(vm.HealthSince) < narrowFor {
 			others++
 		}
--- a/core/tackwave/times.go
+++ b/core/tackwave/times.go
@@ -107,7 +107,7 @@
 		r.add(noLoss)
 		delete(r.back, vm.ID)
 	case r.away[vm.ID] && vm.Available():
-		r.back[vm.ID] = now
+		r.back[vm.ID] = max(vm.Since, vm.HealthSince)
 		delete(r.away, vm.ID)
 	}
 }
