--- a/core/tackwave/planner_test.go
+++ b/core/tackwave/planner_test.go
@@ -194,7 +194,7 @@
 	w.run(longest)
 	assertSound(t, w)
 	assertNoneLeft(t, w)
-	assertWave(t, w, "n", tackfleet.WaveStopped, "more than 2")
+	assertWave(t, w, "n", tackfleet.WaveStopped, "more than 1")
 	if w.drains > 20 {
 		t.Errorf("%d of 64 VMs were taken before the wave stopped", w.drains)
 	}
--- a/core/tackwave/wave.go
+++ b/core/tackwave/wave.go
@@ -47,7 +47,7 @@
 	defaultLostWait       = 2 * tackclock.Minute
 	defaultCanary         = 1
 	defaultMaxTries       = 2
-	defaultLostShare      = 30 // one VM in 30 may be lost
+	defaultLostShare      = 50 // one VM in 50 may be lost
 )
 
 type (
@@ -86,7 +86,7 @@
 		// Canary is the number of VMs of the first step; 1.
 		Canary int
 		// MaxLost is how many VMs a wave may lose before it stops by itself:
-		// zero is 1 in 30 of its VMs, at least 1; a negative number is none.
+		// zero is 1 in 50 of its VMs, at least 1; a negative number is none.
 		// A loss among the canary VMs always stops the wave.
 		MaxLost int
 		// MaxTries is how often the platform is asked for one VM's operation
