--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -76,7 +76,7 @@
 
 		capacity int
 
-		entries map[uint64]*entry
+		entries table
 		teams   map[tackid.Team]*team
 		parked  []*team
 		fair    [classes]fairQueue
@@ -89,7 +89,6 @@
 		stale   []uint64
 		started []uint64
 		expired []uint64
-		free    *entry
 	}
 
 	// entry is a request that waits or runs.
@@ -105,9 +104,10 @@
 		// time any more; zero if there is no deadline.
 		giveUp tackclock.Time
 		// prev and next link the entries of a lane, later and earlier those
-		// of a bucket of the wheel.
+		// of a bucket of the wheel, chain those of a cell of the table.
 		prev, next     *entry
 		earlier, later *entry
+		chain          *entry
 	}
 )
 
@@ -117,7 +117,7 @@
 	if r.Deadline != 0 && !now.Before(r.Deadline) {
 		return g.refuse(now, r, CodeDeadlinePassed, 0)
 	}
-	if g.entries[r.ID] != nil {
+	if g.entries.get(r.ID) != nil {
 		return g.refuse(now, r, CodeDuplicate, 0)
 	}
 	t := g.teamOf(r.Team)
@@ -138,7 +138,7 @@
 // returns the requests that start in its place.
 func (g *Gate) Release(now tackclock.Time, id uint64) (started []uint64) {
 	g.started = g.started[:0]
-	e := g.entries[id]
+	e := g.entries.get(id)
 	if e == nil || !e.running {
 		return g.started
 	}
@@ -154,7 +154,7 @@
 // Cancel takes a request that waits out of the queue and reports whether it
 // did; after that it is never started. A request that runs must be released.
 func (g *Gate) Cancel(_ tackclock.Time, id uint64) bool {
-	e := g.entries[id]
+	e := g.entries.get(id)
 	if e == nil || e.running {
 		return false
 	}
@@ -271,7 +271,7 @@
 // they were next, unless they were cancelled since.
 func (g *Gate) expireStale() {
 	for _, id := range g.stale {
-		if e := g.entries[id]; e != nil && e.stale {
+		if e := g.entries.get(id); e != nil && e.stale {
 			g.expired = append(g.expired, id)
 			g.remove(e)
 		}
@@ -366,24 +366,14 @@
 }
 
 func (g *Gate) newEntry(r Request, t *team) *entry {
-	if g.entries == nil {
-		g.entries = make(map[uint64]*entry)
-	}
-	e := g.free
-	if e == nil {
-		e = new(entry)
-	} else {
-		g.free = e.next
-	}
-	*e = entry{Request: r, team: t}
-	g.entries[r.ID] = e
+	e := g.entries.add(r)
+	e.team = t
 	return e
 }
 
 // remove forgets an entry that neither waits nor runs.
 func (g *Gate) remove(e *entry) {
-	delete(g.entries, e.ID)
-	g.forget(e.team)
-	*e = entry{Request: e.Request, next: g.free}
-	g.free = e
+	t := e.team
+	g.entries.remove(e)
+	g.forget(t)
 }
