Test the division of slots under loss, reordering and the loss of an owner

Each entry VM of a data centre now keeps one slot at least: the model showed an idle one with none, which could start nothing while it was cut off.

--- a/core/tackshare/allocate.go
+++ b/core/tackshare/allocate.go
@@ -12,6 +12,7 @@
 type claimant struct {
 	peer    tackid.Peer
 	session *session
+	want    int
 	held    int
 	// target is its fair part of what all want.
 	target int
@@ -51,13 +52,19 @@
 	return len(s.peers) > 1 && now.Sub(o.since) < lease+margin
 }
 
+// claimants returns the holders in the division. A member wants one slot at
+// least, so that its first request after a pause starts at once, and so that it
+// has something to go on with if it is cut off.
 func (s *Sharer) claimants(g *group) []claimant {
 	members := g.members(s.live)
 	var all []claimant
 	for _, peer := range sortedPeers(g.owning.sessions) {
 		h := g.owning.sessions[peer]
-		spread := h.want > 0 || slices.Contains(members, peer)
-		all = append(all, claimant{peer: peer, session: h, held: h.held(), spread: spread})
+		c := claimant{peer: peer, session: h, want: h.want, held: h.held(), spread: h.want > 0}
+		if slices.Contains(members, peer) {
+			c.want, c.spread = max(c.want, 1), true
+		}
+		all = append(all, c)
 	}
 	return all
 }
@@ -67,18 +74,18 @@
 // wanted, so that callers wait about equally long at a busy entry VM as at
 // others, and a flood at one does not stop the others.
 func setTargets(claimants []claimant, slots int) {
-	floor := slots / (2 * max(len(claimants), 1))
+	floor := max(slots/(2*max(len(claimants), 1)), min(slots/max(len(claimants), 1), 1))
 	unmet := 0
 	for i := range claimants {
 		c := &claimants[i]
-		c.target = min(c.session.want, floor)
+		c.target = min(c.want, floor)
 		slots -= c.target
-		unmet += c.session.want - c.target
+		unmet += c.want - c.target
 	}
 	rest := min(slots, unmet)
 	for i := range claimants {
 		c := &claimants[i]
-		more := c.session.want - c.target
+		more := c.want - c.target
 		if more <= 0 {
 			continue
 		}
@@ -107,7 +114,7 @@
 	var found *claimant
 	for i := range claimants {
 		c := &claimants[i]
-		if c.spread && (found == nil || c.held-c.session.want < found.held-found.session.want) {
+		if c.spread && (found == nil || c.held-c.want < found.held-found.want) {
 			found = c
 		}
 	}
--- a/core/tackshare/model_test.go
+++ b/core/tackshare/model_test.go
@@ -18,6 +18,10 @@
 	executorSlots                = 8
 	meanService                  = 50.0
 	patience                     = 2 * tackclock.Second
+	// tickEvery and tickAgain are how often a Sharer is ticked, and how soon
+	// again when requests begin to wait.
+	tickEvery = 100 * tackclock.Millisecond
+	tickAgain = 10 * tackclock.Millisecond
 )
 
 type (
@@ -280,9 +284,11 @@
 type leasedShares struct {
 	vms      []*entryVM
 	flying   []envelope
-	delay    tackclock.Duration
 	messages int
 	bytes    int
+	// random, if set, makes the network lose a tenth of the frames, double a
+	// tenth and delay each by up to 60 ms.
+	random *rand.Rand
 }
 
 type (
@@ -330,7 +336,7 @@
 }
 
 func newLeasedShares(l load) *leasedShares {
-	w := &leasedShares{delay: 1}
+	w := new(leasedShares)
 	var peers []tackshare.Neighbour
 	for vm := range l.vms {
 		peers = append(peers, tackshare.Neighbour{Peer: peerOf(vm), DataCentre: home})
@@ -350,7 +356,7 @@
 
 func (w *leasedShares) pick(now tackclock.Time, vm int) (int, bool) {
 	c, ok := w.vms[vm].chooser.Pick(now, tackroute.Ask{Home: home})
-	if !ok {
+	if !ok || w.vms[vm].down {
 		return 0, false
 	}
 	return executorOf(c), true
@@ -381,9 +387,9 @@
 		}
 	}
 	for vm, v := range w.vms {
-		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= 5
+		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= tickAgain
 		v.waiting = waiting[vm]
-		if v.down || (now.Sub(v.ticked) < 25 && !began) {
+		if v.down || (now.Sub(v.ticked) < tickEvery && !began) {
 			continue
 		}
 		v.ticked = now
@@ -397,8 +403,35 @@
 		encoded, _ := cbor.Marshal(o.Frame)
 		w.messages++
 		w.bytes += len(encoded)
-		w.flying = append(w.flying, envelope{at: now.Add(w.delay), from: from, to: to, frame: o.Frame})
+		for range w.copies() {
+			w.flying = append(w.flying, envelope{at: now.Add(w.delay()), from: from, to: to, frame: o.Frame})
+		}
+	}
+}
+
+func (w *leasedShares) copies() int {
+	if w.random == nil {
+		return 1
+	}
+	switch w.random.IntN(10) {
+	case 0:
+		return 0
+	case 1:
+		return 2
 	}
+	return 1
+}
+
+func (w *leasedShares) delay() tackclock.Duration {
+	if w.random == nil {
+		return 1
+	}
+	return tackclock.Duration(1 + w.random.IntN(60))
+}
+
+// capacity is what an entry VM may have in flight.
+func (w *leasedShares) capacity(now tackclock.Time, vm int) int {
+	return w.vms[vm].chooser.Capacity(now, tackroute.Ask{Home: home})
 }
 
 func (w *leasedShares) traffic() (int, int) { return w.messages, w.bytes }
