--- a/core/tackshare/sharer_test.go
+++ b/core/tackshare/sharer_test.go
@@ -78,6 +78,9 @@
 	c.most = max(c.most, total)
 }
 
+// hotVM is the entry VM that most requests come through in TestOwnerIsLost.
+const hotVM = 1
+
 // outage takes an entry VM down, or cuts it off, at a time of the model.
 type outage struct {
 	*leasedShares
@@ -85,7 +88,10 @@
 	at     tackclock.Time
 	cut    bool
 	lowest int
-	after  int
+	// busiest is the least capacity of the entry VM that most requests come
+	// through, and after the last capacity of all that are left.
+	busiest int
+	after   int
 }
 
 func (o *outage) tick(now tackclock.Time, waiting []int) {
@@ -106,6 +112,7 @@
 		return
 	}
 	o.after = 0
+	o.busiest = min(o.busiest, o.capacity(now, hotVM))
 	for vm := range o.vms {
 		c := o.capacity(now, vm)
 		if vm != o.vm {
@@ -128,13 +135,16 @@
 		for _, cut := range []bool{false, true} {
 			t.Run(fmt.Sprint("entry VM ", vm, " cut ", cut), func(t *testing.T) {
 				convey.Convey("After the loss", t, func() {
-					l := load{vms: 4, executors: 4, part: 0.6, hot: 0.8, hotFor: 100 * tackclock.Second}
+					l := load{vms: 4, executors: 4, part: 0.6, hot: 0.8, hotFor: 80 * tackclock.Second}
 					way := &outage{leasedShares: newLeasedShares(l), vm: vm, at: start.Add(8 * tackclock.Second),
-						cut: cut, lowest: 100}
+						cut: cut, lowest: 100, busiest: 100}
 					r := runModel(l, way, 1, 15*tackclock.Second)
 					if !cut {
 						assertWithinSlots(r)
 					}
+					if vm != hotVM {
+						convey.So(way.busiest, convey.ShouldBeGreaterThan, 11)
+					}
 					convey.So(way.lowest, convey.ShouldBeGreaterThan, 0)
 					convey.So(way.after, convey.ShouldBeGreaterThanOrEqualTo, 30)
 				})
