--- a/core/tacklimit/drain.go
+++ b/core/tacklimit/drain.go
@@ -35,19 +35,15 @@
 		rates         [classes]rate
 	}
 
-	// span is the least and the largest time of service of the last releases,
-	// kept in two generations so that old ones fade.
+	// span is the largest time of service of the last releases, kept in two
+	// generations so that old ones fade.
 	span struct {
-		now, old extremes
+		now, old tackclock.Duration
+		count    int
 		full     bool
 		last     tackclock.Time
 	}
 
-	extremes struct {
-		count          int
-		least, largest tackclock.Duration
-	}
-
 	// rate counts the starts of a class since it began to wait.
 	rate struct {
 		since  tackclock.Time
@@ -94,12 +90,12 @@
 	return tackclock.Duration(d.mean)
 }
 
-// shortest is the least time of service to expect.
-func (d *drain) shortest() tackclock.Duration {
+// longest is the largest recent time of service, zero if too little is known.
+func (d *drain) longest() tackclock.Duration {
 	if !d.all.full {
 		return 0
 	}
-	return min(d.all.now.least, d.all.old.least)
+	return max(d.all.now, d.all.old)
 }
 
 // short reports whether the request will give its slot back soon: its deadline
@@ -112,7 +108,7 @@
 	if !s.full || now.Sub(s.last) > fresh {
 		return false
 	}
-	return max(s.now.largest, s.old.largest) <= shortWork/2
+	return max(s.now, s.old) <= shortWork/2
 }
 
 func (d *drain) spanOf(class tackid.Class) *span {
@@ -136,16 +132,11 @@
 
 func (s *span) add(now tackclock.Time, took tackclock.Duration) {
 	s.last = now
-	e := &s.now
-	if e.count == 0 || took < e.least {
-		e.least = took
-	}
-	e.largest = max(e.largest, took)
-	e.count++
-	if e.count < generation {
+	s.now = max(s.now, took)
+	s.count++
+	if s.count < generation {
 		return
 	}
-	s.old = s.now
-	s.now = extremes{least: took, largest: took}
+	s.old, s.now, s.count = s.now, took, 0
 	s.full = true
 }
--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -348,7 +348,7 @@
 	g.waiting[e.Class]++
 	e.team.push(g, e)
 	if e.Deadline != 0 {
-		e.giveUp = max(e.Deadline.Add(-g.drain.shortest()), now+1)
+		e.giveUp = max(lastStart(now, e.Deadline, 2*g.drain.typical()), now+1)
 		g.wheel.add(now, e)
 	}
 }
--- a/core/tacklimit/refusal.go
+++ b/core/tacklimit/refusal.go
@@ -76,12 +76,20 @@
 	if t.lanes[r.Class].length >= g.room(r.Class) {
 		return CodeQueueFull, wait
 	}
-	if r.Deadline != 0 && now.Add(wait+g.drain.typical()).After(r.Deadline) {
+	if r.Deadline != 0 && now.Add(wait).After(lastStart(now, r.Deadline, g.drain.longest())) {
 		return CodeTooLate, wait
 	}
 	return CodeNone, wait
 }
 
+// lastStart is the latest start for a request that takes as long as given to be
+// answered in time, though a caller is given half of its patience in any case. A
+// request that starts just before its deadline takes a slot, is answered too
+// late, and past saturation all of them would be.
+func lastStart(now, deadline tackclock.Time, takes tackclock.Duration) tackclock.Time {
+	return deadline.Add(-min(takes, deadline.Sub(now)/2))
+}
+
 // room is how many requests of a class one team may have waiting: a multiple
 // of the free part of the queue, and a few in any case. One team that floods
 // stops at a part of the queue and two at less each, and there is always room
