--- a/core/tackshare/allocate.go
+++ b/core/tackshare/allocate.go
@@ -53,16 +53,17 @@
 }
 
 // claimants returns the holders in the division. A member wants one slot at
-// least, so that its first request after a pause starts at once, and so that it
+// least, if there are enough, so that its first request after a pause starts at once, and so that it
 // has something to go on with if it is cut off.
 func (s *Sharer) claimants(g *group) []claimant {
 	members := g.members(s.live)
+	least := min(g.total()/len(members), 1)
 	var all []claimant
 	for _, peer := range sortedPeers(g.owning.sessions) {
 		h := g.owning.sessions[peer]
 		c := claimant{peer: peer, session: h, want: h.want, held: h.held(), spread: h.want > 0}
 		if slices.Contains(members, peer) {
-			c.want, c.spread = max(c.want, 1), true
+			c.want, c.spread = max(c.want, least), true
 		}
 		all = append(all, c)
 	}
@@ -89,7 +90,7 @@
 		if more <= 0 {
 			continue
 		}
-		part := (rest*more + unmet - 1) / unmet
+		part := rest * more / unmet
 		c.target += part
 		rest -= part
 		unmet -= more
