--- a/core/tacklimit/fair.go
+++ b/core/tacklimit/fair.go
@@ -16,10 +16,6 @@
 	}
 )
 
-func (f *fairQueue) empty() bool {
-	return f.lanes == 0
-}
-
 // first returns the lane that is next, or nil.
 func (f *fairQueue) first() *lane {
 	if f.lanes == 0 {
--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -9,6 +9,8 @@
 package tacklimit
 
 import (
+	"maps"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -189,10 +191,13 @@
 }
 
 // SetQuotas sets the number of slots that each team may hold at once, over all
-// Gates that share the Quotas. A team that is missing is bounded by its fair
-// share alone.
+// Gates that share the Quotas. A team that is missing or has zero is bounded by
+// its fair share alone. An entry VM that shares quotas with others sets Quotas
+// to its parts instead.
 func (g *Gate) SetQuotas(quotas map[tackid.Team]int) {
-	g.quotas().Set(quotas)
+	bounds := maps.Clone(quotas)
+	maps.DeleteFunc(bounds, func(_ tackid.Team, slots int) bool { return slots == 0 })
+	g.quotas().Set(bounds)
 }
 
 // quotas returns the Quotas in use.
@@ -212,6 +217,19 @@
 	return n
 }
 
+// WaitingOf returns the number of requests of a team that wait.
+func (g *Gate) WaitingOf(team tackid.Team) int {
+	t := g.teams[team]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for i := range t.lanes {
+		n += t.lanes[i].length
+	}
+	return n
+}
+
 // Running returns the number of requests that hold a slot.
 func (g *Gate) Running() int {
 	n := 0
