--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -1,7 +1,7 @@
 // Package tacklimit decides which requests of a service may start, which wait
 // and which are refused at once.
 //
-// A Gate serves one service on one entry VM. It starts no more requests than
+// A Gate serves one service on one peer. It starts no more requests than
 // there are slots, keeps the rest in a bounded queue with a deadline each,
 // starts urgent requests first, holds every team to its quota and shares what
 // is left evenly among the teams that wait. What cannot start before its
@@ -192,7 +192,7 @@
 
 // SetQuotas sets the number of slots that each team may hold at once, over all
 // Gates that share the Quotas. A team that is missing or has zero is bounded by
-// its fair share alone. An entry VM that shares quotas with others sets Quotas
+// its fair share alone. A peer that shares quotas with others sets Quotas
 // to its parts instead.
 func (g *Gate) SetQuotas(quotas map[tackid.Team]int) {
 	bounds := maps.Clone(quotas)
--- a/core/tackroute/chooser.go
+++ b/core/tackroute/chooser.go
@@ -1,12 +1,12 @@
 // Package tackroute chooses the backend server that a request goes to.
 //
-// A Chooser serves one service on one entry VM. It sends work to the least
+// A Chooser serves one service on one peer. It sends work to the least
 // loaded backend server of its own data centre, and to other data centres when
 // its own has no slot free. It weighs each backend server by what became of
 // the requests sent there, so that one which fails everything fast does not
 // attract work by always being idle.
 //
-// The entry VMs share no memory. Package tackshare divides the slots of each
+// The peers share no memory. Package tackshare divides the slots of each
 // backend server among them, and its shares tell the Chooser which part of each
 // it may fill.
 package tackroute
@@ -58,7 +58,7 @@
 		Incarnation   tackid.Incarnation
 	}
 
-	// Table is what the entry VM may route by. It is never changed once
+	// Table is what the peer may route by. It is never changed once
 	// published; a later one replaces it.
 	Table struct {
 		// Revision is the log index that the table follows from.
@@ -68,9 +68,9 @@
 		Services map[tackid.Service][]Candidate
 		// Quotas bounds the slots a team may hold at once.
 		Quotas map[tackid.Team]int
-		// Peers is the number of entry VMs that share the slots.
+		// Peers is the number of peers that share the slots.
 		Peers int
-		// HomeOnly says that this entry VM is cut off and may only use the
+		// HomeOnly says that this peer is cut off and may only use the
 		// backend servers of its own data centre.
 		HomeOnly bool
 	}
@@ -97,7 +97,7 @@
 		Exclude []tackid.BackendServer
 	}
 
-	// Load is the number of requests that one entry VM has in flight on a
+	// Load is the number of requests that one peer has in flight on a
 	// backend server.
 	Load struct {
 		BackendServer tackid.BackendServer
@@ -130,7 +130,7 @@
 		Candidate
 		zone     *zone
 		inFlight int
-		// limit is the share of this entry VM, if limited is set; else it may
+		// limit is the share of this peer, if limited is set; else it may
 		// fill every slot.
 		limit   int
 		limited bool
@@ -224,7 +224,7 @@
 }
 
 // Capacity returns how many requests may be in flight at once on the
-// candidates that an ask may use, by the shares of this entry VM and without
+// candidates that an ask may use, by the shares of this peer and without
 // those that are ejected.
 func (c *Chooser) Capacity(now tackclock.Time, ask Ask) int {
 	n := 0
@@ -236,7 +236,7 @@
 	return n
 }
 
-// SetShares limits what this entry VM may have in flight in a data centre: on
+// SetShares limits what this peer may have in flight in a data centre: on
 // each candidate named in shares, and bound in all. Candidates that are not
 // named there keep their share.
 func (c *Chooser) SetShares(dc tackid.DataCentre, bound int, shares []Share) {
@@ -354,7 +354,7 @@
 	return s.inFlight < s.allowed(now)
 }
 
-// allowed returns how many requests this entry VM may have in flight there.
+// allowed returns how many requests this peer may have in flight there.
 func (s *server) allowed(now tackclock.Time) int {
 	return min(s.share(), s.record.allowance(now))
 }
--- a/core/tackshare/allocate.go
+++ b/core/tackshare/allocate.go
@@ -20,7 +20,7 @@
 	spread bool
 }
 
-// allocate divides the slots of a group that this entry VM owns: free ones go
+// allocate divides the slots of a group that this peer owns: free ones go
 // to those that are short of their fair part, and what is still missing is
 // taken from those that hold more than theirs. While nobody is short the free
 // slots are spread, so that a burst finds some at hand.
@@ -47,7 +47,7 @@
 
 // inherits reports whether the group was taken over so recently that a holder
 // of the last owner's grants may not have claimed them yet. A grant now could
-// put two entry VMs on one slot.
+// put two peers on one slot.
 func (s *Sharer) inherits(now tackclock.Time, o *owning) bool {
 	return len(s.peers) > 1 && now.Sub(o.since) < lease+margin
 }
@@ -72,7 +72,7 @@
 
 // setTargets gives each claimant what it wants if there is enough for all.
 // Else each is sure of half an even part, and the rest goes by what is still
-// wanted, so that callers wait about equally long at a busy entry VM as at
+// wanted, so that callers wait about equally long at a busy peer as at
 // others, and a flood at one does not stop the others.
 func setTargets(claimants []claimant, slots int) {
 	floor := max(slots/(2*max(len(claimants), 1)), min(slots/max(len(claimants), 1), 1))
--- a/core/tackshare/group.go
+++ b/core/tackshare/group.go
@@ -8,7 +8,7 @@
 	"auburntack/core/tackroute"
 )
 
-// group is a Group in the table, with both sides of this entry VM's work on
+// group is a Group in the table, with both sides of this peer's work on
 // it: what it holds and, if it is or was the owner, what it granted.
 type group struct {
 	Group
@@ -48,7 +48,7 @@
 	return bound == g.appliedBound && g.applied != nil && slices.Equal(g.applied, shares)
 }
 
-// members returns the entry VMs that a group is divided among while nobody
+// members returns the peers that a group is divided among while nobody
 // asks: those in its data centre or, if there are none, all.
 func (g *group) members(all []Neighbour) []tackid.Peer {
 	var inside, every []tackid.Peer
@@ -64,7 +64,7 @@
 	return every
 }
 
-// fixedPart returns how many slots of a lot this entry VM may fill without
+// fixedPart returns how many slots of a lot this peer may fill without
 // asking: the slots are dealt out among the members, starting at another one
 // for each lot, so that the parts of all members add up to the slots.
 func (s *Sharer) fixedPart(g *group, lot tackroute.Lot) int {
--- a/core/tackshare/holding.go
+++ b/core/tackshare/holding.go
@@ -20,7 +20,7 @@
 	persistent = 2
 )
 
-// holding is what this entry VM holds of a group.
+// holding is what this peer holds of a group.
 type holding struct {
 	owner   tackid.Peer
 	session uint32
@@ -212,7 +212,7 @@
 }
 
 // checkLease falls back to the fixed part when the owner has not answered for
-// a lease. Without it an entry VM that the owner took for dead would go on
+// a lease. Without it a peer that the owner took for dead would go on
 // filling slots that were granted to others since.
 func (s *Sharer) checkLease(now tackclock.Time, g *group) {
 	h := &g.holding
--- a/core/tackshare/model_test.go
+++ b/core/tackshare/model_test.go
@@ -25,9 +25,9 @@
 )
 
 type (
-	// sharing is one way for entry VMs to share the slots of executors.
+	// sharing is one way for peers to share the slots of executors.
 	sharing interface {
-		// pick takes a slot for a request at an entry VM.
+		// pick takes a slot for a request at a peer.
 		pick(now tackclock.Time, vm int) (executor int, ok bool)
 		done(now tackclock.Time, vm, executor int)
 		// tick sends messages; waiting holds the requests that wait by VM.
@@ -40,7 +40,7 @@
 		vms, executors int
 		// part is the arrivals as a part of what all executors can do.
 		part float64
-		// hot is the part of the arrivals that comes through one entry VM,
+		// hot is the part of the arrivals that comes through one peer,
 		// which is another one every hotFor.
 		hot    float64
 		hotFor tackclock.Duration
@@ -53,7 +53,7 @@
 		// of all slot time.
 		idle            float64
 		meanWait        float64
-		messages, bytes float64 // per entry VM and second
+		messages, bytes float64 // per peer and second
 	}
 
 	running struct {
@@ -61,7 +61,7 @@
 		sent, ends   tackclock.Time
 	}
 
-	// model steps entry VMs and executors millisecond by millisecond.
+	// model steps peers and executors millisecond by millisecond.
 	model struct {
 		load
 		way     sharing
@@ -218,7 +218,7 @@
 func (f *fixedShares) tick(tackclock.Time, []int)              {}
 func (f *fixedShares) traffic() (int, int)                     { return 0, 0 }
 
-// reportedLoads tells every entry VM each interval what the others have in
+// reportedLoads tells every peer each interval what the others have in
 // flight, and takes the less loaded of two executors.
 type reportedLoads struct {
 	own      [][]int
@@ -280,7 +280,7 @@
 
 func (r *reportedLoads) traffic() (int, int) { return r.messages, r.bytes }
 
-// leasedShares drives the real Sharer and Chooser of every entry VM.
+// leasedShares drives the real Sharer and Chooser of every peer.
 type leasedShares struct {
 	vms      []*entryVM
 	flying   []envelope
@@ -429,7 +429,7 @@
 	return tackclock.Duration(1 + w.random.IntN(60))
 }
 
-// capacity is what an entry VM may have in flight.
+// capacity is what a peer may have in flight.
 func (w *leasedShares) capacity(now tackclock.Time, vm int) int {
 	return w.vms[vm].chooser.Capacity(now, tackroute.Ask{Home: home})
 }
--- a/core/tackshare/owner.go
+++ b/core/tackshare/owner.go
@@ -11,7 +11,7 @@
 )
 
 type (
-	// owning is what this entry VM granted of a group. The sessions outlive
+	// owning is what this peer granted of a group. The sessions outlive
 	// the ownership: if it comes back before the holders noticed, they go on.
 	owning struct {
 		active   bool
@@ -142,7 +142,7 @@
 	return append(grants, gr)
 }
 
-// exchangeWithSelf does between this entry VM and the groups it owns what
+// exchangeWithSelf does between this peer and the groups it owns what
 // frames do with others.
 func (s *Sharer) exchangeWithSelf(now tackclock.Time, groups []*group) {
 	for _, g := range groups {
@@ -171,7 +171,7 @@
 	s.apply(now, g)
 }
 
-// forgetPeer drops what is shared with an entry VM that started anew.
+// forgetPeer drops what is shared with a peer that started anew.
 func (s *Sharer) forgetPeer(now tackclock.Time, peer tackid.Peer) {
 	for _, g := range s.all {
 		delete(g.owning.sessions, peer)
@@ -182,7 +182,7 @@
 	}
 }
 
-// dropSilentSessions frees what is held by entry VMs whose lease has run out.
+// dropSilentSessions frees what is held by peers whose lease has run out.
 func (s *Sharer) dropSilentSessions(now tackclock.Time) {
 	for _, g := range s.all {
 		o := &g.owning
@@ -210,9 +210,9 @@
 	}
 }
 
-// ownerOf returns the entry VM that divides the group: of its members the one
+// ownerOf returns the peer that divides the group: of its members the one
 // with the highest hash of both names. So groups spread evenly, few change
-// hands when an entry VM comes or goes, and a data centre that is cut off
+// hands when a peer comes or goes, and a data centre that is cut off
 // divides its own slots.
 func (s *Sharer) ownerOf(g *group) tackid.Peer {
 	best, bestScore := s.Self, uint64(0)
--- a/core/tackshare/quota_test.go
+++ b/core/tackshare/quota_test.go
@@ -31,7 +31,7 @@
 	return u
 }
 
-// team is a set of entry VMs that share the quota of one team.
+// team is a set of peers that share the quota of one team.
 type team struct {
 	holders []*holder
 	sharers []*tackshare.Sharer
@@ -53,7 +53,7 @@
 	return q
 }
 
-// run ticks all entry VMs and delivers every frame at once, and returns the
+// run ticks all peers and delivers every frame at once, and returns the
 // most slots that were in use at any moment.
 func (q *team) run(from, to tackclock.Time) (most int) {
 	for now := from; now < to; now += 100 {
@@ -85,10 +85,10 @@
 
 // Symptom: a team holds more slots than its quota, or only a part of it while
 // the rest stands idle.
-// Sequence: its requests come through one entry VM, then through another.
-// Cause: every entry VM held the team to the whole quota, or to a fixed part.
-func TestQuotaIsSharedAmongEntryVMs(t *testing.T) {
-	convey.Convey("With a quota of 4 slots over 6 entry VMs", t, func() {
+// Sequence: its requests come through one peer, then through another.
+// Cause: every peer held the team to the whole quota, or to a fixed part.
+func TestQuotaIsSharedAmongPeers(t *testing.T) {
+	convey.Convey("With a quota of 4 slots over 6 peers", t, func() {
 		q := newTeam(6, 4)
 		for i, busy := range []int{2, 5, 0} {
 			for _, h := range q.holders {
@@ -132,7 +132,7 @@
 	return u
 }
 
-// end lets all requests of the entry VM end.
+// end lets all requests of the peer end.
 func (h *hasty) end(now tackclock.Time) {
 	for _, c := range h.flying {
 		h.chooser.Done(now, c, tackroute.Outcome{})
@@ -149,7 +149,7 @@
 	return h
 }
 
-// assertOneEach holds that no lot of one slot is taken by both entry VMs.
+// assertOneEach holds that no lot of one slot is taken by both peers.
 func assertOneEach(vms ...*hasty) {
 	taken := make(map[tackid.BackendServer]int)
 	for _, h := range vms {
@@ -163,7 +163,7 @@
 }
 
 // Symptom: a slot is filled twice.
-// Sequence: an entry VM looks at what is in use and returns an idle slot; before
+// Sequence: a peer looks at what is in use and returns an idle slot; before
 // its chooser hears of the smaller share, a request takes that slot.
 // Cause: the return was sent without a second look.
 func TestReturnedSlotIsNotFilled(t *testing.T) {
--- a/core/tackshare/share.go
+++ b/core/tackshare/share.go
@@ -1,9 +1,9 @@
-// Package tackshare divides slots among the entry VMs, which share no memory.
+// Package tackshare divides slots among the peers, which share no memory.
 //
 // Slots are those of the backend servers and those of the teams' quotas. Every
-// group of them has one owner among the entry VMs, which grants them by what
-// each entry VM reports to need and takes idle ones back when another is short,
-// so that no slot is granted twice. A Sharer is one entry VM's side of it: it
+// group of them has one owner among the peers, which grants them by what
+// each peer reports to need and takes idle ones back when another is short,
+// so that no slot is granted twice. A Sharer is one peer's side of it: it
 // takes frames and ticks, and returns frames.
 package tackshare
 
@@ -23,14 +23,14 @@
 		Team    tackid.Team    `cbor:"2,keyasint,omitempty"`
 	}
 
-	// Group is a set of slots that one entry VM, its owner, divides among
+	// Group is a set of slots that one peer, its owner, divides among
 	// all: those of a service in one data centre, or those of a team's quota.
 	Group struct {
 		Subject
 		DataCentre tackid.DataCentre `cbor:"3,keyasint,omitempty"`
 	}
 
-	// Usage is what an entry VM does with its shares at a moment.
+	// Usage is what a peer does with its shares at a moment.
 	Usage struct {
 		// Waiting is the number of requests that wait for a slot.
 		Waiting int
@@ -47,7 +47,7 @@
 		Usage(now tackclock.Time, subject Subject) Usage
 	}
 
-	// Neighbour is another entry VM, or this one.
+	// Neighbour is another peer, or this one.
 	Neighbour struct {
 		Peer       tackid.Peer
 		DataCentre tackid.DataCentre
--- a/core/tackshare/sharer.go
+++ b/core/tackshare/sharer.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// silence is how long an entry VM may be unheard before its groups pass
+	// silence is how long a peer may be unheard before its groups pass
 	// to another owner.
 	silence = 1500 * tackclock.Millisecond
 	// lease is how long a share may be used after the holder last wrote to
@@ -19,7 +19,7 @@
 	lease = 3 * tackclock.Second
 	// margin is how much longer the owner counts a lease than its holder.
 	margin = tackclock.Second / 2
-	// heartbeat is the longest time between two frames to an entry VM.
+	// heartbeat is the longest time between two frames to a peer.
 	heartbeat = tackclock.Second / 2
 	// resend is how long an answer is awaited before a frame goes out again.
 	resend = 250 * tackclock.Millisecond
@@ -27,11 +27,11 @@
 
 type (
 	// Sharer divides the slots of all services and the quotas of all teams
-	// among the entry VMs. Every group of slots has one owner, which every
-	// entry VM works out alike from those it can hear; the owner grants slots
+	// among the peers. Every group of slots has one owner, which every
+	// peer works out alike from those it can hear; the owner grants slots
 	// by what the others report to need, and takes idle ones back.
 	//
-	// Until its owner answers, and when it no longer does, an entry VM fills
+	// Until its owner answers, and when it no longer does, a peer fills
 	// a fixed part of the slots, so that one which is cut off goes on serving.
 	//
 	// The zero value with Self, Home, Epoch and User set is ready to use. It
@@ -39,13 +39,13 @@
 	Sharer struct {
 		Self tackid.Peer
 		Home tackid.DataCentre
-		// Epoch tells the lives of this entry VM apart, for example by the
+		// Epoch tells the lives of this peer apart, for example by the
 		// time of its start.
 		Epoch uint64
 		User  User
 
 		links map[tackid.Peer]*link
-		// retired keeps the links of entry VMs that went, since the numbers
+		// retired keeps the links of peers that went, since the numbers
 		// of their frames must not start again.
 		retired map[tackid.Peer]*link
 		peers   []Neighbour
@@ -57,7 +57,7 @@
 		stepped tackclock.Time
 	}
 
-	// link is what a Sharer knows of another entry VM.
+	// link is what a Sharer knows of another peer.
 	link struct {
 		Neighbour
 		heard    tackclock.Time
@@ -72,7 +72,7 @@
 	}
 )
 
-// SetPeers sets all entry VMs, this one included or not.
+// SetPeers sets all peers, this one included or not.
 func (s *Sharer) SetPeers(now tackclock.Time, peers []Neighbour) {
 	if s.retired == nil {
 		s.retired = make(map[tackid.Peer]*link)
@@ -202,7 +202,7 @@
 	}
 }
 
-// news returns frames for the entry VMs that must be told something new about
+// news returns frames for the peers that must be told something new about
 // the groups.
 func (s *Sharer) news(now tackclock.Time, groups []*group) []Outgoing {
 	var out []Outgoing
@@ -224,7 +224,7 @@
 	return l.oweAck || l.pending(s.all, 0) || (l.acked < l.seq && now.Sub(l.sentAt) >= resend && l.pending(s.all, l.seq))
 }
 
-// frame builds the next frame to an entry VM. It carries all that was not yet
+// frame builds the next frame to a peer. It carries all that was not yet
 // acknowledged, so the newest frame alone brings the receiver up to date.
 func (s *Sharer) frame(now tackclock.Time, l *link) Outgoing {
 	l.seq++
@@ -241,7 +241,7 @@
 }
 
 // pending reports whether something about the groups was never sent to the
-// entry VM or, up to the given frame, was not acknowledged.
+// peer or, up to the given frame, was not acknowledged.
 func (l *link) pending(groups []*group, upTo uint64) bool {
 	due := func(sent uint64) bool { return sent == 0 || (sent > l.acked && sent <= upTo) }
 	for _, g := range groups {
@@ -259,7 +259,7 @@
 	return now.Sub(l.heard) < silence
 }
 
-// refreshLive works out which entry VMs can be heard, and the owners if that
+// refreshLive works out which peers can be heard, and the owners if that
 // changed.
 func (s *Sharer) refreshLive(now tackclock.Time) {
 	live := make([]Neighbour, 0, len(s.peers))
--- a/core/tackshare/sharer_test.go
+++ b/core/tackshare/sharer_test.go
@@ -21,8 +21,8 @@
 // on the machine.
 func TestSharingBounds(t *testing.T) {
 	for _, vms := range []int{1, 4, 12} {
-		t.Run(fmt.Sprint(vms, " entry VMs"), func(t *testing.T) {
-			convey.Convey("Under a load that moves between entry VMs", t, func() {
+		t.Run(fmt.Sprint(vms, " peers"), func(t *testing.T) {
+			convey.Convey("Under a load that moves between peers", t, func() {
 				l := load{vms: vms, executors: 8, part: 0.8, hot: 0.5, hotFor: 5 * tackclock.Second}
 				r := runModel(l, newLeasedShares(l), 1, 20*tackclock.Second)
 				assertWithinSlots(r)
@@ -34,7 +34,7 @@
 }
 
 // Symptom: an executor gets more requests than it has slots.
-// Sequence: frames between the entry VMs are lost, doubled and overtake each
+// Sequence: frames between the peers are lost, doubled and overtake each
 // other while slots change hands.
 // Cause: a frame was taken for newer than it was, or a slot was granted again
 // before its holder was known to have returned it.
@@ -78,17 +78,17 @@
 	c.most = max(c.most, total)
 }
 
-// hotVM is the entry VM that most requests come through in TestOwnerIsLost.
+// hotVM is the peer that most requests come through in TestOwnerIsLost.
 const hotVM = 1
 
-// outage takes an entry VM down, or cuts it off, at a time of the model.
+// outage takes a peer down, or cuts it off, at a time of the model.
 type outage struct {
 	*leasedShares
 	vm     int
 	at     tackclock.Time
 	cut    bool
 	lowest int
-	// busiest is the least capacity of the entry VM that most requests come
+	// busiest is the least capacity of the peer that most requests come
 	// through, and after the last capacity of all that are left.
 	busiest int
 	after   int
@@ -124,16 +124,16 @@
 	}
 }
 
-// Symptom: after the loss of one entry VM, others refuse work for seconds, or
+// Symptom: after the loss of one peer, others refuse work for seconds, or
 // its slots are never used again.
-// Sequence: the entry VM that divides the slots of a service dies, or is cut off
+// Sequence: the peer that divides the slots of a service dies, or is cut off
 // from the others.
 // Cause: the shares that it granted ended with it, or nobody took them over.
 func TestOwnerIsLost(t *testing.T) {
 	start := tackclock.Time(tackclock.Hour)
 	for vm := range 4 {
 		for _, cut := range []bool{false, true} {
-			t.Run(fmt.Sprint("entry VM ", vm, " cut ", cut), func(t *testing.T) {
+			t.Run(fmt.Sprint("peer ", vm, " cut ", cut), func(t *testing.T) {
 				convey.Convey("After the loss", t, func() {
 					l := load{vms: 4, executors: 4, part: 0.6, hot: 0.8, hotFor: 80 * tackclock.Second}
 					way := &outage{leasedShares: newLeasedShares(l), vm: vm, at: start.Add(8 * tackclock.Second),
--- a/core/tackshare/size_test.go
+++ b/core/tackshare/size_test.go
@@ -52,7 +52,7 @@
 }
 
 // BenchmarkSize gives bytes, messages and time of sharing at two sizes, with
-// loads that change by a tenth every second. The time is for one entry VM and
+// loads that change by a tenth every second. The time is for one peer and
 // one second, on one core, the encoding of its frames and its load included.
 func BenchmarkSize(b *testing.B) {
 	const seconds = 20
