Keep slots for requests that were admitted and not sent yet

A request that was admitted waits for its key to be recorded before it is sent. Slots that stood idle for it could be returned, or lie beyond a bound that fell meanwhile, and it was then refused. Usage.Admitted keeps them, and Pick goes beyond a bound for a request that has nowhere else to go. A backend server that appears gets nothing until its share is known. Each seen failing on a scratch copy without its line: TestSlotsOfAdmittedRequestsAreKept, TestAdmittedRequestsFindTheirSlots, TestNewCandidateWaitsForItsShare.

Frames of the model go through their encoding and back.

--- a/core/tackroute/chooser.go
+++ b/core/tackroute/chooser.go
@@ -12,6 +12,8 @@
 package tackroute
 
 import (
+	"slices"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -34,6 +36,9 @@
 	Cancelled
 )
 
+// awayCost puts every candidate at home before all others.
+const awayCost = 1e6
+
 type (
 	// Result is what became of a request that was sent to a backend server.
 	Result uint8
@@ -119,10 +124,11 @@
 	// zone is the part of the candidates that is in one data centre.
 	zone struct {
 		inFlight int
-		// bound is how many requests may be in flight there in all, if
-		// bounded is set.
-		bound   int
-		bounded bool
+		// shares holds what this peer may fill of each lot, and bound how many
+		// requests it may have in flight there in all; nil if the slots are
+		// not shared.
+		shares map[Lot]int
+		bound  int
 	}
 
 	// server is what a Chooser remembers of one life of a backend server.
@@ -130,11 +136,9 @@
 		Candidate
 		zone     *zone
 		inFlight int
-		// limit is the share of this peer, if limited is set; else it may
-		// fill every slot.
-		limit   int
-		limited bool
-		record  record
+		// limit is how many slots this peer may fill.
+		limit  int
+		record record
 	}
 )
 
@@ -161,7 +165,7 @@
 func (c *Chooser) Pick(now tackclock.Time, ask Ask) (Candidate, bool) {
 	c.rotor++
 	s := c.best(now, ask, true)
-	if s == nil && !ask.HomeOnly {
+	if s == nil {
 		s = c.best(now, ask, false)
 	}
 	if s == nil {
@@ -236,16 +240,19 @@
 	return n
 }
 
-// SetShares limits what this peer may have in flight in a data centre: on
-// each candidate named in shares, and bound in all. Candidates that are not
-// named there keep their share.
+// SetShares limits what this peer may have in flight in a data centre: on each
+// lot its share, and bound in all. A lot without a share gets nothing, also one
+// that becomes a candidate later: its slots may all be another peer's.
 func (c *Chooser) SetShares(dc tackid.DataCentre, bound int, shares []Share) {
 	z := c.zoneOf(dc)
-	z.bound, z.bounded = bound, true
+	z.bound = bound
+	z.shares = make(map[Lot]int, len(shares))
 	for _, share := range shares {
-		s := c.byName[share.BackendServer]
-		if s != nil && s.Incarnation == share.Incarnation {
-			s.limit, s.limited = share.Slots, true
+		z.shares[share.Lot] = share.Slots
+	}
+	for _, s := range c.servers {
+		if s.zone == z {
+			s.setLimit()
 		}
 	}
 }
@@ -271,7 +278,7 @@
 			n += s.allowed(now)
 		}
 	}
-	if z.bounded {
+	if z.shares != nil {
 		n = min(n, z.bound)
 	}
 	return n
@@ -290,6 +297,7 @@
 	}
 	known.Candidate = candidate
 	known.zone = c.zoneOf(candidate.DataCentre)
+	known.setLimit()
 	c.byName[candidate.BackendServer] = known
 	c.servers = append(c.servers, known)
 }
@@ -326,19 +334,26 @@
 	}
 }
 
-// best returns the least loaded candidate with a slot free, in the home data
-// centre or outside it. The scan starts at another candidate each time, so
-// that equals take turns.
-func (c *Chooser) best(now tackclock.Time, ask Ask, home bool) *server {
+// best returns the least loaded candidate with a slot free, of the home data
+// centre if there is one. The scan starts at another candidate each time, so that
+// equals take turns.
+//
+// A data centre whose bound is reached is left out if bounded is set. It is used
+// only by a request that has nowhere else to go: one that was admitted before the
+// bound fell, and whose slot is still ours.
+func (c *Chooser) best(now tackclock.Time, ask Ask, bounded bool) *server {
 	var found *server
 	var foundCost float64
 	n := len(c.servers)
 	for i := range n {
 		s := c.servers[(int(c.rotor)+i)%n]
-		if (s.DataCentre == ask.Home) != home || !s.free(now) || excluded(ask, s) {
+		if s.inFlight >= s.allowed(now) || (bounded && s.zone.full()) || !allows(ask, s) {
 			continue
 		}
 		cost := s.cost(c.latency)
+		if s.DataCentre != ask.Home {
+			cost += awayCost
+		}
 		if found == nil || cost < foundCost {
 			found, foundCost = s, cost
 		}
@@ -346,30 +361,27 @@
 	return found
 }
 
-// free reports whether one more request may be sent there.
-func (s *server) free(now tackclock.Time) bool {
-	if s.zone.bounded && s.zone.inFlight >= s.zone.bound {
-		return false
-	}
-	return s.inFlight < s.allowed(now)
+// full reports whether no more requests should be in flight there.
+func (z *zone) full() bool {
+	return z.shares != nil && z.inFlight >= z.bound
 }
 
 // allowed returns how many requests this peer may have in flight there.
 func (s *server) allowed(now tackclock.Time) int {
-	return min(s.share(), s.record.allowance(now))
+	return min(s.limit, s.record.allowance(now))
 }
 
-func (s *server) share() int {
-	if s.limited {
-		return min(s.limit, s.Slots)
+func (s *server) setLimit() {
+	s.limit = s.Slots
+	if s.zone.shares != nil {
+		s.limit = min(s.limit, s.zone.shares[s.lot()])
 	}
-	return s.Slots
 }
 
 // cost is the time that one more request is expected to take there, relative
 // to others: the load after it, by latency and recent success.
 func (s *server) cost(meanLatency float64) float64 {
-	load := float64(s.inFlight+1) / float64(max(s.share(), 1))
+	load := float64(s.inFlight+1) / float64(max(s.limit, 1))
 	return load * s.record.slowness(meanLatency) / s.record.weight()
 }
 
@@ -377,11 +389,10 @@
 	return Lot{BackendServer: s.BackendServer, Incarnation: s.Incarnation}
 }
 
-func excluded(ask Ask, s *server) bool {
-	for _, name := range ask.Exclude {
-		if name == s.BackendServer {
-			return true
-		}
+// allows reports whether the ask may be sent there.
+func allows(ask Ask, s *server) bool {
+	if ask.HomeOnly && s.DataCentre != ask.Home {
+		return false
 	}
-	return false
+	return !slices.Contains(ask.Exclude, s.BackendServer)
 }
--- a/core/tackroute/chooser_test.go
+++ b/core/tackroute/chooser_test.go
@@ -67,3 +67,42 @@
 		convey.So(c.InFlight(older.VM), convey.ShouldEqual, 0)
 	})
 }
+
+// Symptom: a backend server that just announced itself gets more requests than it
+// has slots.
+// Sequence: slots are shared; a new backend server appears in the table before
+// this peer was granted a part of it.
+// Cause: a candidate without a share was taken for one whose slots are all ours.
+func TestNewCandidateWaitsForItsShare(t *testing.T) {
+	convey.Convey("With shares for one of two backend servers", t, func() {
+		var c tackroute.Chooser
+		both := candidates(here, 2)
+		lots := []tackroute.Lot{{BackendServer: "rennes-a-0", Incarnation: 1}, {BackendServer: "rennes-a-1", Incarnation: 1}}
+		c.SetShares(here, 100, []tackroute.Share{{Lot: lots[0], Slots: 3}})
+		c.SetCandidates(both)
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 3)
+		c.SetShares(here, 100, []tackroute.Share{{Lot: lots[0], Slots: 3}, {Lot: lots[1], Slots: 2}})
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 5)
+	})
+}
+
+// Symptom: a request that was admitted is refused a moment later for want of a
+// slot.
+// Sequence: two are admitted; before they are sent, the peer is asked to give
+// slots back, and its bound falls to one.
+// Cause: the bound, which is for requests yet to be admitted, was held against
+// those that were.
+func TestAdmittedRequestsFindTheirSlots(t *testing.T) {
+	convey.Convey("With two slots held and a bound of one", t, func() {
+		var c tackroute.Chooser
+		c.SetCandidates(append(candidates(here, 1), candidates(there, 1)...))
+		c.SetShares(here, 1, []tackroute.Share{{Lot: tackroute.Lot{BackendServer: "rennes-a-0", Incarnation: 1}, Slots: 2}})
+		c.SetShares(there, 1, []tackroute.Share{{Lot: tackroute.Lot{BackendServer: "quimper-0", Incarnation: 1}, Slots: 1}})
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 2)
+		for _, want := range []tackid.DataCentre{here, there, here} {
+			got, ok := c.Pick(0, tackroute.Ask{Home: here})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.DataCentre, convey.ShouldEqual, want)
+		}
+	})
+}
--- a/core/tackroute/record.go
+++ b/core/tackroute/record.go
@@ -118,7 +118,7 @@
 func (c *Chooser) learn(now tackclock.Time, s *server, outcome Outcome) {
 	switch outcome.Result {
 	case Answered:
-		s.record.answered(s.share(), outcome.Latency)
+		s.record.answered(s.limit, outcome.Latency)
 		c.latency += newest * (float64(outcome.Latency) - c.latency)
 	case Refused, Failed, Silent:
 		wasEjected := s.record.isEjected(now)
--- a/core/tackshare/holding.go
+++ b/core/tackshare/holding.go
@@ -192,7 +192,7 @@
 	}
 	spill := usage.Waiting
 	if first != nil {
-		first.holding.wanted(now, first.inUse(usage)+usage.Waiting, step)
+		first.holding.wanted(now, first.inUse(usage)+usage.Admitted+usage.Waiting, step)
 		if first.holding.short < persistent {
 			spill = 0
 		}
@@ -256,17 +256,19 @@
 		return
 	}
 	excess := h.held() - h.bound
+	spare := h.held() - g.inUse(usage) - usage.Admitted
 	returned := false
 	for _, lot := range sortedLots(h.lots) {
 		c := h.lots[lot]
 		idle := c.held() - usage.of(lot)
-		n := min(idle, max(excess, c.held()-g.slots[lot]))
+		n := min(idle, spare, max(excess, c.held()-g.slots[lot]))
 		if n <= 0 {
 			continue
 		}
 		c.returned += n
 		c.sent = 0
 		excess -= n
+		spare -= n
 		returned = true
 	}
 	if returned {
--- a/core/tackshare/model_test.go
+++ b/core/tackshare/model_test.go
@@ -293,11 +293,12 @@
 
 type (
 	entryVM struct {
-		sharer  *tackshare.Sharer
-		chooser tackroute.Chooser
-		waiting int
-		ticked  tackclock.Time
-		down    bool
+		sharer   *tackshare.Sharer
+		chooser  tackroute.Chooser
+		inFlight int
+		waiting  int
+		ticked   tackclock.Time
+		down     bool
 	}
 
 	envelope struct {
@@ -355,10 +356,15 @@
 }
 
 func (w *leasedShares) pick(now tackclock.Time, vm int) (int, bool) {
-	c, ok := w.vms[vm].chooser.Pick(now, tackroute.Ask{Home: home})
-	if !ok || w.vms[vm].down {
+	v := w.vms[vm]
+	if v.down || v.inFlight >= w.capacity(now, vm) {
 		return 0, false
 	}
+	c, ok := v.chooser.Pick(now, tackroute.Ask{Home: home})
+	if !ok {
+		return 0, false
+	}
+	v.inFlight++
 	return executorOf(c), true
 }
 
@@ -370,6 +376,7 @@
 
 func (w *leasedShares) done(now tackclock.Time, vm, executor int) {
 	lot := lotOf(executor)
+	w.vms[vm].inFlight--
 	w.vms[vm].chooser.Done(now, tackroute.Candidate{BackendServer: lot.BackendServer, Incarnation: lot.Incarnation},
 		tackroute.Outcome{})
 }
@@ -403,8 +410,12 @@
 		encoded, _ := cbor.Marshal(o.Frame)
 		w.messages++
 		w.bytes += len(encoded)
+		var received tackshare.Frame
+		if err := cbor.Unmarshal(encoded, &received); err != nil {
+			panic(err)
+		}
 		for range w.copies() {
-			w.flying = append(w.flying, envelope{at: now.Add(w.delay()), from: from, to: to, frame: o.Frame})
+			w.flying = append(w.flying, envelope{at: now.Add(w.delay()), from: from, to: to, frame: received})
 		}
 	}
 }
--- a/core/tackshare/quota_test.go
+++ b/core/tackshare/quota_test.go
@@ -14,19 +14,19 @@
 // holder is a User of one group. Between two looks at its usage it fills as
 // many slots as hasty says, if its share lets it.
 type holder struct {
-	share, inUse, waiting, hasty int
+	held, share, inUse, waiting, admitted, hasty int
 }
 
 func (h *holder) SetShares(_ tackclock.Time, _ tackshare.Group, bound int, shares []tackroute.Share) {
-	h.share = 0
+	h.held = 0
 	for _, share := range shares {
-		h.share += share.Slots
+		h.held += share.Slots
 	}
-	h.share = min(h.share, bound)
+	h.share = min(h.held, bound)
 }
 
 func (h *holder) Usage(tackclock.Time, tackshare.Subject) tackshare.Usage {
-	u := tackshare.Usage{Waiting: h.waiting, InUse: []tackroute.Share{{Slots: h.inUse}}}
+	u := tackshare.Usage{Waiting: h.waiting, Admitted: h.admitted, InUse: []tackroute.Share{{Slots: h.inUse}}}
 	h.inUse += max(min(h.hasty, h.share-h.inUse), 0)
 	return u
 }
@@ -103,6 +103,22 @@
 	})
 }
 
+// Symptom: a request that was admitted is refused a moment later since no backend
+// server has a slot for it.
+// Sequence: it is admitted and its key is being recorded; meanwhile another peer is
+// short, and the slot that stands idle for it is returned.
+// Cause: only slots in use were taken for needed.
+func TestSlotsOfAdmittedRequestsAreKept(t *testing.T) {
+	convey.Convey("With two requests admitted at one peer and many waiting at another", t, func() {
+		q := newTeam(2, 6)
+		q.run(0, 10000)
+		q.holders[0].admitted, q.holders[1].waiting = 2, 10
+		q.run(10000, 12000)
+		convey.So(q.holders[0].held, convey.ShouldEqual, 2)
+		convey.So(q.holders[1].held, convey.ShouldEqual, 4)
+	})
+}
+
 // hasty is a User to which a request comes right after the look at its usage
 // that follows on a bound below its shares.
 type hasty struct {
--- a/core/tackshare/share.go
+++ b/core/tackshare/share.go
@@ -34,6 +34,9 @@
 	Usage struct {
 		// Waiting is the number of requests that wait for a slot.
 		Waiting int
+		// Admitted is the number of requests that may start and have not
+		// taken their slot yet. As many idle slots are kept.
+		Admitted int
 		// InUse is the number of slots taken on each lot that has any.
 		InUse []tackroute.Share
 	}
