--- a/core/tackshare/holding.go
+++ b/core/tackshare/holding.go
@@ -20,7 +20,7 @@
 	persistent = 2
 )
 
-// holding is what this entry VM holds of a group.
+// holding is what this peer holds of a group.
 type holding struct {
 	owner   tackid.Peer
 	session uint32
@@ -192,7 +192,7 @@
 	}
 	spill := usage.Waiting
 	if first != nil {
-		first.holding.wanted(now, first.inUse(usage)+usage.Waiting, step)
+		first.holding.wanted(now, first.inUse(usage)+usage.Admitted+usage.Waiting, step)
 		if first.holding.short < persistent {
 			spill = 0
 		}
@@ -212,7 +212,7 @@
 }
 
 // checkLease falls back to the fixed part when the owner has not answered for
-// a lease. Without it an entry VM that the owner took for dead would go on
+// a lease. Without it a peer that the owner took for dead would go on
 // filling slots that were granted to others since.
 func (s *Sharer) checkLease(now tackclock.Time, g *group) {
 	h := &g.holding
@@ -256,17 +256,19 @@
 		return
 	}
 	excess := h.held() - h.bound
+	spare := h.held() - g.inUse(usage) - usage.Admitted
 	returned := false
 	for _, lot := range sortedLots(h.lots) {
 		c := h.lots[lot]
 		idle := c.held() - usage.of(lot)
-		n := min(idle, max(excess, c.held()-g.slots[lot]))
+		n := min(idle, spare, max(excess, c.held()-g.slots[lot]))
 		if n <= 0 {
 			continue
 		}
 		c.returned += n
 		c.sent = 0
 		excess -= n
+		spare -= n
 		returned = true
 	}
 	if returned {
--- a/core/tackshare/model_test.go
+++ b/core/tackshare/model_test.go
@@ -18,12 +18,16 @@
 	executorSlots                = 8
 	meanService                  = 50.0
 	patience                     = 2 * tackclock.Second
+	// tickEvery and tickAgain are how often a Sharer is ticked, and how soon
+	// again when requests begin to wait.
+	tickEvery = 100 * tackclock.Millisecond
+	tickAgain = 10 * tackclock.Millisecond
 )
 
 type (
-	// sharing is one way for entry VMs to share the slots of executors.
+	// sharing is one way for peers to share the slots of executors.
 	sharing interface {
-		// pick takes a slot for a request at an entry VM.
+		// pick takes a slot for a request at a peer.
 		pick(now tackclock.Time, vm int) (executor int, ok bool)
 		done(now tackclock.Time, vm, executor int)
 		// tick sends messages; waiting holds the requests that wait by VM.
@@ -36,7 +40,7 @@
 		vms, executors int
 		// part is the arrivals as a part of what all executors can do.
 		part float64
-		// hot is the part of the arrivals that comes through one entry VM,
+		// hot is the part of the arrivals that comes through one peer,
 		// which is another one every hotFor.
 		hot    float64
 		hotFor tackclock.Duration
@@ -49,7 +53,7 @@
 		// of all slot time.
 		idle            float64
 		meanWait        float64
-		messages, bytes float64 // per entry VM and second
+		messages, bytes float64 // per peer and second
 	}
 
 	running struct {
@@ -57,7 +61,7 @@
 		sent, ends   tackclock.Time
 	}
 
-	// model steps entry VMs and executors millisecond by millisecond.
+	// model steps peers and executors millisecond by millisecond.
 	model struct {
 		load
 		way     sharing
@@ -214,7 +218,7 @@
 func (f *fixedShares) tick(tackclock.Time, []int)              {}
 func (f *fixedShares) traffic() (int, int)                     { return 0, 0 }
 
-// reportedLoads tells every entry VM each interval what the others have in
+// reportedLoads tells every peer each interval what the others have in
 // flight, and takes the less loaded of two executors.
 type reportedLoads struct {
 	own      [][]int
@@ -276,22 +280,25 @@
 
 func (r *reportedLoads) traffic() (int, int) { return r.messages, r.bytes }
 
-// leasedShares drives the real Sharer and Chooser of every entry VM.
+// leasedShares drives the real Sharer and Chooser of every peer.
 type leasedShares struct {
 	vms      []*entryVM
 	flying   []envelope
-	delay    tackclock.Duration
 	messages int
 	bytes    int
+	// random, if set, makes the network lose a tenth of the frames, double a
+	// tenth and delay each by up to 60 ms.
+	random *rand.Rand
 }
 
 type (
 	entryVM struct {
-		sharer  *tackshare.Sharer
-		chooser tackroute.Chooser
-		waiting int
-		ticked  tackclock.Time
-		down    bool
+		sharer   *tackshare.Sharer
+		chooser  tackroute.Chooser
+		inFlight int
+		waiting  int
+		ticked   tackclock.Time
+		down     bool
 	}
 
 	envelope struct {
@@ -330,7 +337,7 @@
 }
 
 func newLeasedShares(l load) *leasedShares {
-	w := &leasedShares{delay: 1}
+	w := new(leasedShares)
 	var peers []tackshare.Neighbour
 	for vm := range l.vms {
 		peers = append(peers, tackshare.Neighbour{Peer: peerOf(vm), DataCentre: home})
@@ -349,10 +356,15 @@
 }
 
 func (w *leasedShares) pick(now tackclock.Time, vm int) (int, bool) {
-	c, ok := w.vms[vm].chooser.Pick(now, tackroute.Ask{Home: home})
+	v := w.vms[vm]
+	if v.down || v.inFlight >= w.capacity(now, vm) {
+		return 0, false
+	}
+	c, ok := v.chooser.Pick(now, tackroute.Ask{Home: home})
 	if !ok {
 		return 0, false
 	}
+	v.inFlight++
 	return executorOf(c), true
 }
 
@@ -364,6 +376,7 @@
 
 func (w *leasedShares) done(now tackclock.Time, vm, executor int) {
 	lot := lotOf(executor)
+	w.vms[vm].inFlight--
 	w.vms[vm].chooser.Done(now, tackroute.Candidate{BackendServer: lot.BackendServer, Incarnation: lot.Incarnation},
 		tackroute.Outcome{})
 }
@@ -381,9 +394,9 @@
 		}
 	}
 	for vm, v := range w.vms {
-		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= 5
+		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= tickAgain
 		v.waiting = waiting[vm]
-		if v.down || (now.Sub(v.ticked) < 25 && !began) {
+		if v.down || (now.Sub(v.ticked) < tickEvery && !began) {
 			continue
 		}
 		v.ticked = now
@@ -397,8 +410,39 @@
 		encoded, _ := cbor.Marshal(o.Frame)
 		w.messages++
 		w.bytes += len(encoded)
-		w.flying = append(w.flying, envelope{at: now.Add(w.delay), from: from, to: to, frame: o.Frame})
+		var received tackshare.Frame
+		if err := cbor.Unmarshal(encoded, &received); err != nil {
+			panic(err)
+		}
+		for range w.copies() {
+			w.flying = append(w.flying, envelope{at: now.Add(w.delay()), from: from, to: to, frame: received})
+		}
+	}
+}
+
+func (w *leasedShares) copies() int {
+	if w.random == nil {
+		return 1
 	}
+	switch w.random.IntN(10) {
+	case 0:
+		return 0
+	case 1:
+		return 2
+	}
+	return 1
+}
+
+func (w *leasedShares) delay() tackclock.Duration {
+	if w.random == nil {
+		return 1
+	}
+	return tackclock.Duration(1 + w.random.IntN(60))
+}
+
+// capacity is what a peer may have in flight.
+func (w *leasedShares) capacity(now tackclock.Time, vm int) int {
+	return w.vms[vm].chooser.Capacity(now, tackroute.Ask{Home: home})
 }
 
 func (w *leasedShares) traffic() (int, int) { return w.messages, w.bytes }
