Bound the bytes, the memory and the observations of the directory

Bounds: 8 KB/s steady, 10 KB/s in the worst minute. A request for what is missing goes round all peers that have it, not only the last.

--- /dev/null
+++ b/core/tackmember/bytes_test.go
@@ -0,0 +1,117 @@
+package tackmember
+
+import (
+	"slices"
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const (
+	steadyBound = 8 * 1024  // bytes a second a peer, sent and received
+	minuteBound = 10 * 1024 // the same in the worst minute, under half of 21 KB
+)
+
+type (
+	// announcers is a number of backend servers that keep announcing
+	// themselves to the peer of their own data centre.
+	announcers struct {
+		c     *cluster
+		inc   []tackid.Incarnation
+		next  []tackclock.Time
+		calls int
+	}
+
+	// traffic is what one peer, the busiest, sent and received a second.
+	traffic struct {
+		servers, peers        int
+		steady, storm, healed int
+		calls                 float64 // announcements a second a peer
+	}
+)
+
+func newAnnouncers(c *cluster, n int) *announcers {
+	a := &announcers{c: c, inc: make([]tackid.Incarnation, n), next: make([]tackclock.Time, n)}
+	c.checked = a.announce
+	return a
+}
+
+func (a *announcers) announce() {
+	for n := range a.next {
+		if a.c.now < a.next[n] {
+			continue
+		}
+		p := n % len(a.c.dirs)
+		r := a.c.announce(p, a.c.server(n, p, a.inc[n], StateServing))
+		a.next[n] = a.c.now.Add(r.NextWithin)
+		a.calls++
+	}
+}
+
+// restart lets one backend server leave and come back as its next life.
+func (a *announcers) restart(n int) {
+	p := n % len(a.c.dirs)
+	a.c.announce(p, a.c.server(n, p, a.inc[n], StateLeaving))
+	a.c.run(tackclock.Second)
+	a.c.dirs[p].Withdraw(a.c.now, a.c.server(n, p, 0, StateServing).BackendServer.ID, a.inc[n])
+	a.inc[n]++
+}
+
+// measure returns the bytes a second of the busiest peer while f runs.
+func (a *announcers) measure(f func()) int {
+	clear(a.c.bytes)
+	a.c.count = true
+	start := a.c.now
+	f()
+	a.c.count = false
+	return slices.Max(a.c.bytes) * 1000 / int(a.c.now.Sub(start))
+}
+
+func measureTraffic(servers, peers, dcs int) traffic {
+	c := newCluster(peers, dcs)
+	a := newAnnouncers(c, servers)
+	m := traffic{servers: servers, peers: peers}
+	m.storm = a.measure(func() { c.run(tackclock.Minute) })
+	c.run(2 * tackclock.Minute)
+	a.calls = 0
+	m.steady = a.measure(func() {
+		for i := range 2 { // 530 a day are 1.8 in 5 minutes
+			a.restart(i * 7)
+			c.run(149 * tackclock.Second)
+		}
+	})
+	m.calls = float64(a.calls) / 300 / float64(peers)
+	c.isolate(true, 1)
+	c.run(2 * tackclock.Minute)
+	for i := range 10 {
+		a.restart(i)
+	}
+	c.isolate(false, 1)
+	c.restart(peers - 1)
+	m.healed = a.measure(func() { c.run(tackclock.Minute) })
+	return m
+}
+
+// Symptom: control uses up the links of small VMs as the fleet grows.
+// Sequence: the fleet grows to 2,300 backend servers; all announce anew at
+// once; a peer restarts empty while a cut heals.
+// Cause: what is sent grows with the fleet times the peers.
+func TestBytesASecondOfAPeer(t *testing.T) {
+	cases := []struct{ servers, peers, dcs int }{
+		{100, 3, 3}, {500, 3, 3}, {2300, 3, 3},
+		{100, 8, 4}, {500, 8, 4}, {2300, 8, 4},
+		{100, 12, 10}, {500, 12, 10}, {2300, 12, 10},
+	}
+	if testing.Short() {
+		cases = cases[len(cases)-1:]
+	}
+	for _, c := range cases {
+		m := measureTraffic(c.servers, c.peers, c.dcs)
+		t.Logf("%4d backend servers, %2d peers: steady %5d B/s, all announce anew %5d B/s, restart and heal %5d B/s, %.2f announcements a second a peer",
+			m.servers, m.peers, m.steady, m.storm, m.healed, m.calls)
+		if m.steady > steadyBound || m.storm > minuteBound || m.healed > minuteBound {
+			t.Errorf("over the bound of %d B/s steady, %d B/s in the worst minute", steadyBound, minuteBound)
+		}
+	}
+}
--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -57,7 +57,9 @@
 
 		beatDue, lastBeat tackclock.Time
 		scanDue           tackclock.Time
+		pushDue           tackclock.Time // of the first of unsent
 		version           uint64
+		unreadable        int
 		cache             listing
 	}
 
@@ -68,11 +70,12 @@
 		echoed tackclock.Time // when echo rose
 	}
 
-	// asked is a Want that was sent and whose answer is awaited.
+	// asked is a Want whose answer is awaited: when it was last sent, the
+	// peers that it was sent to, and further ones that could answer.
 	asked struct {
-		at   tackclock.Time
-		from tackid.Peer
-		next tackid.Peer // another one that could answer, if any
+		at    tackclock.Time
+		tried []tackid.Peer
+		next  []tackid.Peer
 	}
 
 	// change is a version of the own space and what it is about.
@@ -216,19 +219,26 @@
 
 // publish puts r into the own space as its next version.
 func (d *Directory) publish(now tackclock.Time, r Record, within tackclock.Duration) {
+	due := now
 	if e := d.entries[r.key()]; e != nil && r.held() {
 		r.Turn = e.turn + 1
+		if e.holder != nil && e.shown.same(r) {
+			due = now.Add(pushLazily)
+		}
 	}
-	d.put(now, r, within)
+	d.put(now, r, within, due)
 	d.settle(now, r.key())
 }
 
-// put stores r in the own space as its next version, to be sent.
-func (d *Directory) put(now tackclock.Time, r Record, within tackclock.Duration) {
+// put stores r in the own space as its next version, to be sent by due.
+func (d *Directory) put(now tackclock.Time, r Record, within tackclock.Duration, due tackclock.Time) {
 	delete(d.nearby, r.key())
 	d.own.version++
 	r.Version = d.own.version
 	d.own.records[r.key()] = &stored{Record: r, since: now, heard: now, within: within}
+	if len(d.unsent) == 0 || due < d.pushDue {
+		d.pushDue = due
+	}
 	d.unsent = append(d.unsent, change{version: r.Version, key: r.key()})
 }
 
--- a/core/tackmember/message.go
+++ b/core/tackmember/message.go
@@ -60,6 +60,9 @@
 		Floor      uint64            `cbor:"8,keyasint,omitempty"`
 		Reset      bool              `cbor:"9,keyasint,omitempty"`
 		Records    []Record          `cbor:"10,keyasint,omitempty"`
+		// Packed takes the place of Records when there are many: their CBOR
+		// form, compressed by deflate.
+		Packed []byte `cbor:"11,keyasint,omitempty"`
 	}
 
 	// Heard tells the owner of a space that the senders of the records with
--- /dev/null
+++ b/core/tackmember/pack.go
@@ -0,0 +1,66 @@
+package tackmember
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// packFrom is the number of records from which a part is compressed. The
+	// names in a fleet repeat, so many records shrink to about a quarter.
+	packFrom = 6
+
+	// maxUnpacked bounds what a compressed part may expand to, which keeps a
+	// broken one from filling the memory.
+	maxUnpacked = 1 << 20
+)
+
+// PartError reports a part that cannot be read. It is passed over, and asked
+// for again.
+type PartError struct {
+	Space SpaceID
+	Err   error
+}
+
+// Error implements error.
+func (e *PartError) Error() string {
+	return fmt.Sprintf("tackmember: part of space %08x: %v", uint32(e.Space), e.Err)
+}
+
+// Unwrap returns what made the part unreadable.
+func (e *PartError) Unwrap() error {
+	return e.Err
+}
+
+// pack compresses the records where that pays.
+func (p *Part) pack() {
+	if len(p.Records) < packFrom {
+		return
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
+	if err != nil {
+		return
+	}
+	if cbor.NewEncoder(w).Encode(p.Records) != nil || w.Close() != nil {
+		return
+	}
+	p.Packed, p.Records = buf.Bytes(), nil
+}
+
+// unpack undoes pack. The error is a *PartError.
+func (p *Part) unpack() error {
+	if p.Packed == nil {
+		return nil
+	}
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(p.Packed)), maxUnpacked)
+	if err := cbor.NewDecoder(r).Decode(&p.Records); err != nil {
+		return &PartError{Space: p.Space, Err: err}
+	}
+	p.Packed = nil
+	return nil
+}
--- a/core/tackmember/space.go
+++ b/core/tackmember/space.go
@@ -89,6 +89,7 @@
 		p.Records = p.Records[:maxPart]
 		p.To = p.Records[maxPart-1].Version
 	}
+	p.pack()
 	return p, true
 }
 
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -17,6 +17,11 @@
 	beatSoon = 200 * tackclock.Millisecond
 	beatGap  = 500 * tackclock.Millisecond
 
+	// pushLazily is how long a change may wait that only says who holds a
+	// record. After a peer's death there are hundreds of them, and many in
+	// one part take a fraction of the bytes.
+	pushLazily = 3 * tackclock.Second
+
 	// wantAgain is how long an answer to a Want is awaited.
 	wantAgain = 600 * tackclock.Millisecond
 
@@ -32,7 +37,7 @@
 		d.scanDue = now.Add(scanEvery)
 		d.scan(now)
 	}
-	parts := d.pushes()
+	parts := d.pushes(now)
 	var seen []Seen
 	if now >= d.beatDue {
 		seen = d.beat(now)
@@ -52,10 +57,11 @@
 	return out
 }
 
-// pushes returns the next of the own changes that have not been sent.
-func (d *Directory) pushes() []Part {
+// pushes returns the next of the own changes that have not been sent, once one
+// of them is due.
+func (d *Directory) pushes(now tackclock.Time) []Part {
 	n := min(len(d.unsent), maxPart)
-	if n == 0 {
+	if n == 0 || now < d.pushDue {
 		return nil
 	}
 	p := d.own.header(d.unsent[0].version - 1)
@@ -66,6 +72,7 @@
 		}
 	}
 	d.unsent = slices.Delete(d.unsent, 0, n)
+	p.pack()
 	return []Part{p}
 }
 
@@ -76,7 +83,11 @@
 	d.lastBeat, d.beatDue = now, now.Add(beatEvery)
 	seen := make([]Seen, 0, len(d.spaces))
 	for _, s := range d.spaces {
-		seen = append(seen, Seen{Space: s.id, Beat: s.beat, Version: s.version})
+		v := s.version
+		if s == d.own {
+			v -= uint64(len(d.unsent))
+		}
+		seen = append(seen, Seen{Space: s.id, Beat: s.beat, Version: v})
 	}
 	slices.SortFunc(seen, func(a, b Seen) int { return cmp.Compare(a.Space, b.Space) })
 	return seen
@@ -166,24 +177,23 @@
 // want adds w to reply unless an answer to an earlier one is awaited.
 func (d *Directory) want(now tackclock.Time, from tackid.Peer, w Want, reply *Message) {
 	a := d.wanted[w.Space]
-	if a != nil && now.Sub(a.at) < wantAgain {
-		if from != a.from {
-			a.next = from
-		}
-		return
+	switch {
+	case a == nil || now.Sub(a.at) >= wantAgain:
+		d.wanted[w.Space] = &asked{at: now, tried: []tackid.Peer{from}}
+		reply.Wants = append(reply.Wants, w)
+	case !slices.Contains(a.tried, from) && !slices.Contains(a.next, from):
+		a.next = append(a.next, from)
 	}
-	d.wanted[w.Space] = &asked{at: now, from: from}
-	reply.Wants = append(reply.Wants, w)
 }
 
-// askNext returns, by peer, the Wants that an earlier peer left unanswered and
+// askNext returns, by peer, the Wants that earlier peers left unanswered and
 // another one may answer. Over a link that carries only one way, a peer is
 // heard to have what is wanted but never gets the Want; without this, asking
 // it again and again would keep the others from being asked.
 func (d *Directory) askNext(now tackclock.Time) map[tackid.Peer][]Want {
 	var wants map[tackid.Peer][]Want
 	for id, a := range d.wanted {
-		if a.next == "" || now.Sub(a.at) < wantNext {
+		if len(a.next) == 0 || now.Sub(a.at) < wantNext {
 			continue
 		}
 		w := Want{Space: id}
@@ -193,8 +203,9 @@
 		if wants == nil {
 			wants = make(map[tackid.Peer][]Want)
 		}
-		wants[a.next] = append(wants[a.next], w)
-		*a = asked{at: now, from: a.next}
+		p := a.next[0]
+		wants[p] = append(wants[p], w)
+		a.at, a.tried, a.next = now, append(a.tried, p), a.next[1:]
 	}
 	return wants
 }
@@ -211,6 +222,10 @@
 	if s == nil {
 		return
 	}
+	if p.unpack() != nil {
+		d.unreadable++
+		return
+	}
 	before := s.version
 	touched, ok := s.take(now, p)
 	if ok && s.version <= before && len(touched) == 0 {
@@ -276,7 +291,7 @@
 	d.unsent = nil
 	for _, r := range old.after(0) {
 		was := old.records[r.key()]
-		d.put(now, r, was.within)
+		d.put(now, r, was.within, now)
 		s := d.own.records[r.key()]
 		s.heard, s.since = was.heard, was.since
 	}
--- a/core/tackmember/standing.go
+++ b/core/tackmember/standing.go
@@ -56,7 +56,7 @@
 	for _, k := range sortedKeys(d.own.records) {
 		r := d.own.records[k]
 		if r.held() && now.Sub(r.heard) > lifetime(r.within) {
-			d.put(now, r.ended(r.Stage), 0)
+			d.put(now, r.ended(r.Stage), 0, now)
 			d.settle(now, k)
 		}
 	}
@@ -142,7 +142,7 @@
 	if r.held() {
 		since = now
 	}
-	d.put(now, r.ended(r.Stage), 0)
+	d.put(now, r.ended(r.Stage), 0, now.Add(pushLazily))
 	d.own.records[k].since = since
 	d.settle(now, k)
 }
--- a/core/tackmember/view.go
+++ b/core/tackmember/view.go
@@ -70,7 +70,7 @@
 	if d.cache.valid {
 		return
 	}
-	d.cache = listing{valid: true}
+	d.cache = listing{valid: true, servers: make([]BackendServerRecord, 0, len(d.cache.servers)+1)}
 	for _, k := range sortedKeys(d.entries) {
 		e := d.entries[k]
 		switch {
@@ -108,7 +108,6 @@
 	d.index(k, e, &next)
 	*e = next
 	d.release(now, k, e)
-	d.rescue(now, k, e)
 }
 
 // settleAll works out everything anew.
@@ -225,32 +224,21 @@
 	over := mine.Incarnation < e.top.Incarnation || e.top.Stage == StageWithdrawn
 	elsewhere := e.holder != nil && e.holder != d.own &&
 		e.holder.standing == standingHeard && d.linked(now, e.holder.peer)
-	was := *mine
+	was, due := *mine, now.Add(pushLazily)
 	switch {
 	case over:
-		d.put(now, mine.ended(mine.Stage), 0)
+		d.put(now, mine.ended(mine.Stage), 0, due)
 	case elsewhere:
-		d.put(now, mine.ended(mine.Stage), 0)
+		d.put(now, mine.ended(mine.Stage), 0, due)
 		was.Stage = e.top.Stage
 		d.nearby[k] = &was
 	case mine.Stage < e.top.Stage:
 		was.Stage = e.top.Stage
-		d.put(now, was.Record, was.within)
+		d.put(now, was.Record, was.within, due)
 		d.own.records[k].heard = was.heard
 	}
 }
 
-// rescue publishes what announced itself here a while ago and has just been
-// given up by its holder.
-func (d *Directory) rescue(now tackclock.Time, k key, e *entry) {
-	r := d.nearby[k]
-	if e.holder != nil || r == nil || now.Sub(r.heard) > lifetime(r.within) || r.compare(&e.top) < 0 {
-		return
-	}
-	d.publish(now, r.Record, r.within)
-	d.own.records[k].heard = r.heard
-}
-
 // sorted returns the spaces by id, for a fixed order of what follows.
 func (d *Directory) sorted() []*space {
 	list := slices.Collect(maps.Values(d.spaces))
