--- a/core/tackmember/bounds_test.go
+++ b/core/tackmember/bounds_test.go
@@ -44,7 +44,7 @@
 // Cause: the directory came by refreshes only, a minute apart.
 func TestNewPeerGetsTheWholeDirectory(t *testing.T) {
 	c := newCluster(12, 10)
-	newAnnouncers(c, 2300)
+	newAnnouncers(c, 2300, 10)
 	c.run(tackclock.Minute)
 	c.restart(11)
 	start := c.now
@@ -65,7 +65,7 @@
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			c := newCluster(12, 10)
-			newAnnouncers(c, n)
+			newAnnouncers(c, n, 10)
 			c.run(5 * tackclock.Second)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
@@ -81,7 +81,7 @@
 
 func BenchmarkAnnounce(b *testing.B) {
 	c := newCluster(12, 10)
-	newAnnouncers(c, 2300)
+	newAnnouncers(c, 2300, 10)
 	c.run(5 * tackclock.Second)
 	a := c.server(12, 0, 0, StateServing)
 	b.ReportAllocs()
@@ -92,7 +92,7 @@
 
 func BenchmarkBackendServersAfterAChange(b *testing.B) {
 	c := newCluster(12, 10)
-	newAnnouncers(c, 2300)
+	newAnnouncers(c, 2300, 10)
 	c.run(5 * tackclock.Second)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
--- a/core/tackmember/bytes_test.go
+++ b/core/tackmember/bytes_test.go
@@ -15,9 +15,11 @@
 
 type (
 	// announcers is a number of backend servers that keep announcing
-	// themselves to the peer of their own data centre.
+	// themselves to the peers of their own data centre, each time to any.
 	announcers struct {
 		c     *cluster
+		dcs   int
+		dice  uint64
 		inc   []tackid.Incarnation
 		next  []tackclock.Time
 		calls int
@@ -31,8 +33,8 @@
 	}
 )
 
-func newAnnouncers(c *cluster, n int) *announcers {
-	a := &announcers{c: c, inc: make([]tackid.Incarnation, n), next: make([]tackclock.Time, n)}
+func newAnnouncers(c *cluster, n, dcs int) *announcers {
+	a := &announcers{c: c, dcs: dcs, inc: make([]tackid.Incarnation, n), next: make([]tackclock.Time, n)}
 	c.checked = a.announce
 	return a
 }
@@ -42,16 +44,24 @@
 		if a.c.now < a.next[n] {
 			continue
 		}
-		p := n % len(a.c.dirs)
+		p := a.peer(n)
 		r := a.c.announce(p, a.c.server(n, p, a.inc[n], StateServing))
 		a.next[n] = a.c.now.Add(r.NextWithin)
 		a.calls++
 	}
 }
 
+// peer returns one of the peers of the data centre of backend server n.
+func (a *announcers) peer(n int) int {
+	a.dice = a.dice*6364136223846793005 + 1442695040888963407
+	home := n % a.dcs
+	peers := (len(a.c.dirs) - home + a.dcs - 1) / a.dcs
+	return home + a.dcs*int((a.dice>>33)%uint64(peers))
+}
+
 // restart lets one backend server leave and come back as its next life.
 func (a *announcers) restart(n int) {
-	p := n % len(a.c.dirs)
+	p := a.peer(n)
 	a.c.announce(p, a.c.server(n, p, a.inc[n], StateLeaving))
 	a.c.run(tackclock.Second)
 	a.c.dirs[p].Withdraw(a.c.now, a.c.server(n, p, 0, StateServing).BackendServer.ID, a.inc[n])
@@ -70,7 +80,7 @@
 
 func measureTraffic(servers, peers, dcs int) traffic {
 	c := newCluster(peers, dcs)
-	a := newAnnouncers(c, servers)
+	a := newAnnouncers(c, servers, dcs)
 	m := traffic{servers: servers, peers: peers}
 	m.storm = a.measure(func() { c.run(tackclock.Minute) })
 	c.run(2 * tackclock.Minute)
--- a/core/tackmember/view.go
+++ b/core/tackmember/view.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// settle works out anew what is known under k, and lets go of the own record
-// where a better one is held elsewhere.
+// settle works out anew what is known under k, and brings the own record in
+// line with it.
 func (d *Directory) settle(now tackclock.Time, k key) {
 	e := d.entries[k]
 	next, found := d.merge(k)
@@ -212,26 +212,18 @@
 	d.vms[is.shown.VM][k] = d.entries[k]
 }
 
-// release ends the own record under k when its incarnation is over, or when a
-// peer that is linked holds a better one. Without it, each peer that a
-// balancer ever chose would go on holding the record. An own record that lags
-// behind the stage of its incarnation is raised to it.
+// release ends the own record under k when its incarnation is over, and raises
+// it when it lags behind the stage of its incarnation. A record that another
+// peer holds as well is left to end by silence.
 func (d *Directory) release(now tackclock.Time, k key, e *entry) {
 	mine := d.own.records[k]
 	if mine == nil || !mine.held() {
 		return
 	}
-	over := mine.Incarnation < e.top.Incarnation || e.top.Stage == StageWithdrawn
-	elsewhere := e.holder != nil && e.holder != d.own &&
-		e.holder.standing == standingHeard && d.linked(now, e.holder.peer)
 	was, due := *mine, now.Add(pushLazily)
 	switch {
-	case over:
+	case mine.Incarnation < e.top.Incarnation || e.top.Stage == StageWithdrawn:
 		d.put(now, mine.ended(mine.Stage), 0, due)
-	case elsewhere:
-		d.put(now, mine.ended(mine.Stage), 0, due)
-		was.Stage = e.top.Stage
-		d.nearby[k] = &was
 	case mine.Stage < e.top.Stage:
 		was.Stage = e.top.Stage
 		d.put(now, was.Record, was.within, due)
