--- a/core/tackburn/sample.go
+++ b/core/tackburn/sample.go
@@ -13,21 +13,25 @@
 	// these ways because of a maintenance wave. LatencyMS is the sum of the
 	// answered requests' times in milliseconds.
 	Counts struct {
-		Good      uint64 `cbor:"1,keyasint,omitempty"`
-		Late      uint64 `cbor:"2,keyasint,omitempty"`
-		Refused   uint64 `cbor:"3,keyasint,omitempty"`
-		Lost      uint64 `cbor:"4,keyasint,omitempty"`
-		Wave      uint64 `cbor:"5,keyasint,omitempty"`
-		LatencyMS uint64 `cbor:"6,keyasint,omitempty"`
+		Good      uint64 `cbor:"1,keyasint,omitempty" json:"good"`
+		Late      uint64 `cbor:"2,keyasint,omitempty" json:"late"`
+		Refused   uint64 `cbor:"3,keyasint,omitempty" json:"refused"`
+		Lost      uint64 `cbor:"4,keyasint,omitempty" json:"lost"`
+		Wave      uint64 `cbor:"5,keyasint,omitempty" json:"wave"`
+		LatencyMS uint64 `cbor:"6,keyasint,omitempty" json:"latency_ms"`
 	}
 
 	// Sample is what one peer counted since its last sample. The same
-	// requests are counted by service, by team and by label.
+	// requests are counted by service, by team and by label. Sequence rises
+	// with each sample of a peer, also through restarts (its clock does), so
+	// that a sample that was proposed again after a lost answer counts once;
+	// 0 counts always.
 	Sample struct {
 		Peer     tackid.Peer     `cbor:"1,keyasint,omitempty"`
 		Services []ServiceCounts `cbor:"2,keyasint,omitempty"`
 		Teams    []TeamCounts    `cbor:"3,keyasint,omitempty"`
 		Labels   []LabelCounts   `cbor:"4,keyasint,omitempty"`
+		Sequence uint64          `cbor:"5,keyasint,omitempty"`
 	}
 
 	// ServiceCounts is what came of one service's requests.
