--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -28,6 +28,7 @@
 	maxWithin   = tackclock.Minute
 	withinEach  = 200 * tackclock.Millisecond
 	scanEvery   = 500 * tackclock.Millisecond
+	purgeEvery  = 10 * tackclock.Second
 	maxSpaces   = 4 // of one peer
 	maxRetired  = 512
 	lifetimeMin = tackclock.Second
@@ -56,7 +57,7 @@
 		refresh map[SpaceID]*Heard
 
 		beatDue, lastBeat tackclock.Time
-		scanDue           tackclock.Time
+		scanDue, purgeDue tackclock.Time
 		pushDue           tackclock.Time // of the first of unsent
 		version           uint64
 		unreadable        int
--- a/core/tackmember/health.go
+++ b/core/tackmember/health.go
@@ -27,6 +27,10 @@
 	lastLoss tackclock.Time
 	since    tackclock.Time // when it was seen to serve
 	serving  bool
+
+	says    tackfleet.Observation // as of version
+	known   bool                  // whether anything is
+	version uint64
 }
 
 // VM returns what the announcements say of a VM: it serves when its worker or
@@ -87,24 +91,34 @@
 	seen := make(map[tackid.VM]*damper, len(known))
 	var changes []tackfleet.Observation
 	for i := range known {
-		o := d.VM(known[i].ID)
-		h := d.health[o.VM]
-		if h == nil {
-			h = new(damper)
+		id := known[i].ID
+		h := d.health[id]
+		if h == nil || h.version != d.version {
+			h = d.look(id, h)
 		}
-		seen[o.VM] = h
-		ripe := h.observe(now, o.Health)
-		if d.tell(now, &known[i], o, ripe) {
-			changes = append(changes, o)
+		seen[id] = h
+		if h.observe(now) && d.tell(now, &known[i], h) {
+			changes = append(changes, h.says)
 		}
 	}
 	d.health = seen
 	return changes
 }
 
+// look notes what the announcements say of a VM now.
+func (d *Directory) look(id tackid.VM, h *damper) *damper {
+	if h == nil {
+		h = new(damper)
+	}
+	h.says = d.VM(id)
+	h.known = len(d.vms[id]) > 0
+	h.version = d.version
+	return h
+}
+
 // observe notes the health of a VM and reports whether it may be passed on.
-func (h *damper) observe(now tackclock.Time, health tackfleet.Health) bool {
-	serving := health == tackfleet.HealthServing
+func (h *damper) observe(now tackclock.Time) bool {
+	serving := h.says.Health == tackfleet.HealthServing
 	if h.losses > 0 && now.Sub(h.lastLoss) > flapWindow {
 		h.losses = 0
 	}
@@ -127,12 +141,10 @@
 	return min(riseFirst<<min(h.losses-2, 10), riseLimit)
 }
 
-// tell reports whether o is news about v.
-func (d *Directory) tell(now tackclock.Time, v *tackfleet.VM, o tackfleet.Observation, ripe bool) bool {
-	if !ripe {
-		return false
-	}
-	if len(d.vms[o.VM]) == 0 {
+// tell reports whether what h says is news about v.
+func (d *Directory) tell(now tackclock.Time, v *tackfleet.VM, h *damper) bool {
+	o := &h.says
+	if !h.known {
 		return v.Health == tackfleet.HealthServing && now.Sub(d.since) >= warmUp
 	}
 	if o.Health != v.Health {
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -286,6 +286,7 @@
 func (d *Directory) rebirth(now tackclock.Time, past Epoch) {
 	old := d.own
 	d.own = newSpace(d.self, max(Epoch(now), past+1), d.dc, now)
+	d.own.beat = old.beat
 	delete(d.spaces, old.id)
 	d.spaces[d.own.id] = d.own
 	d.unsent = nil
