--- a/core/tackmember/bytes_test.go
+++ b/core/tackmember/bytes_test.go
@@ -6,11 +6,13 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const (
-	steadyBound = 8 * 1024  // bytes a second a peer, sent and received
-	minuteBound = 10 * 1024 // the same in the worst minute, under half of 21 KB
+	steadyBound = 3_000 // bytes a second a peer, sent and received
+	minuteBound = 6_000 // the same in the worst minute
 )
 
 type (
@@ -29,6 +31,7 @@
 	traffic struct {
 		servers, peers        int
 		steady, storm, healed int
+		whole, ids            int     // steady, by the plain ways
 		calls                 float64 // announcements a second a peer
 	}
 )
@@ -90,6 +93,7 @@
 		c.run(149 * tackclock.Second)
 	})
 	m.calls = float64(a.calls) / 150 / float64(peers)
+	m.whole, m.ids = m.baselines(c)
 	c.isolate(true, 1)
 	c.run(30 * tackclock.Second)
 	for i := range 10 {
@@ -101,6 +105,20 @@
 	return m
 }
 
+// baselines returns what two plain ways would take at the same announcements:
+// passing each on to every peer whole, and passing on eight bytes of each in
+// one message a second.
+func (m traffic) baselines(c *cluster) (whole, ids int) {
+	p := Part{Space: 1 << 31, Peer: c.ids[0], Epoch: Epoch(c.now), DataCentre: c.dcs[0], From: 1 << 16, To: 1 << 16, Last: 1 << 16}
+	p.Records = []Record{newRecord(c.server(7, 0, 1, StateServing))}
+	data, err := cbor.Marshal(Message{Parts: []Part{p}})
+	if err != nil {
+		panic(err)
+	}
+	ways := 2 * float64(m.peers-1)
+	return int(ways * m.calls * float64(len(data)+envelope)), int(ways * (m.calls*9 + envelope))
+}
+
 // Symptom: control uses up the links of small VMs as the fleet grows.
 // Sequence: the fleet grows to 2,300 backend servers; all announce anew at
 // once; a peer restarts empty while a cut heals.
@@ -116,8 +134,8 @@
 	}
 	for _, c := range cases {
 		m := measureTraffic(c.servers, c.peers, c.dcs)
-		t.Logf("%4d backend servers, %2d peers: steady %5d B/s, all announce anew %5d B/s, restart and heal %5d B/s, %.2f announcements a second a peer",
-			m.servers, m.peers, m.steady, m.storm, m.healed, m.calls)
+		t.Logf("%4d backend servers, %2d peers: steady %5d B/s, all announce anew %5d B/s, restart and heal %5d B/s, %.2f announcements a second a peer; passed on whole %5d B/s, by id %5d B/s",
+			m.servers, m.peers, m.steady, m.storm, m.healed, m.calls, m.whole, m.ids)
 		if m.steady > steadyBound || m.storm > minuteBound || m.healed > minuteBound {
 			t.Errorf("over the bound of %d B/s steady, %d B/s in the worst minute", steadyBound, minuteBound)
 		}
--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -4,10 +4,10 @@
 //
 // Each peer is the owner of one space: the records of those that announce
 // themselves to it, numbered by version. Owners push their changes to every
-// peer. Once a second each peer tells every other how much it has of every
-// space, and one that has less asks for the rest, from whoever has it; so a
-// change gets round a cut link, and a new peer or a healed cut gets all it
-// lacks. What the directory shows is worked out from all spaces.
+// peer. Each peer tells every other how much it has of each space, of those
+// that changed lately once a second, and one that has less asks for the rest,
+// from whoever has it; so a change gets round a cut link, and a new peer or a
+// healed cut gets all it lacks. What the directory shows is worked out from all spaces.
 package tackmember
 
 import (
@@ -228,7 +228,7 @@
 		}
 	}
 	d.put(now, r, within, due)
-	d.settle(now, r.key())
+	d.settle(r.key())
 }
 
 // put stores r in the own space as its next version, to be sent by due.
--- a/core/tackmember/space.go
+++ b/core/tackmember/space.go
@@ -44,6 +44,7 @@
 		floor      uint64 // ended records up to this version may be missing
 		beat       uint64
 		heard      tackclock.Time // when beat rose
+		changed    tackclock.Time // when a copy last took something in
 		superseded tackclock.Time // when a later life, or the removal, showed; 0 before
 		standing   standing
 		resetting  bool
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -12,6 +12,10 @@
 	// beatEvery is how often a peer tells every other what it has.
 	beatEvery = tackclock.Second
 
+	// fullEvery is how many beats apart all spaces are told; those between
+	// tell the own one and what changed lately.
+	fullEvery = 3
+
 	// beatSoon and beatGap bring the next beat forward when a change came
 	// from another peer, so that it gets round a cut link at once.
 	beatSoon = 200 * tackclock.Millisecond
@@ -76,13 +80,18 @@
 	return []Part{p}
 }
 
-// beat advances the own beat and returns what this peer has of every space.
+// beat advances the own beat and returns how much this peer has of the spaces
+// that are due to be told.
 func (d *Directory) beat(now tackclock.Time) []Seen {
 	d.own.beat++
 	d.own.heard = now
 	d.lastBeat, d.beatDue = now, now.Add(beatEvery)
 	seen := make([]Seen, 0, len(d.spaces))
 	for _, s := range d.spaces {
+		lately := now.Sub(s.changed) <= fullEvery*beatEvery
+		if s != d.own && !lately && d.own.beat%fullEvery != 0 {
+			continue
+		}
 		v := s.version
 		if s == d.own {
 			v -= uint64(len(d.unsent))
@@ -235,12 +244,13 @@
 		delete(d.wanted, s.id)
 	}
 	for _, k := range touched {
-		d.settle(now, k)
+		d.settle(k)
 	}
 	if !ok || s.version < p.Last {
 		d.want(now, from, s.want(), reply)
 	}
 	if len(touched) > 0 {
+		s.changed = now
 		d.beatDue = min(d.beatDue, max(now.Add(beatSoon), d.lastBeat.Add(beatGap)))
 	}
 }
@@ -297,5 +307,5 @@
 		s.heard, s.since = was.heard, was.since
 	}
 	d.supersede(now)
-	d.settleAll(now)
+	d.settleAll()
 }
--- a/core/tackmember/standing.go
+++ b/core/tackmember/standing.go
@@ -51,7 +51,7 @@
 func (d *Directory) purge(now tackclock.Time) {
 	for _, s := range d.sorted() {
 		for _, k := range s.purge(now) {
-			d.settle(now, k)
+			d.settle(k)
 		}
 	}
 	for id, a := range d.wanted {
@@ -71,7 +71,7 @@
 	}
 	for _, k := range sortedKeys(silent) {
 		d.put(now, silent[k].ended(silent[k].Stage), 0, now)
-		d.settle(now, k)
+		d.settle(k)
 	}
 }
 
@@ -143,7 +143,7 @@
 	}
 	d.retired[s.id] = now
 	for _, k := range sortedKeys(s.records) {
-		d.settle(now, k)
+		d.settle(k)
 		d.inherit(now, k, s.records[k])
 	}
 }
@@ -160,7 +160,7 @@
 	}
 	d.put(now, r.ended(r.Stage), 0, now.Add(pushLazily))
 	d.own.records[k].since = since
-	d.settle(now, k)
+	d.settle(k)
 }
 
 func (d *Directory) dropOldestRetired() {
@@ -182,7 +182,7 @@
 	}
 	s.standing = next
 	for _, k := range sortedKeys(s.records) {
-		d.settle(now, k)
+		d.settle(k)
 	}
 }
 
--- a/core/tackmember/view.go
+++ b/core/tackmember/view.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 
-	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 )
@@ -85,9 +84,9 @@
 	}
 }
 
-// settle works out anew what is known under k, and brings the own record in
-// line with it.
-func (d *Directory) settle(now tackclock.Time, k key) {
+// settle works out anew what is known under k. An own record that others have
+// overtaken is left to end by silence.
+func (d *Directory) settle(k key) {
 	e := d.entries[k]
 	next, found := d.merge(k)
 	if !found {
@@ -107,13 +106,12 @@
 	}
 	d.index(k, e, &next)
 	*e = next
-	d.release(now, k, e)
 }
 
 // settleAll works out everything anew.
-func (d *Directory) settleAll(now tackclock.Time) {
+func (d *Directory) settleAll() {
 	for _, k := range sortedKeys(d.entries) {
-		d.settle(now, k)
+		d.settle(k)
 	}
 }
 
@@ -212,25 +210,6 @@
 	d.vms[is.shown.VM][k] = d.entries[k]
 }
 
-// release ends the own record under k when its incarnation is over, and raises
-// it when it lags behind the stage of its incarnation. A record that another
-// peer holds as well is left to end by silence.
-func (d *Directory) release(now tackclock.Time, k key, e *entry) {
-	mine := d.own.records[k]
-	if mine == nil || !mine.held() {
-		return
-	}
-	was, due := *mine, now.Add(pushLazily)
-	switch {
-	case mine.Incarnation < e.top.Incarnation || e.top.Stage == StageWithdrawn:
-		d.put(now, mine.ended(mine.Stage), 0, due)
-	case mine.Stage < e.top.Stage:
-		was.Stage = e.top.Stage
-		d.put(now, was.Record, was.within, due)
-		d.own.records[k].heard = was.heard
-	}
-}
-
 // sorted returns the spaces by id, for a fixed order of what follows.
 func (d *Directory) sorted() []*space {
 	list := slices.Collect(maps.Values(d.spaces))
