Gather samples, and read objectives, lateness and labels from the configuration

A Meter gathers a minute's requests into one sample. Settings.Set reads burn.objective, burn.late_ms and burn.label keys; labels are daily windows with a zone, so that a prayer or a batch run has an account of its own.

--- a/core/tackburn/report.go
+++ b/core/tackburn/report.go
@@ -36,14 +36,6 @@
 )
 
 type (
-	// Settings holds the objectives, in per cent of requests answered whole
-	// and on time. Default is used for services that have none of their own,
-	// teams and labels; its zero value means DefaultObjective.
-	Settings struct {
-		Default  float64
-		Services map[tackid.Service]float64
-	}
-
 	// Report is the account at one moment. All lists are sorted by name.
 	Report struct {
 		Time     tackclock.Time `json:"time_ms"`
--- /dev/null
+++ b/core/tackburn/settings_test.go
@@ -0,0 +1,76 @@
+package tackburn
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"auburntack/core/tackid"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// Symptom: a prayer's requests are counted a day's half off, or not at all.
+// Sequence: the window is given in local time, and lies past midnight UTC.
+// Cause: the zone was left out, or a window that ends after midnight was empty.
+func TestLabelWindows(t *testing.T) {
+	cases := []struct {
+		value, at string
+		service   tackid.Service
+		want      string
+	}{
+		{"04:10-05:30", "04:10", "dawn-svc", "[fajr]"},
+		{"04:10-05:30", "05:30", "dawn-svc", "[]"},
+		{"04:10-05:30+08:00", "20:11", "dawn-svc", "[fajr]"},
+		{"04:10-05:30+08:00", "04:11", "dawn-svc", "[]"},
+		{"07:30-08:30+08:00", "00:29", "dawn-svc", "[fajr]"},
+		{"07:30-08:30+08:00", "23:30", "dawn-svc", "[fajr]"},
+		{"23:00-01:00 dawn-svc", "00:59", "dawn-svc", "[fajr]"},
+		{"23:00-01:00 dawn-svc", "00:59", "eid-svc", "[]"},
+	}
+	for _, c := range cases {
+		t.Run(c.value+" at "+c.at, func(t *testing.T) {
+			var s Settings
+			if err := s.Set("burn.label.fajr", c.value); err != nil {
+				t.Fatal(err)
+			}
+			at, _ := parseClock(c.at)
+			if got := fmt.Sprint(s.LabelsAt(noon.Add(at), c.service)); got != c.want {
+				t.Errorf("labels %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestSettingsRefuseNonsense(t *testing.T) {
+	cases := []struct{ key, value string }{
+		{"burn.objective", "100"}, {"burn.objective", "NaN"}, {"burn.objective.dawn-svc", "-1"},
+		{"burn.late_ms", "2s"}, {"burn.late_ms.dawn-svc", "-5"},
+		{"burn.label.fajr", "4:10-5:30"}, {"burn.label.fajr", "04:10-04:10"}, {"burn.label.fajr", "04:10-05:30*08:00"},
+		{"burn.label.fajr", "24:10-05:30"}, {"burn.label.fajr", "noon"},
+	}
+	for _, c := range cases {
+		var s Settings
+		var bad *SettingError
+		if err := s.Set(c.key, c.value); !errors.As(err, &bad) || bad.Key != c.key {
+			t.Errorf("%s = %q: got %v, want a setting error", c.key, c.value, err)
+		}
+	}
+}
+
+func TestMeterTakesWhatItCounted(t *testing.T) {
+	var m Meter
+	for i := range 2 * MaxNames {
+		m.Count(Request{Service: "dawn-svc", Team: tackid.Team(fmt.Sprint("team-", i)), Outcome: Outcome(i % 5), Latency: 10}, "fajr")
+	}
+	s, ok := m.Take("cotabato-hall-1", 3)
+	convey.Convey("each request counts once by service, by team and by label", t, func() {
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(s.Services[0].Counts.Total(), convey.ShouldEqual, 2*MaxNames)
+		convey.So(s.Labels[0].Counts, convey.ShouldResemble, s.Services[0].Counts)
+		convey.So(len(s.Teams), convey.ShouldEqual, MaxNames+1)
+		convey.So(s.Services[0].Counts.LatencyMS, convey.ShouldEqual, 10*(s.Services[0].Counts.Good+s.Services[0].Counts.Late))
+		_, again := m.Take("cotabato-hall-1", 4)
+		convey.So(again, convey.ShouldBeFalse)
+	})
+}
