--- /dev/null
+++ b/io/tackserve/advice.go
@@ -0,0 +1,30 @@
+package tackserve
+
+import (
+	"errors"
+	"syscall"
+)
+
+// advices says what an operator can do about an error of the operating
+// system. Other errors say so themselves.
+var advices = []struct {
+	cause  error
+	advice string
+}{
+	{syscall.EACCES, "let the daemon's user write to state.folder and use the ports under [listen]"},
+	{syscall.EPERM, "let the daemon's user write to state.folder and use the ports under [listen]"},
+	{syscall.EROFS, "mount the file system of state.folder for writing"},
+	{syscall.ENOSPC, "make room on the file system of state.folder"},
+	{syscall.EIO, "replace the disk of state.folder; see docs/OPERATING.md on a lost disk"},
+	{syscall.ENOTDIR, "give a folder as state.folder"},
+}
+
+// advice returns what to do about err, or the empty text where err says it.
+func advice(err error) string {
+	for _, a := range advices {
+		if errors.Is(err, a.cause) {
+			return a.advice
+		}
+	}
+	return ""
+}
