Catch up with all there is, not with the first that was told

A beat now says whether it tells all, one who has what is unknown here is told all at once, and only a part that brings something ends the wait.

--- a/core/tackmember/bounds_test.go
+++ b/core/tackmember/bounds_test.go
@@ -42,17 +42,21 @@
 
 // Symptom: a peer that comes back routes by half a directory.
 // Sequence: it restarts empty among 2,300 backend servers.
-// Cause: the directory came by refreshes only, a minute apart.
+// Cause: the directory came by refreshes only, a minute apart; or the peer took
+// the first that it was told of for all there is.
 func TestNewPeerGetsTheWholeDirectory(t *testing.T) {
 	c := newCluster(12, 10)
 	newAnnouncers(c, 2300, 10)
 	c.run(tackclock.Minute)
 	c.restart(11)
 	start := c.now
-	for len(c.dirs[11].BackendServers()) < 2300 && c.now.Sub(start) < tackclock.Minute {
+	for !c.dirs[11].CaughtUp() && c.now.Sub(start) < tackclock.Minute {
 		c.step()
 	}
 	took := c.now.Sub(start)
+	if n := len(c.dirs[11].BackendServers()); n != 2300 {
+		t.Errorf("it knows %d backend servers when it says that it has caught up", n)
+	}
 	t.Logf("2,300 backend servers were known after %v by the model clock, 100 ms a hop", took)
 	if took > 5*tackclock.Second {
 		t.Fatalf("took %v, want at most 5s", took)
--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -59,6 +59,7 @@
 		beatDue, lastBeat tackclock.Time
 		scanDue, purgeDue tackclock.Time
 		pushDue           tackclock.Time // of the first of unsent
+		told              bool           // another peer has told all the spaces it knows
 		version           uint64
 		unreadable        int
 		cache             listing
@@ -119,6 +120,14 @@
 	d.scanDue = 0
 }
 
+// CaughtUp reports whether this peer knows what the others do: one of them has
+// told it of all there is, and all of that has come. A peer that has just
+// started and takes callers' requests before that would refuse them for want
+// of backend servers that every other peer knows.
+func (d *Directory) CaughtUp() bool {
+	return len(d.order) == 0 || d.told && len(d.wanted) == 0
+}
+
 // Announce takes in an announcement that came straight from its sender. The
 // error is a *FieldError or a *FullError.
 func (d *Directory) Announce(now tackclock.Time, a Announcement) (Reply, error) {
--- a/core/tackmember/message.go
+++ b/core/tackmember/message.go
@@ -26,6 +26,8 @@
 		Wants []Want `cbor:"3,keyasint,omitempty"`
 		Parts []Part `cbor:"4,keyasint,omitempty"`
 		Heard *Heard `cbor:"5,keyasint,omitempty"`
+		// All says that Seen has every space that the sender knows.
+		All bool `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Seen says how much of one space the sender has, and the newest beat of
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -43,13 +43,14 @@
 	}
 	parts := d.pushes(now)
 	var seen []Seen
+	all := false
 	if now >= d.beatDue {
-		seen = d.beat(now)
+		seen, all = d.beat(now)
 	}
 	wants := d.askNext(now)
 	var out []Outgoing
 	for _, p := range d.order {
-		m := Message{Parts: parts, Seen: seen, Wants: wants[p]}
+		m := Message{Parts: parts, Seen: seen, All: all, Wants: wants[p]}
 		if seen != nil {
 			m.Echo = d.peers[p].beat
 			m.Heard = d.takeRefresh(p)
@@ -81,15 +82,22 @@
 }
 
 // beat advances the own beat and returns how much this peer has of the spaces
-// that are due to be told.
-func (d *Directory) beat(now tackclock.Time) []Seen {
+// that are due to be told, and whether these are all.
+func (d *Directory) beat(now tackclock.Time) (seen []Seen, all bool) {
 	d.own.beat++
 	d.own.heard = now
 	d.lastBeat, d.beatDue = now, now.Add(beatEvery)
+	all = d.own.beat%fullEvery == 0
+	return d.seen(now, all), all
+}
+
+// seen returns how much this peer has of its own space, of those that changed
+// lately, or of all.
+func (d *Directory) seen(now tackclock.Time, all bool) []Seen {
 	seen := make([]Seen, 0, len(d.spaces))
 	for _, s := range d.spaces {
 		lately := now.Sub(s.changed) <= fullEvery*beatEvery
-		if s != d.own && !lately && d.own.beat%fullEvery != 0 {
+		if s != d.own && !lately && !all {
 			continue
 		}
 		v := s.version
@@ -132,6 +140,7 @@
 	for _, s := range m.Seen {
 		d.see(now, l, from, s, &reply)
 	}
+	d.told = d.told || m.All
 	if m.Heard != nil {
 		d.takeHeard(now, *m.Heard)
 	}
@@ -155,7 +164,8 @@
 	}
 }
 
-// see compares what another peer has of a space with what is here.
+// see compares what another peer has of a space with what is here. One that
+// has a space unknown here may be new itself, and is told all there is at once.
 func (d *Directory) see(now tackclock.Time, l *link, from tackid.Peer, seen Seen, reply *Message) {
 	if seen.Space == d.own.id {
 		if seen.Version > d.own.version || seen.Beat > d.own.beat {
@@ -168,7 +178,9 @@
 	}
 	s := d.spaces[seen.Space]
 	if s == nil {
-		d.want(now, from, Want{Space: seen.Space}, reply)
+		if d.want(now, from, Want{Space: seen.Space}, reply) {
+			reply.Seen, reply.All = d.seen(now, true), true
+		}
 		return
 	}
 	if s.peer == from && s.superseded == 0 {
@@ -183,16 +195,19 @@
 	}
 }
 
-// want adds w to reply unless an answer to an earlier one is awaited.
-func (d *Directory) want(now tackclock.Time, from tackid.Peer, w Want, reply *Message) {
+// want adds w to reply unless an answer to an earlier one is awaited, and
+// reports whether it did.
+func (d *Directory) want(now tackclock.Time, from tackid.Peer, w Want, reply *Message) bool {
 	a := d.wanted[w.Space]
 	switch {
 	case a == nil || now.Sub(a.at) >= wantAgain:
 		d.wanted[w.Space] = &asked{at: now, tried: []tackid.Peer{from}}
 		reply.Wants = append(reply.Wants, w)
+		return true
 	case !slices.Contains(a.tried, from) && !slices.Contains(a.next, from):
 		a.next = append(a.next, from)
 	}
+	return false
 }
 
 // askNext returns, by peer, the Wants that earlier peers left unanswered and
@@ -229,6 +244,7 @@
 	}
 	s := d.copyOf(now, p)
 	if s == nil {
+		delete(d.wanted, p.Space)
 		return
 	}
 	if p.unpack() != nil {
@@ -237,10 +253,11 @@
 	}
 	before := s.version
 	touched, ok := s.take(now, p)
-	if ok {
+	advanced := s.version > before || len(touched) > 0
+	if ok && (advanced || s.version >= p.Last) {
 		delete(d.wanted, s.id)
 	}
-	if ok && s.version <= before && len(touched) == 0 {
+	if ok && !advanced {
 		return
 	}
 	for _, k := range touched {
