Count requests by the account's own meter, settings and labels

The daemon kept a meter of its own without labels, lateness by service, or the wave as a cause, and a sample whose answer was lost was gone.

--- a/io/tackvm/query.go
+++ b/io/tackvm/query.go
@@ -165,5 +165,5 @@
 func (v *VM) Burn() tackburn.Report {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.state.Burn.Report(v.clock.Now(), tackburn.Settings{Default: v.cfg.Burn.Objective})
+	return v.state.Burn.Report(v.clock.Now(), v.meter.current())
 }
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -64,6 +64,7 @@
 	for _, q := range v.state.Fleet.Quotas() {
 		table.Quotas[q.Team] = q.Slots
 	}
+	v.refreshMeter()
 	for i := range servers {
 		v.addCandidate(table, &servers[i])
 	}
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -242,7 +242,7 @@
 			Err:    err,
 		})
 	}
-	v.flushBurn(ctx)
+	v.flushBurn(ctx, true)
 	v.sayStopped(ctx)
 	v.handOver(ctx)
 }
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -101,6 +101,7 @@
 		registry: metrics.NewRegistry(),
 		events:   make(chan func(), eventQueue),
 	}
+	v.meter.clock = clock
 	v.waiting.next = rand.Uint64() >> 1
 	stored, err := v.openDisk(logger)
 	if err != nil {
