Gather new records for 100 ms however often the directory ticks

Leaving and ends still go at once. A full directory is answered with 503 did_not_run, not 504 unknown.

--- a/core/tackmember/cluster_test.go
+++ b/core/tackmember/cluster_test.go
@@ -162,12 +162,13 @@
 	}}
 }
 
-// announce announces to a peer and returns its answer.
+// announce announces to a peer, which ticks at once, and returns its answer.
 func (c *cluster) announce(peer int, a Announcement) Reply {
 	r, err := c.dirs[peer].Announce(c.now, a)
 	if err != nil {
 		panic(err)
 	}
+	c.send(peer, c.dirs[peer].Tick(c.now))
 	return r
 }
 
--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -249,6 +249,9 @@
 // publish puts r into the own space as its next version.
 func (d *Directory) publish(now tackclock.Time, r Record, within tackclock.Duration) {
 	due := now
+	if r.held() && r.Stage == StageServing {
+		due = now.Add(pushGather)
+	}
 	if e := d.entries[r.key()]; e != nil && r.held() {
 		r.Turn = e.turn + 1
 		if e.holder != nil && e.shown.same(r) {
--- a/core/tackmember/spread.go
+++ b/core/tackmember/spread.go
@@ -21,6 +21,10 @@
 	beatSoon = 200 * tackclock.Millisecond
 	beatGap  = 500 * tackclock.Millisecond
 
+	// pushGather is how long a record of one that serves may wait for others:
+	// when all announce anew, hundreds come within a second.
+	pushGather = 100 * tackclock.Millisecond
+
 	// pushLazily is how long a change may wait that only says who holds a
 	// record. After a peer's death there are hundreds of them, and many in
 	// one part take a fraction of the bytes.
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 	"auburntack/core/tackmember"
 	"auburntack/core/tackroute"
+	"auburntack/io/tackoperator"
 )
 
 // routeInputs tells what the published routes were made from, so that they
@@ -132,6 +134,10 @@
 	reply, err := v.directory.Announce(v.clock.Now(), a)
 	v.directoryMu.Unlock()
 	v.wake()
+	var full *tackmember.FullError
+	if errors.As(err, &full) {
+		return reply, &tackoperator.NotRunError{Reason: err.Error(), RetryAfter: tackclock.Minute}
+	}
 	return reply, err
 }
 
