--- a/core/tackmember/message.go
+++ b/core/tackmember/message.go
@@ -26,6 +26,8 @@
 		Wants []Want `cbor:"3,keyasint,omitempty"`
 		Parts []Part `cbor:"4,keyasint,omitempty"`
 		Heard *Heard `cbor:"5,keyasint,omitempty"`
+		// All says that Seen has every space that the sender knows.
+		All bool `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Seen says how much of one space the sender has, and the newest beat of
@@ -60,6 +62,9 @@
 		Floor      uint64            `cbor:"8,keyasint,omitempty"`
 		Reset      bool              `cbor:"9,keyasint,omitempty"`
 		Records    []Record          `cbor:"10,keyasint,omitempty"`
+		// Packed takes the place of Records when there are many: their CBOR
+		// form, compressed by deflate.
+		Packed []byte `cbor:"11,keyasint,omitempty"`
 	}
 
 	// Heard tells the owner of a space that the senders of the records with
--- a/io/tackstandin/backend.go
+++ b/io/tackstandin/backend.go
@@ -89,10 +89,14 @@
 
 var client = &http.Client{Timeout: callLimit}
 
-// Start listens and announces as the next incarnation.
+// Start listens and announces as the next incarnation, unless it does so
+// already.
 func (b *BackendServer) Start() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.server != nil {
+		return nil
+	}
 	port, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("standin: %w", err)
--- a/io/tackvm/caller.go
+++ b/io/tackvm/caller.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
-	"auburntack/core/tackburn"
-	"auburntack/core/tackid"
 	"auburntack/core/tackledger"
 	"auburntack/core/tacklimit"
 	"auburntack/core/tackroute"
@@ -16,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 )
 
+<<<<<<< HEAD
 // burnEvery is how often this VM adds what it counted to the replicated
 // account of service levels.
 const burnEvery = time.Minute
@@ -37,6 +34,12 @@
 		label func(tackid.Service) tackburn.Label
 	}
 )
+=======
+// ledger claims and finishes idempotency keys through the log.
+type ledger struct {
+	v *VM
+}
+>>>>>>> member
 
 func (v *VM) newCaller(logger *logrus.Logger) *tackhttp.Handler {
 	c := v.cfg.Caller
@@ -83,6 +86,7 @@
 	defer l.v.mu.RUnlock()
 	return l.v.state.Ledger.Lookup(l.v.clock.Now(), id, print)
 }
+<<<<<<< HEAD
 
 // Count counts the end of one request.
 func (m *meter) Count(r tackhttp.Result) {
@@ -175,3 +179,5 @@
 		v.log.WithError(err).Warn("service-level counts not recorded")
 	}
 }
+=======
+>>>>>>> member
