Tell peers' standings everywhere and refuse at once when cut off

Conclusion: the leader's answer to a read carries the standings; a proposal that no leader takes ends after 3 s, at once when the lease has been gone that long; unheard backend servers are the last choice.

--- a/io/tackdemo/demo.go
+++ b/io/tackdemo/demo.go
@@ -41,13 +41,12 @@
 type (
 	// demo is the running system and what was counted of it.
 	demo struct {
-		out      io.Writer
-		began    time.Time
-		folder   string
-		settings []tacksettings.Settings
-		daemons  []*tackstandin.Daemon // for their addresses and calls alone
-		ended    []chan error
-		stop     context.CancelFunc
+		out     io.Writer
+		began   time.Time
+		folder  string
+		daemons []*tackstandin.Daemon // for their addresses and calls alone
+		ended   []chan error
+		stop    context.CancelFunc
 
 		servers  []*tackstandin.BackendServer
 		platform tackstandin.Platform
--- a/io/tackdemo/night.go
+++ b/io/tackdemo/night.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 )
 
@@ -17,7 +16,6 @@
 	// watch looks at the pool from outside, apart from the planner's own
 	// counting, until it is stopped.
 	watch struct {
-		mu       sync.Mutex
 		stop     chan struct{}
 		done     chan struct{}
 		looks    int
@@ -30,7 +28,6 @@
 	// measures is what the demo ends with.
 	measures struct {
 		rollOut       time.Duration
-		waveVMs       int
 		moves         int
 		lostCut       int
 		plannedCut    int
@@ -38,7 +35,6 @@
 		changes       int
 		changeSlowest time.Duration
 		leavingWork   int
-		rebooted      int
 	}
 )
 
--- a/io/tackvm/command.go
+++ b/io/tackvm/command.go
@@ -20,8 +20,7 @@
 	// commandLimit is how long a command may take. Beyond it the operator
 	// is told that the outcome is unknown.
 	commandLimit = 6 * tackclock.Second
-	// noLeaderLimit is how long a command waits for a leader before the
-	// operator is told that nothing was done.
+	// readLimit is how long a query waits for the leader to confirm it.
 	readLimit = 1500 * tackclock.Millisecond
 )
 
@@ -75,39 +74,20 @@
 	return tackid.CommandID(hex.EncodeToString(b[:]))
 }
 
-// changeMembers adds or removes a VM of the system. It is done by the leader;
-// another peer tells the operator whom to ask.
+// changeMembers adds or removes a VM of the system.
 func (v *VM) changeMembers(ctx context.Context, c tackcommand.Command) (tackoperator.Done, error) {
-	type proposed struct {
-		rev tackid.Revision
-		err error
-	}
-	answer := make(chan proposed, 1)
-	v.post(ctx, func() {
-		now := v.clock.Now()
-		rev, _, err := v.node.ProposeMembership(now, membersAfter(v.node.Status(now), c))
-		answer <- proposed{rev, err}
-	})
-	select {
-	case p := <-answer:
-		if p.err != nil {
-			return tackoperator.Done{}, membersError(p.err)
-		}
-		return v.doneAt(ctx, p.rev)
-	case <-ctx.Done():
-		return tackoperator.Done{}, &tackoperator.UnknownError{Err: ctx.Err()}
+	members := membersAfter(v.status.Load(), c)
+	answer, err := v.askLeader(ctx, confirm{Members: members})
+	if err != nil {
+		return tackoperator.Done{}, asOperatorError(err)
 	}
-}
-
-func membersError(err error) error {
-	var notLeader *tackreplica.NotLeaderError
-	if errors.As(err, &notLeader) {
-		return &tackoperator.NotRunError{Reason: "ask the leader, " + string(notLeader.Leader), RetryAfter: tackclock.Second}
+	if answer.Refused != "" {
+		return tackoperator.Done{}, &tackfleet.RefusedError{Code: tackfleet.CodeState, Reason: answer.Refused}
 	}
-	return &tackfleet.RefusedError{Code: tackfleet.CodeState, Reason: err.Error()}
+	return v.doneAt(ctx, answer.Index)
 }
 
-func membersAfter(s tackreplica.Status, c tackcommand.Command) []tackreplica.Member {
+func membersAfter(s *tackreplica.Status, c tackcommand.Command) []tackreplica.Member {
 	var members []tackreplica.Member
 	for _, m := range s.Members {
 		if c.RemovePeer != nil && c.RemovePeer.Peer == m.Peer {
@@ -135,10 +115,10 @@
 	if err != nil {
 		return tackoperator.Answer{}, err
 	}
-	confirmed := v.catchUp(ctx)
+	confirmed, standings := v.catchUp(ctx)
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	table, err := tackquery.Run(q, source{v: v, now: v.clock.Now()})
+	table, err := tackquery.Run(q, source{v: v, now: v.clock.Now(), standings: standings})
 	if err != nil {
 		return tackoperator.Answer{}, err
 	}
@@ -146,22 +126,23 @@
 }
 
 // catchUp waits until this VM has applied all that was answered before it was
-// called. It reports false where no leader confirms that in time.
-func (v *VM) catchUp(ctx context.Context) bool {
+// called, and returns how the leader says that the members stand. It reports
+// false where no leader confirms that in time.
+func (v *VM) catchUp(ctx context.Context) (bool, []standing) {
 	if !v.status.Load().Leased {
-		return false
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, readLimit.Std())
 	defer cancel()
-	index, err := v.readIndex(ctx)
+	index, standings, err := v.readIndex(ctx)
 	if err != nil {
-		return false
+		return false, nil
 	}
 	for v.status.Load().Applied < index {
 		sleep(ctx, readyEvery/25)
 		if ctx.Err() != nil {
-			return false
+			return false, nil
 		}
 	}
-	return true
+	return true, standings
 }
--- a/io/tackvm/confirm.go
+++ b/io/tackvm/confirm.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
 )
 
 const (
@@ -28,23 +30,23 @@
 // it, or has lost its lease and no longer relies on an older one. It returns
 // the members of the second kind.
 func (v *VM) awaitInForce(ctx context.Context, index tackid.Revision) ([]tackid.Peer, error) {
-	answer, err := v.askLeader(ctx, index)
+	answer, err := v.askLeader(ctx, confirm{Index: index})
 	return answer.Missing, err
 }
 
 // readIndex returns the revision that a read must have seen to show every
-// command that was answered before the read began.
-func (v *VM) readIndex(ctx context.Context) (tackid.Revision, error) {
-	answer, err := v.askLeader(ctx, 0)
-	return answer.Index, err
+// command that was answered before the read began, and how the members stand.
+func (v *VM) readIndex(ctx context.Context) (tackid.Revision, []standing, error) {
+	answer, err := v.askLeader(ctx, confirm{})
+	return answer.Index, answer.Standings, err
 }
 
-func (v *VM) askLeader(ctx context.Context, index tackid.Revision) (confirmed, error) {
+func (v *VM) askLeader(ctx context.Context, ask confirm) (confirmed, error) {
 	serial, answers := v.waiting.addConfirm()
 	defer v.waiting.removeConfirm(serial)
 	ticker := time.NewTicker(askAgainEvery)
 	defer ticker.Stop()
-	ask := confirm{Serial: serial, Index: index}
+	ask.Serial = serial
 	for {
 		v.post(ctx, func() { v.askOnLoop(ask) })
 		select {
@@ -113,9 +115,13 @@
 
 func (v *VM) answerConfirm(now tackclock.Time, a askedConfirm) bool {
 	answer := confirmed{Serial: a.Serial, Index: a.Index}
-	if a.Index == 0 {
+	switch {
+	case len(a.Members) > 0:
+		answer.Index, answer.Refused = v.changeTo(now, a.Members)
+	case a.Index == 0:
 		answer.Index = v.status.Load().Commit
-	} else {
+		answer.Standings = standings(now, v.status.Load())
+	default:
 		done, missing := v.node.InForce(now, a.Index)
 		if !done {
 			return false
@@ -130,6 +136,27 @@
 	return true
 }
 
+// changeTo makes the members those of the system. Asked again for members that
+// stand already, it answers as it did before: the first answer may be lost.
+func (v *VM) changeTo(now tackclock.Time, members []tackreplica.Member) (tackid.Revision, string) {
+	if slices.Equal(v.node.Members(), members) {
+		return v.status.Load().Commit, ""
+	}
+	rev, _, err := v.node.ProposeMembership(now, members)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return rev, ""
+}
+
+func standings(now tackclock.Time, s *tackreplica.Status) []standing {
+	list := make([]standing, 0, len(s.Members))
+	for _, m := range s.Members {
+		list = append(list, standing{Peer: m.Peer, Applied: m.Applied, Leased: m.LeaseUntil.After(now)})
+	}
+	return list
+}
+
 func (v *VM) onConfirmed(from tackid.Peer, body []byte) {
 	var answer confirmed
 	if !v.decode(from, body, &answer) {
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -24,6 +24,7 @@
 // runLoop owns the replicated log until ctx ends. It returns an error only
 // when the VM cannot go on.
 func (v *VM) runLoop(ctx context.Context) error {
+	defer close(v.ended)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -42,13 +43,17 @@
 	}
 }
 
-// post hands f to the loop. It reports false where ctx ended first.
+// post hands f to the loop. It reports false where ctx or the loop ended
+// first: a handler of the links that went on waiting for a loop that is gone
+// would keep the process from stopping.
 func (v *VM) post(ctx context.Context, f func()) bool {
 	select {
 	case v.events <- f:
 		return true
 	case <-ctx.Done():
 		return false
+	case <-v.ended:
+		return false
 	}
 }
 
--- a/io/tackvm/message.go
+++ b/io/tackvm/message.go
@@ -3,6 +3,7 @@
 import (
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
 	"auburntack/io/tackpeer"
 )
 
@@ -34,6 +35,9 @@
 	confirm struct {
 		Serial uint64          `cbor:"1,keyasint"`
 		Index  tackid.Revision `cbor:"2,keyasint,omitempty"`
+		// Members, if there are any, asks instead to make them the members
+		// of the system.
+		Members []tackreplica.Member `cbor:"3,keyasint,omitempty"`
 	}
 
 	// confirmed answers a confirm. Missing names the peers that have no lease
@@ -42,6 +46,17 @@
 		Serial  uint64          `cbor:"1,keyasint"`
 		Index   tackid.Revision `cbor:"2,keyasint"`
 		Missing []tackid.Peer   `cbor:"3,keyasint,omitempty"`
+		// Standings come with the answer for a read, Refused with that for
+		// members that the leader does not accept.
+		Standings []standing `cbor:"4,keyasint,omitempty"`
+		Refused   string     `cbor:"5,keyasint,omitempty"`
+	}
+
+	// standing is what the leader knows of one member.
+	standing struct {
+		Peer    tackid.Peer     `cbor:"1,keyasint"`
+		Applied tackid.Revision `cbor:"2,keyasint,omitempty"`
+		Leased  bool            `cbor:"3,keyasint,omitempty"`
 	}
 
 	// report tells the leader which of the VMs that may get no new work have
--- a/io/tackvm/propose.go
+++ b/io/tackvm/propose.go
@@ -6,13 +6,22 @@
 	"sync"
 	"time"
 
+	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackstate"
 )
 
-// resendEvery is how long a proposal waits to be applied before it is sent
-// once more, perhaps to another leader.
-const resendEvery = 400 * time.Millisecond
+const (
+	// resendEvery is how long a proposal waits to be applied before it is sent
+	// once more, perhaps to another leader.
+	resendEvery = 400 * time.Millisecond
+	// noLeaderLimit is how long a proposal waits while no leader takes it.
+	// An election takes up to 3 s; beyond that the VM is cut off or there is
+	// no majority, and whoever waits is better told at once.
+	noLeaderLimit = 3 * tackclock.Second
+
+	noLeader = "no leader with a majority could be reached"
+)
 
 type (
 	// waiters are the callers on this VM that wait for something to come
@@ -77,6 +86,7 @@
 
 func (v *VM) awaitOutcome(ctx context.Context, serial uint64, data []byte, waiter *proposalWaiter) (tackstate.Outcome, error) {
 	var sent, rejected int
+	began := v.clock.Now()
 	ticker := time.NewTicker(resendEvery)
 	defer ticker.Stop()
 	if v.submit(ctx, serial, data) {
@@ -91,16 +101,28 @@
 		case <-ticker.C:
 			if v.submit(ctx, serial, data) {
 				sent++
+			} else if sent <= rejected && v.withoutLeader(began) {
+				return tackstate.Outcome{}, &NotRunError{Reason: noLeader}
 			}
 		case <-ctx.Done():
 			if sent <= rejected {
-				return tackstate.Outcome{}, &NotRunError{Reason: "no leader with a majority could be reached"}
+				return tackstate.Outcome{}, &NotRunError{Reason: noLeader}
 			}
 			return tackstate.Outcome{}, &UnknownOutcomeError{Err: ctx.Err()}
 		}
 	}
 }
 
+// withoutLeader reports whether this VM has had neither a lease nor a leader
+// that takes its proposals for so long that waiting on has no point.
+func (v *VM) withoutLeader(began tackclock.Time) bool {
+	now := v.clock.Now()
+	if now.Sub(began) >= noLeaderLimit {
+		return true
+	}
+	return !v.status.Load().Leased && now.Sub(v.status.Load().LeaseUntil) >= noLeaderLimit
+}
+
 // submit gives the proposal to the log here, or sends it to the leader. It
 // reports whether the proposal may have left this VM or been appended.
 func (v *VM) submit(ctx context.Context, serial uint64, data []byte) bool {
@@ -115,6 +137,8 @@
 	case <-ctx.Done():
 		// The loop has the proposal and may yet append it.
 		return true
+	case <-v.ended:
+		return true
 	}
 }
 
--- a/io/tackvm/query.go
+++ b/io/tackvm/query.go
@@ -15,6 +15,9 @@
 type source struct {
 	v   *VM
 	now tackclock.Time
+	// standings is what the leader said, empty where it was not asked in
+	// time.
+	standings []standing
 }
 
 // Now returns the time of the query.
@@ -25,7 +28,7 @@
 
 // Cost returns what a wave would cost, by the planner that would run it.
 func (s source) Cost(pool tackid.Pool, action tackfleet.Action, maxParallel int) tackquery.Table {
-	plan := s.v.duties.planner.Cost(view(s), pool, action, maxParallel, s.v.waveSettings(s.now))
+	plan := s.v.duties.planner.Cost(view{v: s.v, now: s.now}, pool, action, maxParallel, s.v.waveSettings(s.now))
 	return tackquery.Table{
 		Columns: []string{"vms", "left_out", "steps", "buffer_vms", "minutes", "moves", "binds", "problem", "lower_bound_minutes"},
 		Rows: [][]any{{
@@ -103,30 +106,32 @@
 	return health.String()
 }
 
-// Peers returns the VMs of the system. What a peer has applied is known to
-// the leader alone; elsewhere only this VM's own row and links tell it.
+// Peers returns the VMs of the system. What a peer has applied and whether it
+// holds a lease is the leader's word; without it only this VM's own row tells.
 func (s source) Peers() []tackquery.PeerRow {
 	status := s.v.status.Load()
 	heard := make(map[tackid.Peer]tackclock.Time)
 	for _, l := range s.v.links.Status() {
 		heard[l.Peer] = l.LastHeard
 	}
-	var rows []tackquery.PeerRow
+	said := make(map[tackid.Peer]standing)
+	for _, x := range s.standings {
+		said[x.Peer] = x
+	}
+	said[s.v.cfg.VM.ID] = standing{Peer: s.v.cfg.VM.ID, Applied: status.Applied, Leased: status.Leased}
+	heard[s.v.cfg.VM.ID] = s.now
+	rows := make([]tackquery.PeerRow, 0, len(status.Members))
 	for _, m := range status.Members {
-		row := tackquery.PeerRow{
+		rows = append(rows, tackquery.PeerRow{
 			Peer:        m.Peer,
 			DataCentre:  m.DataCentre,
 			Voter:       m.Voter,
 			Role:        roleOf(m.Peer, status.Leader, m.Voter),
-			Applied:     m.Applied,
-			Leased:      m.LeaseUntil.After(s.now),
+			Applied:     said[m.Peer].Applied,
+			Leased:      said[m.Peer].Leased,
 			LastHeardMS: int64(s.now.Sub(heard[m.Peer])),
-			InForce:     m.Applied,
-		}
-		if m.Peer == s.v.cfg.VM.ID {
-			row.Applied, row.InForce, row.Leased, row.LastHeardMS = status.Applied, status.Applied, status.Leased, 0
-		}
-		rows = append(rows, row)
+			InForce:     said[m.Peer].Applied,
+		})
 	}
 	return rows
 }
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -68,16 +68,35 @@
 	}
 	v.refreshMeter()
 	for i := range servers {
-		v.addCandidate(table, &servers[i])
+		if servers[i].Health == tackfleet.HealthServing {
+			v.addCandidate(table, &servers[i])
+		}
 	}
+	v.addUnheard(table, servers)
 	return table
 }
 
+// addUnheard gives the services that would have none the backend servers whose
+// peer cannot be heard. Such a peer may be dead and its backend servers well:
+// without them every request would be refused until they have announced
+// themselves to another peer.
+func (v *VM) addUnheard(table *tackroute.Table, servers []tackmember.BackendServerRecord) {
+	none := make(map[tackid.Service]bool)
+	for service, candidates := range table.Services {
+		none[service] = len(candidates) == 0
+	}
+	for i := range servers {
+		if servers[i].Health == tackfleet.HealthUnknown && none[servers[i].Service] {
+			v.addCandidate(table, &servers[i])
+		}
+	}
+}
+
 // addCandidate adds the backend server to its service if it serves on a VM of
 // the pool that the service is placed on. A VM that moved away keeps its
 // backend servers for a while; nothing may be sent to them.
 func (v *VM) addCandidate(table *tackroute.Table, b *tackmember.BackendServerRecord) {
-	if b.State != tackmember.StateServing || b.Health != tackfleet.HealthServing {
+	if b.State != tackmember.StateServing {
 		return
 	}
 	service, ok := v.state.Fleet.Service(b.Service)
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -50,6 +50,8 @@
 
 		// events are run one at a time by the loop, which alone touches node.
 		events chan func()
+		// ended is closed once the loop takes no more events.
+		ended  chan struct{}
 		node   *tackreplica.Node
 		failed atomic.Pointer[StoppedError]
 
@@ -100,6 +102,7 @@
 		log:      logger.WithField("vm", string(cfg.VM.ID)),
 		registry: metrics.NewRegistry(),
 		events:   make(chan func(), eventQueue),
+		ended:    make(chan struct{}),
 	}
 	v.meter.clock = clock
 	v.waiting.next = rand.Uint64() >> 1
