--- a/core/tackwave/broken.go
+++ b/core/tackwave/broken.go
@@ -8,9 +8,17 @@
 	"auburntack/core/tackid"
 )
 
-// watch is how long after its maintenance a VM's loss is laid at the wave's
-// door.
-const watch = 30 * tackclock.Minute
+const (
+	// watch is how long after its maintenance a VM's loss is laid at the
+	// wave's door.
+	watch = 30 * tackclock.Minute
+)
+
+// domainCount counts VMs of a failure domain: all of them, those that do not
+// serve, those that the wave touched, and those of the latter that serve.
+type domainCount struct {
+	vms, gone, touched, touchedServing int
+}
 
 // broken reports whether the wave must stop by itself: the VMs that it
 // touched are lost, beyond the bound. A new wave is stopped by the first loss
@@ -47,40 +55,65 @@
 	return lost
 }
 
+// lostBy reports whether a VM that the wave touched is lost. One that was
+// lost after it came back counts only once it has been away for longer than
+// a restart takes: VMs restart all the time without a wave being at fault.
 func (t *tick) lostBy(m *tackfleet.WaveVM, vm *tackfleet.VM) bool {
-	away := t.now.Sub(vm.HealthSince)
+	away := vm.Health != tackfleet.HealthServing &&
+		t.now.Sub(vm.HealthSince) >= lateFactor*t.times.away(t.cfg)
 	switch m.Phase {
 	case tackfleet.PhaseFailed:
 		return vm.State == tackfleet.VMFailed
 	case tackfleet.PhaseSettling:
-		return vm.Health == tackfleet.HealthLost && away >= t.cfg.Settle
+		return away
 	case tackfleet.PhaseDone:
-		return vm.Health == tackfleet.HealthLost && away >= t.cfg.Settle &&
-			vm.HealthSince.Sub(m.Since) < watch && t.now.Sub(m.Since) < 2*watch
+		return away && vm.HealthSince.Sub(m.Since) < watch
 	}
 	return false
 }
 
 // domainLost reports whether the VM's rack or data centre was lost as a
-// whole: VMs there that the wave never touched are gone too, so the operation
-// is not what took this one.
+// whole, so that the operation is not what took the VM.
 func (t *tick) domainLost(w *tackfleet.Wave, vm *tackfleet.VM) bool {
-	var rack, dc, rackGone, dcGone int
+	var rack, dc, all domainCount
 	touched := touchedBy(w)
-	for _, other := range t.f.VMsOf(vm.Pool) {
-		if other.DataCentre != vm.DataCentre || touched[other.ID] {
+	for _, other := range t.members[vm.Pool] {
+		was, ok := touched[other.ID], other.Health == tackfleet.HealthServing
+		all.add(was, ok)
+		if other.DataCentre != vm.DataCentre {
 			continue
 		}
-		gone := 0
-		if other.Health != tackfleet.HealthServing {
-			gone = 1
-		}
-		dc, dcGone = dc+1, dcGone+gone
+		dc.add(was, ok)
 		if other.Rack == vm.Rack && vm.Rack != "" {
-			rack, rackGone = rack+1, rackGone+gone
+			rack.add(was, ok)
+		}
+	}
+	return rack.whole(&all) || dc.whole(&all)
+}
+
+// add counts one VM.
+func (c *domainCount) add(touched, serving bool) {
+	c.vms++
+	if !serving {
+		c.gone++
+	}
+	if touched {
+		c.touched++
+		if serving {
+			c.touchedServing++
 		}
 	}
-	return rack > 0 && rack == rackGone || dc > 1 && dc == dcGone
+}
+
+// whole reports whether a domain is gone as a whole for a reason of its own:
+// VMs there that the wave never touched are gone too, or most of those that
+// it touched elsewhere serve.
+func (c *domainCount) whole(all *domainCount) bool {
+	if c.vms < 2 || c.gone < c.vms {
+		return false
+	}
+	elsewhere := all.touched - c.touched
+	return c.touched < c.vms || 2*all.touchedServing > elsewhere
 }
 
 // touchedBy returns the VMs that the wave has or has had out.
--- a/core/tackwave/room.go
+++ b/core/tackwave/room.go
@@ -32,56 +32,67 @@
 	// room is what the budgets of one pool leave free. Its counts go down as
 	// VMs are taken in the same tick.
 	room struct {
+		census
 		total     int
 		required  int
 		binding   tackid.Service
-		available int
-		proven    int
-		held      int // available again once the waves are through
-		dcs       map[tackid.DataCentre]int
-		racks     map[rackID]int
+		proven    int // available, and relied upon while others are stopped
+		full      int // available once the waves are through
 		largestDC int // VMs of the pool in its largest data centre
 		reserve   reserve
+		tick      int // of the planner, when it was counted
+	}
+
+	// census counts the VMs that serve, by failure domain. Settling ones are
+	// among them: they serve if another domain is lost.
+	census struct {
+		serving int
+		dcs     map[tackid.DataCentre]int
+		racks   map[rackID]int
 	}
 )
 
 // room returns what the pool's budgets leave free now.
 func (t *tick) room(pool tackid.Pool) *room {
-	if r := t.rooms[pool]; r != nil {
-		return r
+	r := t.rooms[pool]
+	if r == nil {
+		r = &room{census: newCensus()}
+		t.rooms[pool] = r
 	}
-	r := &room{
-		dcs:   make(map[tackid.DataCentre]int),
-		racks: make(map[rackID]int),
+	if r.tick != t.count {
+		*r = room{census: r.cleared(), tick: t.count}
+		t.fill(r, pool)
 	}
-	base := &room{dcs: make(map[tackid.DataCentre]int), racks: make(map[rackID]int)}
-	sizes := make(map[tackid.DataCentre]int)
-	for _, vm := range t.f.VMsOf(pool) {
+	return r
+}
+
+// fill counts the pool's VMs.
+func (t *tick) fill(r *room, pool tackid.Pool) {
+	base := t.base.cleared()
+	clear(t.sizes)
+	for _, vm := range t.members[pool] {
 		r.total++
-		sizes[vm.DataCentre]++
-		proven := t.proven(&vm)
+		t.sizes[vm.DataCentre]++
 		if vm.Available() {
-			r.available++
+			r.count(vm, 1)
 		}
-		if proven {
-			r.count(&vm, 1)
+		if vm.Available() || vm.Wave != "" {
+			base.count(vm, 1)
 		}
-		if proven || vm.Wave != "" {
-			base.count(&vm, 1)
+		if t.proven(vm) {
+			r.proven++
 		}
 	}
-	r.held = base.proven - r.proven
-	r.largestDC = largest(sizes)
+	r.full = base.serving
+	r.largestDC = largest(t.sizes)
 	t.budget(pool, r)
 	r.reserve = base.satisfiable(r.required)
-	t.rooms[pool] = r
-	return r
 }
 
 // proven reports whether a VM may be relied on while others are stopped. One
 // that has just been repaired may not: a second loss often follows.
 func (t *tick) proven(vm *tackfleet.VM) bool {
-	if !vm.Available() || vm.State == tackfleet.VMSettling {
+	if !vm.Available() || vm.State == tackfleet.VMSettling && !t.done[vm.ID] {
 		return false
 	}
 	return !t.repair.settlingAfterRepair(t.now, vm.ID, t.settling())
@@ -98,21 +109,32 @@
 	}
 }
 
-func (r *room) count(vm *tackfleet.VM, n int) {
-	r.proven += n
-	r.dcs[vm.DataCentre] += n
+func newCensus() census {
+	return census{dcs: make(map[tackid.DataCentre]int), racks: make(map[rackID]int)}
+}
+
+// cleared returns an empty census that reuses the maps.
+func (c *census) cleared() census {
+	clear(c.dcs)
+	clear(c.racks)
+	return census{dcs: c.dcs, racks: c.racks}
+}
+
+func (c *census) count(vm *tackfleet.VM, n int) {
+	c.serving += n
+	c.dcs[vm.DataCentre] += n
 	if vm.Rack != "" {
-		r.racks[rackOf(vm)] += n
+		c.racks[rackOf(vm)] += n
 	}
 }
 
 // satisfiable returns the largest failure domain whose loss the pool could
 // stand with one VM out, if all its other VMs served.
-func (r *room) satisfiable(required int) reserve {
-	if r.proven-1-lossAfterOne(r.dcs) >= required {
+func (c *census) satisfiable(required int) reserve {
+	if c.serving-1-lossAfterOne(c.dcs) >= required {
 		return reserveDataCentre
 	}
-	if len(r.racks) > 0 && r.proven-1-lossAfterOne(r.racks) >= required {
+	if len(c.racks) > 0 && c.serving-1-lossAfterOne(c.racks) >= required {
 		return reserveRack
 	}
 	return reserveNone
@@ -129,7 +151,7 @@
 		r.count(vm, 1)
 		return binds
 	}
-	r.available--
+	r.proven--
 	return ""
 }
 
@@ -140,12 +162,12 @@
 		return ""
 	}
 	if r.reserve == reserveDataCentre {
-		if r.proven-largest(r.dcs) < r.required {
+		if r.serving-largest(r.dcs) < r.required {
 			return "reserve for the loss of a data centre, by the " + r.budgetText()
 		}
 	}
 	if r.reserve == reserveRack {
-		if r.proven-largest(r.racks) < r.required {
+		if r.serving-largest(r.racks) < r.required {
 			return "reserve for the loss of a rack, by the " + r.budgetText()
 		}
 	}
--- a/io/tackdisk/folder.go
+++ b/io/tackdisk/folder.go
@@ -94,6 +94,9 @@
 	if err := decoding.Unmarshal(payload, &d.id); err != nil {
 		return d.corrupt(identityName, 0, err)
 	}
+	if d.id.Version > formatVersion {
+		return &VersionError{Version: d.id.Version}
+	}
 	if d.id.Peer != d.opt.Peer {
 		return &IdentityError{Folder: d.folder, Want: d.opt.Peer, Got: d.id.Peer}
 	}
@@ -214,7 +217,7 @@
 	if err := d.files.Rename(temporary, d.path(name)); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	d.syncs++
+	d.syncs.Add(1)
 	if err := d.files.SyncFolder(d.folder); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
@@ -223,14 +226,14 @@
 
 func (d *Disk) fill(file File, data []byte) error {
 	n, err := file.Write(data)
-	d.bytes += uint64(max(n, 0))
+	d.bytes.Add(uint64(max(n, 0)))
 	if err == nil && n != len(data) {
 		err = io.ErrShortWrite
 	}
 	if err != nil {
 		return err
 	}
-	d.syncs++
+	d.syncs.Add(1)
 	return file.Sync()
 }
 
--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -42,10 +42,12 @@
 	touched  atomic.Bool // some of a streamed body was read
 	reserved int64       // bytes of the body that count in Handler.held
 
-	tries int
-	tried []tackid.BackendServer
+	granted atomic.Bool // another try was granted already
+	tries   int
+	tried   []tackid.BackendServer
 
-	status  int // of the answer, once it began
+	hasLeft bool // the place of admission was given back
+	status  int  // of the answer, once it began
 	outcome tackledger.Outcome
 	gone    bool
 }
@@ -63,13 +65,16 @@
 	if f := c.readBody(); f != nil {
 		return f
 	}
+	if f := c.checkAside(); f != nil {
+		return f
+	}
 	if c.key != "" {
 		return c.serveKeyed()
 	}
 	if f := c.enter(); f != nil {
 		return f
 	}
-	defer c.service.leave(c.id)
+	defer c.leave()
 	a, f := c.dispatchAll()
 	if f != nil {
 		return f
@@ -169,6 +174,14 @@
 	})
 }
 
+// leave gives the place of admission back, once.
+func (c *call) leave() {
+	if !c.hasLeft {
+		c.hasLeft = true
+		c.service.leave(c.id)
+	}
+}
+
 // dispatchAll sends the request to one backend server after another until one
 // answers or no further try is allowed. The attempt that it returns has an
 // answer that has begun.
@@ -186,8 +199,12 @@
 		a := newAttempt(c, candidate)
 		f := a.run()
 		if f == nil {
+			c.ran()
 			return a, nil
 		}
+		if f.broke {
+			c.failedOn(candidate)
+		}
 		last = f
 		c.tried = append(c.tried, candidate.BackendServer)
 		if !c.mayRetry(f) {
@@ -202,6 +219,9 @@
 	if c.r.Context().Err() != nil || c.touched.Load() {
 		return false
 	}
+	if c.granted.Swap(false) {
+		return true
+	}
 	return c.service.retry(tackretry.Attempt{
 		Idempotent:   c.repeatable(),
 		SurelyNotRun: f.didNotRun,
@@ -230,7 +250,11 @@
 
 // dispatchID names the dispatch under way.
 func (c *call) dispatchID() tackid.RequestID {
-	return tackid.RequestID(string(c.requestID()) + "." + strconv.Itoa(c.tries))
+	id := make([]byte, 0, 96)
+	id = append(id, c.h.prefix...)
+	id = strconv.AppendUint(id, c.id, 10)
+	id = append(id, '.')
+	return tackid.RequestID(strconv.AppendInt(id, int64(c.tries), 10))
 }
 
 // requestID names the request.
--- a/io/tackpeer/link.go
+++ b/io/tackpeer/link.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,11 +44,10 @@
 }
 
 func newLink(owner *Links, peer Peer) *link {
-	prefix := fmt.Sprintf("peer.%s.", peer.ID)
 	return &link{
 		owner:    owner,
 		peer:     peer,
-		counters: newCounters(owner.cfg.Registry, prefix, owner.total),
+		counters: newCounters(owner.cfg.Registry, metricPrefix(peer.ID), owner.total),
 		wake:     make(chan struct{}, 1),
 		kick:     make(chan struct{}, 1),
 		cancel:   func() {},
@@ -130,10 +129,7 @@
 		size += len(k.queue[n])
 		n++
 	}
-	batch := make([]byte, 0, size)
-	for _, data := range k.queue[:n] {
-		batch = append(batch, data...)
-	}
+	batch := slices.Concat(k.queue[:n]...)
 	k.queue = k.queue[n:]
 	k.queued -= size
 	if len(k.queue) == 0 {
