Tell the sharer of admitted requests, and take a quota of zero for none

A team with a quota of cores alone stands in the table with zero slots; zero as a bound lets nothing start, so all of its requests would have waited until their deadline. Usage now also counts the requests that were admitted and not sent.

--- a/io/tackhttp/share.go
+++ b/io/tackhttp/share.go
@@ -44,7 +44,12 @@
 	s := h.serviceNamed(subject.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return tackshare.Usage{Waiting: s.gate.Waiting(), InUse: s.chooser.InUse()}
+	usage := tackshare.Usage{Waiting: s.gate.Waiting(), Admitted: s.gate.Running(), InUse: s.chooser.InUse()}
+	for _, used := range usage.InUse {
+		usage.Admitted -= used.Slots
+	}
+	usage.Admitted = max(usage.Admitted, 0)
+	return usage
 }
 
 // follow takes over the bounds of a table. A team whose quota is shared among
@@ -74,12 +79,14 @@
 	q.set()
 }
 
-// set works the bounds out. The caller holds q.mu.
+// set works the bounds out. A quota of zero slots is none, whereas a share of
+// zero lets nothing start. The caller holds q.mu.
 func (q *quotas) set() {
 	if q.table == nil {
 		return
 	}
 	bounds := maps.Clone(q.table.Quotas)
+	maps.DeleteFunc(bounds, func(_ tackid.Team, slots int) bool { return slots == 0 })
 	for team := range bounds {
 		if share, ok := q.shares[team]; ok {
 			bounds[team] = share
