--- a/io/tackhttp/answers_test.go
+++ b/io/tackhttp/answers_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// Symptom: under overload goodput falls to half, though every backend server
+// is well.
+// Sequence: the queue is full, so requests start with little time left and end
+// without an answer.
+// Cause: each of them counted against its backend server, until all were taken
+// for broken.
+func TestShortTimeIsNotBlamedOnBackendServer(t *testing.T) {
+	backend := newScript(t, silence)
+	e := newEntry(t, Config{}, backend.address)
+	for range 30 {
+		got := exchange(t, e.address, request("GET", "/names", "Auburntack-Timeout-Ms: 10"))
+		if strings.Contains(got, " 200 ") {
+			t.Errorf("got %q", got)
+		}
+	}
+	if s := e.service(&e.table, "names"); !s.healthy(e.table.Services["names"][0]) {
+		t.Error("the backend server is taken for broken")
+	}
+}
+
 // Symptom: a correction is printed twice.
 // Sequence: a request that is not idempotent is sent; the backend server runs
 // it and breaks off, stays silent or closes a connection that is used again.
--- a/io/tackhttp/attempt.go
+++ b/io/tackhttp/attempt.go
@@ -281,8 +281,15 @@
 		c.h.meters.callersGone.Inc(1)
 		return tackroute.Cancelled, outcomeOf(sent, http.StatusServiceUnavailable, codeCallerGone, "the caller hung up")
 	case errors.Is(err, errTimeUp):
+		f := outcomeOf(sent, http.StatusGatewayTimeout, codeNoAnswer, "no answer came in time")
+		if c.h.clock.Now().Sub(a.began) < c.service.late() {
+			// There was too little time left for any backend server. If this
+			// one were blamed, a full queue, whose requests start late, would
+			// have all of them taken for broken.
+			return tackroute.Cancelled, f
+		}
 		c.h.meters.silent.Inc(1)
-		return tackroute.Silent, outcomeOf(sent, http.StatusGatewayTimeout, codeNoAnswer, "no answer came in time")
+		return tackroute.Silent, f
 	case errors.Is(err, errNoProgress) || errors.Is(err, errSilent):
 		c.h.meters.silent.Inc(1)
 		return tackroute.Silent, outcomeOf(sent, http.StatusGatewayTimeout, codeSilent, "the backend server went silent")
--- a/io/tackhttp/service.go
+++ b/io/tackhttp/service.go
@@ -216,13 +216,18 @@
 // elsewhere. A connection that went silent for good looks like a slow answer;
 // the recent answers tell what is slow.
 func (s *service) earlyWait(left tackclock.Duration) tackclock.Duration {
+	return max(minFirstByte, min(s.late(), left/earlyPart))
+}
+
+// late returns after how long an answer that has not begun is late, by the
+// recent ones.
+func (s *service) late() tackclock.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wait := s.h.limits.FirstByte
-	if s.slowest > 0 {
-		wait = min(wait, lateFactor*s.slowest)
+	if s.slowest == 0 {
+		return s.h.limits.FirstByte
 	}
-	return max(minFirstByte, min(wait, left/earlyPart))
+	return min(s.h.limits.FirstByte, max(minFirstByte, lateFactor*s.slowest))
 }
 
 func (s *service) healthy(c tackroute.Candidate) bool {
