--- a/core/tackmember/directory.go
+++ b/core/tackmember/directory.go
@@ -4,10 +4,10 @@
 //
 // Each peer is the owner of one space: the records of those that announce
 // themselves to it, numbered by version. Owners push their changes to every
-// peer. Once a second each peer tells every other how much it has of every
-// space, and one that has less asks for the rest, from whoever has it; so a
-// change gets round a cut link, and a new peer or a healed cut gets all it
-// lacks. What the directory shows is worked out from all spaces.
+// peer. Each peer tells every other how much it has of each space, of those
+// that changed lately once a second, and one that has less asks for the rest,
+// from whoever has it; so a change gets round a cut link, and a new peer or a
+// healed cut gets all it lacks. What the directory shows is worked out from all spaces.
 package tackmember
 
 import (
@@ -28,6 +28,7 @@
 	maxWithin   = tackclock.Minute
 	withinEach  = 200 * tackclock.Millisecond
 	scanEvery   = 500 * tackclock.Millisecond
+	purgeEvery  = 10 * tackclock.Second
 	maxSpaces   = 4 // of one peer
 	maxRetired  = 512
 	lifetimeMin = tackclock.Second
@@ -46,7 +47,7 @@
 
 		spaces  map[SpaceID]*space
 		retired map[SpaceID]tackclock.Time
-		wanted  map[SpaceID]tackclock.Time
+		wanted  map[SpaceID]*asked
 		entries map[key]*entry
 		vms     map[tackid.VM]map[key]*entry
 		health  map[tackid.VM]*damper
@@ -56,8 +57,11 @@
 		refresh map[SpaceID]*Heard
 
 		beatDue, lastBeat tackclock.Time
-		scanDue           tackclock.Time
+		scanDue, purgeDue tackclock.Time
+		pushDue           tackclock.Time // of the first of unsent
+		told              bool           // another peer has told all the spaces it knows
 		version           uint64
+		unreadable        int
 		cache             listing
 	}
 
@@ -68,12 +72,30 @@
 		echoed tackclock.Time // when echo rose
 	}
 
+	// asked is a Want whose answer is awaited: when it was last sent, the
+	// peers that it was sent to, and further ones that could answer.
+	asked struct {
+		at    tackclock.Time
+		tried []tackid.Peer
+		next  []tackid.Peer
+	}
+
 	// change is a version of the own space and what it is about.
 	change struct {
 		version uint64
 		key     key
 	}
 
+	// Stats tells how much a directory holds: what it shows or remembers, the
+	// records of all peers, the lives of peers, and how many parts came that
+	// could not be read.
+	Stats struct {
+		Entries    int
+		Records    int
+		Spaces     int
+		Unreadable int
+	}
+
 	// FullError reports that the directory takes no further names.
 	FullError struct {
 		Limit int
@@ -108,6 +130,23 @@
 	d.scanDue = 0
 }
 
+// CaughtUp reports whether this peer knows what the others do: one of them has
+// told it of all there is, and all of that has come. A peer that has just
+// started and takes callers' requests before that would refuse them for want
+// of backend servers that every other peer knows.
+func (d *Directory) CaughtUp() bool {
+	return len(d.order) == 0 || d.told && len(d.wanted) == 0
+}
+
+// Stats returns how much the directory holds.
+func (d *Directory) Stats() Stats {
+	s := Stats{Entries: len(d.entries), Spaces: len(d.spaces), Unreadable: d.unreadable}
+	for _, sp := range d.spaces {
+		s.Records += len(sp.records)
+	}
+	return s
+}
+
 // Announce takes in an announcement that came straight from its sender. The
 // error is a *FieldError or a *FullError.
 func (d *Directory) Announce(now tackclock.Time, a Announcement) (Reply, error) {
@@ -158,7 +197,7 @@
 	d.since = now
 	d.spaces = make(map[SpaceID]*space)
 	d.retired = make(map[SpaceID]tackclock.Time)
-	d.wanted = make(map[SpaceID]tackclock.Time)
+	d.wanted = make(map[SpaceID]*asked)
 	d.entries = make(map[key]*entry)
 	d.vms = make(map[tackid.VM]map[key]*entry)
 	d.refresh = make(map[SpaceID]*Heard)
@@ -209,19 +248,29 @@
 
 // publish puts r into the own space as its next version.
 func (d *Directory) publish(now tackclock.Time, r Record, within tackclock.Duration) {
+	due := now
+	if r.held() && r.Stage == StageServing {
+		due = now.Add(pushGather)
+	}
 	if e := d.entries[r.key()]; e != nil && r.held() {
 		r.Turn = e.turn + 1
+		if e.holder != nil && e.shown.same(r) {
+			due = now.Add(pushLazily)
+		}
 	}
-	d.put(now, r, within)
-	d.settle(now, r.key())
+	d.put(now, r, within, due)
+	d.settle(r.key())
 }
 
-// put stores r in the own space as its next version, to be sent.
-func (d *Directory) put(now tackclock.Time, r Record, within tackclock.Duration) {
+// put stores r in the own space as its next version, to be sent by due.
+func (d *Directory) put(now tackclock.Time, r Record, within tackclock.Duration, due tackclock.Time) {
 	delete(d.nearby, r.key())
 	d.own.version++
 	r.Version = d.own.version
 	d.own.records[r.key()] = &stored{Record: r, since: now, heard: now, within: within}
+	if len(d.unsent) == 0 || due < d.pushDue {
+		d.pushDue = due
+	}
 	d.unsent = append(d.unsent, change{version: r.Version, key: r.key()})
 }
 
--- a/core/tackmember/space.go
+++ b/core/tackmember/space.go
@@ -44,6 +44,7 @@
 		floor      uint64 // ended records up to this version may be missing
 		beat       uint64
 		heard      tackclock.Time // when beat rose
+		changed    tackclock.Time // when a copy last took something in
 		superseded tackclock.Time // when a later life, or the removal, showed; 0 before
 		standing   standing
 		resetting  bool
@@ -70,14 +71,16 @@
 	}
 }
 
-// part answers w, or returns false when the space has nothing beyond it.
+// part answers w, or returns false when the space has nothing beyond it. One
+// who asks from the start may not even know whose space it is, and gets an
+// answer also when the space is empty.
 func (s *space) part(w Want) (Part, bool) {
 	reset := w.From > 0 && w.From < s.floor && w.Floor < s.floor
 	from := w.From
 	if reset {
 		from = 0
 	}
-	if from >= s.version {
+	if from > 0 && from >= s.version {
 		return Part{}, false
 	}
 	p := s.header(from)
@@ -87,9 +90,15 @@
 		p.Records = p.Records[:maxPart]
 		p.To = p.Records[maxPart-1].Version
 	}
+	p.pack()
 	return p, true
 }
 
+// want returns the Want for what the copy lacks.
+func (s *space) want() Want {
+	return Want{Space: s.id, From: s.version, Floor: s.floor}
+}
+
 // header returns a part from a version up to the newest, without records.
 func (s *space) header(from uint64) Part {
 	return Part{
--- a/core/tackmember/standing.go
+++ b/core/tackmember/standing.go
@@ -26,6 +26,10 @@
 	// heard are kept. It is shorter than stubAge: a record that was ended
 	// elsewhere meanwhile is given up before the memory of its end is.
 	forgetAfter = 30 * tackclock.Minute
+
+	// retireStagger is how much later than the one before each peer gives up
+	// a space.
+	retireStagger = 1500 * tackclock.Millisecond
 )
 
 // scan does what is due by time: owned records that fell silent end, old ones
@@ -34,14 +38,24 @@
 	d.expire(now)
 	d.supersede(now)
 	d.takeOver(now)
+	for _, s := range d.sorted() {
+		d.stand(now, s)
+	}
+	if now >= d.purgeDue {
+		d.purgeDue = now.Add(purgeEvery)
+		d.purge(now)
+	}
+}
+
+// purge drops what ended long ago.
+func (d *Directory) purge(now tackclock.Time) {
 	for _, s := range d.sorted() {
 		for _, k := range s.purge(now) {
-			d.settle(now, k)
+			d.settle(k)
 		}
-		d.stand(now, s)
 	}
-	for id, at := range d.wanted {
-		if now.Sub(at) > 10*wantAgain {
+	for id, a := range d.wanted {
+		if now.Sub(a.at) > 10*wantAgain {
 			delete(d.wanted, id)
 		}
 	}
@@ -49,30 +63,36 @@
 
 // expire ends the own records whose senders fell silent.
 func (d *Directory) expire(now tackclock.Time) {
-	for _, k := range sortedKeys(d.own.records) {
-		r := d.own.records[k]
+	silent := make(map[key]*stored)
+	for k, r := range d.own.records {
 		if r.held() && now.Sub(r.heard) > lifetime(r.within) {
-			d.put(now, r.ended(r.Stage), 0)
-			d.settle(now, k)
+			silent[k] = r
 		}
 	}
+	for _, k := range sortedKeys(silent) {
+		d.put(now, silent[k].ended(silent[k].Stage), 0, now)
+		d.settle(k)
+	}
 }
 
 // takeOver publishes what announces itself here and whose holder can no longer
 // be told so. Without it, a backend server would be missed by every peer from
 // its holder's giving it up until it next announces itself.
 func (d *Directory) takeOver(now tackclock.Time) {
-	for _, k := range sortedKeys(d.nearby) {
-		r := d.nearby[k]
+	orphans := make(map[key]*stored)
+	for k, r := range d.nearby {
 		e := d.entries[k]
 		switch {
 		case now.Sub(r.heard) > lifetime(r.within) || e == nil || r.compare(&e.top) < 0:
 			delete(d.nearby, k)
 		case d.holder(now, r.Record, e) == nil:
-			d.publish(now, r.Record, r.within)
-			d.own.records[k].heard = r.heard
+			orphans[k] = r
 		}
 	}
+	for _, k := range sortedKeys(orphans) {
+		d.publish(now, orphans[k].Record, orphans[k].within)
+		d.own.records[k].heard = orphans[k].heard
+	}
 }
 
 // supersede marks the spaces of earlier lives and of peers that are gone, and
@@ -98,14 +118,24 @@
 		if s.superseded == 0 {
 			s.superseded = now
 		}
-		if now.Sub(s.superseded) >= d.grace() || lives[s.peer] > maxSpaces {
+		if now.Sub(s.superseded) >= d.grace()+d.stagger() || lives[s.peer] > maxSpaces {
 			lives[s.peer]--
 			d.retire(now, s)
 		}
 	}
 }
 
-// retire gives up a space for good.
+// stagger spreads out when the peers give up a space, so that the first one
+// saves for all what must be kept of it.
+func (d *Directory) stagger() tackclock.Duration {
+	i, _ := slices.BinarySearch(d.order, d.self)
+	return tackclock.Duration(i) * retireStagger
+}
+
+// retire gives up a space for good. What it says of ended incarnations is
+// taken over where nobody else says it: otherwise a peer's restart would bring
+// back what was withdrawn through its earlier life, from a copy that some
+// cut-off peer still holds.
 func (d *Directory) retire(now tackclock.Time, s *space) {
 	delete(d.spaces, s.id)
 	for len(d.retired) >= maxRetired {
@@ -113,8 +143,24 @@
 	}
 	d.retired[s.id] = now
 	for _, k := range sortedKeys(s.records) {
-		d.settle(now, k)
+		d.settle(k)
+		d.inherit(now, k, s.records[k])
+	}
+}
+
+// inherit keeps r as an ended record of the own space unless as much is known
+// without it.
+func (d *Directory) inherit(now tackclock.Time, k key, r *stored) {
+	if e := d.entries[k]; e != nil && r.compare(&e.top) <= 0 {
+		return
+	}
+	since := r.since
+	if r.held() {
+		since = now
 	}
+	d.put(now, r.ended(r.Stage), 0, now.Add(pushLazily))
+	d.own.records[k].since = since
+	d.settle(k)
 }
 
 func (d *Directory) dropOldestRetired() {
@@ -136,7 +182,7 @@
 	}
 	s.standing = next
 	for _, k := range sortedKeys(s.records) {
-		d.settle(now, k)
+		d.settle(k)
 	}
 }
 
--- a/core/tackreplica/cluster_test.go
+++ b/core/tackreplica/cluster_test.go
@@ -1,7 +1,6 @@
 package tackreplica
 
 import (
-	"bytes"
 	"container/heap"
 	"math/rand/v2"
 	"slices"
@@ -12,7 +11,11 @@
 	"auburntack/core/tackid"
 )
 
-const second = tackclock.Second
+const (
+	second = tackclock.Second
+	// snapshotEach is how many entries a fake owner applies between snapshots.
+	snapshotEach = 20
+)
 
 type (
 	fataler interface {
@@ -42,25 +45,6 @@
 		messages, bytes map[tackid.Peer]int
 	}
 
-	// fakeVM is the owner of one node.
-	fakeVM struct {
-		c      *cluster
-		peer   tackid.Peer
-		node   *Node
-		disk   Stored
-		life   int
-		offset tackclock.Time
-		drift  int64 // of 1,000
-		frozen tackclock.Time
-		ready  *Ready
-		inbox  []Message
-
-		applied  tackid.Revision
-		value    []byte
-		replayed int
-		onApply  func(*fakeVM, Entry)
-	}
-
 	event struct {
 		at  tackclock.Time
 		seq int
@@ -137,6 +121,30 @@
 	return nil
 }
 
+// leads names the VM that holds the leader's lease, if any.
+func (c *cluster) leads() tackid.Peer {
+	if v := c.leader(); v != nil {
+		return v.peer
+	}
+	return ""
+}
+
+// settled runs until all is calm and returns the leader.
+func (c *cluster) settled() *fakeVM {
+	c.t.Helper()
+	c.run(3 * second)
+	v := c.leader()
+	if v == nil {
+		c.t.Fatalf("no leader at %d", c.now)
+	}
+	return v
+}
+
+// without returns all VMs but v.
+func (c *cluster) without(v *fakeVM) []*fakeVM {
+	return slices.DeleteFunc(slices.Clone(c.vms), func(o *fakeVM) bool { return o == v })
+}
+
 // check asserts the invariants that hold at each moment.
 func (c *cluster) check() {
 	var holder *fakeVM
@@ -177,7 +185,9 @@
 }
 
 func (c *cluster) transmit(m Message) {
-	data, err := cbor.Marshal(m)
+	wire := m
+	wire.From, wire.To = "", ""
+	data, err := cbor.Marshal(wire)
 	if err != nil {
 		c.t.Fatalf("encode: %v", err)
 	}
@@ -206,6 +216,7 @@
 	if err := cbor.Unmarshal(data, &received); err != nil {
 		c.t.Fatalf("decode: %v", err)
 	}
+	received.From, received.To = m.From, m.To
 	v.inbox = append(v.inbox, received)
 	v.work()
 }
@@ -214,144 +225,14 @@
 	c.cut[[2]tackid.Peer{a, b}] = cut
 }
 
-func (v *fakeVM) now() tackclock.Time {
-	return v.offset + v.c.now + tackclock.Time(int64(v.c.now)*v.drift/1000)
-}
-
-func (v *fakeVM) awake() bool {
-	return v.node != nil && v.frozen <= v.c.now
-}
-
-// start begins a new life with what is on the disk and a clock set anew.
-func (v *fakeVM) start() {
-	c := v.c
-	v.life++
-	v.offset = tackclock.Time(c.rand.Int64N(100_000))
-	cfg := c.cfg
-	cfg.Self, cfg.Seed = v.peer, c.rand.Uint64()
-	v.applied, v.value = v.disk.Snapshot.Index, v.disk.Snapshot.Data
-	v.node = New(cfg, v.disk, v.now())
-	v.tick(v.life)
-}
-
-// kill ends the life; what was not synced is gone.
-func (v *fakeVM) kill() {
-	v.life++
-	v.node, v.ready, v.inbox, v.frozen = nil, nil, nil, 0
-}
-
-func (v *fakeVM) freeze(d tackclock.Duration) {
-	v.frozen = v.c.now.Add(d)
-	life := v.life
-	v.c.after(d, func() {
-		if v.life == life {
-			v.work()
-		}
-	})
+func (c *cluster) severLink(a, b tackid.Peer, cut bool) {
+	c.cutLink(a, b, cut)
+	c.cutLink(b, a, cut)
 }
 
-func (v *fakeVM) tick(life int) {
-	if v.life != life {
-		return
-	}
-	if v.awake() {
-		v.node.Tick(v.now())
-		v.work()
-	}
-	v.c.after(25, func() { v.tick(life) })
-}
-
-// work steps what has arrived and begins to sync what the node has ready.
-func (v *fakeVM) work() {
-	if !v.awake() || v.ready != nil {
-		return
-	}
-	for _, m := range v.inbox {
-		v.node.Step(v.now(), m)
-	}
-	v.inbox = nil
-	r, ok := v.node.Ready()
-	if !ok {
-		return
-	}
-	v.ready = &r
-	life := v.life
-	v.c.after(tackclock.Duration(v.c.rand.IntN(2)), func() { v.finish(life) })
-}
-
-func (v *fakeVM) finish(life int) {
-	if v.life != life {
-		return
-	}
-	if !v.awake() {
-		v.c.after(v.frozen.Sub(v.c.now), func() { v.finish(life) })
-		return
-	}
-	r := *v.ready
-	v.ready = nil
-	v.persist(r)
-	for _, m := range r.Messages {
-		v.c.transmit(m)
-	}
-	for _, e := range r.Committed {
-		v.apply(e)
-	}
-	v.node.Applied(v.applied)
-	v.node.Advance(r)
-	v.compact()
-	v.work()
-}
-
-func (v *fakeVM) persist(r Ready) {
-	if r.Hard != nil {
-		v.disk.Hard = *r.Hard
-	}
-	if s := r.Snapshot; s != nil {
-		if s.Index < v.applied {
-			v.c.t.Fatalf("%s falls from %d to %d", v.peer, v.applied, s.Index)
-		}
-		v.disk.Snapshot, v.disk.Entries = *s, nil
-		v.applied, v.value = s.Index, s.Data
-	}
-	if len(r.Entries) > 0 {
-		keep := int(r.Entries[0].Index - v.disk.Snapshot.Index - 1)
-		v.disk.Entries = append(slices.Clone(v.disk.Entries[:keep]), r.Entries...)
-	}
-}
-
-func (v *fakeVM) apply(e Entry) {
-	c := v.c
-	if e.Index != v.applied+1 {
-		c.t.Fatalf("%s applies %d after %d", v.peer, e.Index, v.applied)
-	}
-	if int(e.Index) > len(c.log) {
-		if len(c.log) > 0 && e.Time < c.log[len(c.log)-1].Time {
-			c.t.Fatalf("the time of entry %d falls", e.Index)
-		}
-		c.log = append(c.log, e)
-	}
-	if known := c.log[e.Index-1]; known.Term != e.Term || !bytes.Equal(known.Data, e.Data) {
-		c.t.Fatalf("%s applies another entry at %d", v.peer, e.Index)
-	}
-	v.applied++
-	v.replayed++
-	if e.Kind == EntryNormal {
-		v.value = e.Data
-	}
-	if v.onApply != nil {
-		v.onApply(v, e)
-	}
-}
-
-func (v *fakeVM) compact() {
-	if v.applied < v.disk.Snapshot.Index+20 {
-		return
-	}
-	s, ok := v.node.SnapshotAt(v.applied, v.value)
-	if !ok {
-		return
+// cutOff cuts or heals all links of v.
+func (c *cluster) cutOff(v *fakeVM, cut bool) {
+	for _, other := range c.vms {
+		c.severLink(v.peer, other.peer, cut)
 	}
-	v.disk.Entries = slices.Clone(v.disk.Entries[s.Index-v.disk.Snapshot.Index:])
-	v.disk.Snapshot = s
-	v.node.Compact(s)
 }
--- a/core/tackshare/sharer.go
+++ b/core/tackshare/sharer.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// silence is how long an entry VM may be unheard before its groups pass
+	// silence is how long a peer may be unheard before its groups pass
 	// to another owner.
 	silence = 1500 * tackclock.Millisecond
 	// lease is how long a share may be used after the holder last wrote to
@@ -19,7 +19,7 @@
 	lease = 3 * tackclock.Second
 	// margin is how much longer the owner counts a lease than its holder.
 	margin = tackclock.Second / 2
-	// heartbeat is the longest time between two frames to an entry VM.
+	// heartbeat is the longest time between two frames to a peer.
 	heartbeat = tackclock.Second / 2
 	// resend is how long an answer is awaited before a frame goes out again.
 	resend = 250 * tackclock.Millisecond
@@ -27,11 +27,11 @@
 
 type (
 	// Sharer divides the slots of all services and the quotas of all teams
-	// among the entry VMs. Every group of slots has one owner, which every
-	// entry VM works out alike from those it can hear; the owner grants slots
+	// among the peers. Every group of slots has one owner, which every
+	// peer works out alike from those it can hear; the owner grants slots
 	// by what the others report to need, and takes idle ones back.
 	//
-	// Until its owner answers, and when it no longer does, an entry VM fills
+	// Until its owner answers, and when it no longer does, a peer fills
 	// a fixed part of the slots, so that one which is cut off goes on serving.
 	//
 	// The zero value with Self, Home, Epoch and User set is ready to use. It
@@ -39,24 +39,25 @@
 	Sharer struct {
 		Self tackid.Peer
 		Home tackid.DataCentre
-		// Epoch tells the lives of this entry VM apart, for example by the
+		// Epoch tells the lives of this peer apart, for example by the
 		// time of its start.
 		Epoch uint64
 		User  User
 
 		links map[tackid.Peer]*link
-		// retired keeps the links of entry VMs that went, since the numbers
+		// retired keeps the links of peers that went, since the numbers
 		// of their frames must not start again.
 		retired map[tackid.Peer]*link
 		peers   []Neighbour
 		live    []Neighbour
 		groups  map[Group]*group
 		order   []Group
+		all     []*group
 		only    bool
 		stepped tackclock.Time
 	}
 
-	// link is what a Sharer knows of another entry VM.
+	// link is what a Sharer knows of another peer.
 	link struct {
 		Neighbour
 		heard    tackclock.Time
@@ -71,7 +72,7 @@
 	}
 )
 
-// SetPeers sets all entry VMs, this one included or not.
+// SetPeers sets all peers, this one included or not.
 func (s *Sharer) SetPeers(now tackclock.Time, peers []Neighbour) {
 	if s.retired == nil {
 		s.retired = make(map[tackid.Peer]*link)
@@ -128,7 +129,7 @@
 	s.refreshLive(now)
 	s.dropSilentSessions(now)
 	s.observe(now)
-	s.exchangeWithSelf(now)
+	s.exchangeWithSelf(now, s.all)
 	var out []Outgoing
 	for _, p := range s.peers {
 		if l := s.links[p.Peer]; l != nil && s.due(now, l) {
@@ -153,18 +154,28 @@
 	for i := range f.Grants {
 		s.grant(from, &f.Grants[i])
 	}
-	s.settle(now, f.Grants)
-	s.exchangeWithSelf(now)
-	return s.news(now)
+	touched := s.groupsOf(f)
+	s.settle(now, touched)
+	s.exchangeWithSelf(now, touched)
+	return s.news(now, touched)
 }
 
-// settle puts the grants of a frame into force.
-func (s *Sharer) settle(now tackclock.Time, grants []Grant) {
-	for i := range grants {
-		g := s.groups[grants[i].Group]
-		if g == nil {
-			continue
-		}
+// groupsOf returns the groups that a frame is about. What it changes elsewhere
+// can wait for the next Tick, which looks at all.
+func (s *Sharer) groupsOf(f Frame) []*group {
+	groups := make([]*group, 0, len(f.Reports)+len(f.Grants))
+	for i := range f.Reports {
+		groups = append(groups, s.groups[f.Reports[i].Group])
+	}
+	for i := range f.Grants {
+		groups = append(groups, s.groups[f.Grants[i].Group])
+	}
+	return slices.DeleteFunc(groups, func(g *group) bool { return g == nil })
+}
+
+// settle puts grants into force.
+func (s *Sharer) settle(now tackclock.Time, groups []*group) {
+	for _, g := range groups {
 		s.apply(now, g)
 		if g.holding.held() > g.holding.bound {
 			s.giveBack(now, g, s.usage(now, g.Subject))
@@ -191,11 +202,12 @@
 	}
 }
 
-// news returns frames for the entry VMs that must be told something new.
-func (s *Sharer) news(now tackclock.Time) []Outgoing {
+// news returns frames for the peers that must be told something new about
+// the groups.
+func (s *Sharer) news(now tackclock.Time, groups []*group) []Outgoing {
 	var out []Outgoing
 	for _, p := range s.peers {
-		if l := s.links[p.Peer]; l != nil && s.alive(now, l) && s.hasNews(l) {
+		if l := s.links[p.Peer]; l != nil && s.alive(now, l) && l.pending(groups, 0) {
 			out = append(out, s.frame(now, l))
 		}
 	}
@@ -209,18 +221,17 @@
 	if !s.alive(now, l) {
 		return false
 	}
-	return l.oweAck || s.hasNews(l) || (l.acked < l.seq && now.Sub(l.sentAt) >= resend && s.hasUnacked(l))
+	return l.oweAck || l.pending(s.all, 0) || (l.acked < l.seq && now.Sub(l.sentAt) >= resend && l.pending(s.all, l.seq))
 }
 
-// frame builds the next frame to an entry VM. It carries all that was not yet
+// frame builds the next frame to a peer. It carries all that was not yet
 // acknowledged, so the newest frame alone brings the receiver up to date.
 func (s *Sharer) frame(now tackclock.Time, l *link) Outgoing {
 	l.seq++
 	l.sentAt = now
 	l.oweAck = false
 	f := Frame{Epoch: s.Epoch, Seq: l.seq, AckEpoch: l.epoch, Ack: l.seen, Stamp: now, Echo: l.stamp}
-	for _, key := range s.order {
-		g := s.groups[key]
+	for _, g := range s.all {
 		if g.holding.owner == l.Peer {
 			f.Reports = g.appendReport(f.Reports, l)
 		}
@@ -229,19 +240,11 @@
 	return Outgoing{To: l.Peer, Frame: f}
 }
 
-func (s *Sharer) hasNews(l *link) bool {
-	return s.pending(l, 0)
-}
-
-func (s *Sharer) hasUnacked(l *link) bool {
-	return s.pending(l, l.seq)
-}
-
-// pending reports whether something for the entry VM was never sent or, up to
-// the given frame, was not acknowledged.
-func (s *Sharer) pending(l *link, upTo uint64) bool {
+// pending reports whether something about the groups was never sent to the
+// peer or, up to the given frame, was not acknowledged.
+func (l *link) pending(groups []*group, upTo uint64) bool {
 	due := func(sent uint64) bool { return sent == 0 || (sent > l.acked && sent <= upTo) }
-	for _, g := range s.groups {
+	for _, g := range groups {
 		if g.holding.owner == l.Peer && g.holding.pending(due) {
 			return true
 		}
@@ -256,7 +259,7 @@
 	return now.Sub(l.heard) < silence
 }
 
-// refreshLive works out which entry VMs can be heard, and the owners if that
+// refreshLive works out which peers can be heard, and the owners if that
 // changed.
 func (s *Sharer) refreshLive(now tackclock.Time) {
 	live := make([]Neighbour, 0, len(s.peers))
@@ -292,4 +295,8 @@
 		slices.SortFunc(g.lots, compareLots)
 	}
 	slices.SortFunc(s.order, compareGroups)
+	s.all = s.all[:0]
+	for _, key := range s.order {
+		s.all = append(s.all, s.groups[key])
+	}
 }
--- a/core/tacksyntax/language.go
+++ b/core/tacksyntax/language.go
@@ -5,21 +5,27 @@
 
 import (
 	"errors"
+	"fmt"
 	"regexp"
 	"slices"
 	"strings"
-	"unicode"
 	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
+// MaxText is how long a text may be, in bytes. An error tries every keyword
+// in its place, so an endless text would keep a peer busy.
+const MaxText = 16 << 10
+
 const (
 	// endOfText is what an error expects where nothing further may follow.
 	endOfText = "the end of the text"
 	// closingQuote is what an error expects after an opening quote.
 	closingQuote = "a closing quote"
+	// space is what separates words; it is \s of the lexer's patterns.
+	space = " \t\n\f\r"
 	// anyWord is a word that no grammar has as a keyword.
 	anyWord = "any-word"
 )
@@ -83,6 +89,9 @@
 
 // Parse reads a text. The error is an *Error.
 func (l *Language[G]) Parse(text string) (*G, error) {
+	if len(text) > MaxText {
+		return nil, &Error{Line: 1, Column: 1, Expected: []string{fmt.Sprintf("at most %d bytes", MaxText)}, Got: "more"}
+	}
 	g, err := l.parser.ParseString("", text)
 	if err == nil {
 		return g, nil
@@ -104,7 +113,24 @@
 		e.Expected = []string{closingQuote}
 		return e
 	}
-	e.Expected = l.expected(text[:pos.Offset])
+	prefix := text[:pos.Offset]
+	e.Expected = l.expected(prefix)
+	if len(e.Expected) == 0 {
+		return l.explainEarlier(prefix, e)
+	}
+	return e
+}
+
+// explainEarlier explains a text in which nothing may follow the prefix,
+// since a value in the prefix itself is wrong: the parser looks at the values
+// only after it has read all the words.
+func (l *Language[G]) explainEarlier(prefix string, e *Error) *Error {
+	_, err := l.parser.ParseString("", prefix+" "+valueProbes[0].text)
+	var positioned participle.Error
+	if errors.As(err, &positioned) && positioned.Position().Offset < len(prefix) {
+		return l.explain(prefix, err)
+	}
+	e.Expected = []string{endOfText}
 	return e
 }
 
@@ -156,7 +182,7 @@
 func skipSpace(text string, pos lexer.Position) lexer.Position {
 	pos.Offset = min(pos.Offset, len(text))
 	for _, r := range text[pos.Offset:] {
-		if !unicode.IsSpace(r) {
+		if !strings.ContainsRune(space, r) {
 			break
 		}
 		pos.Offset += utf8.RuneLen(r)
@@ -171,7 +197,7 @@
 
 // firstWord returns the text up to the first white space.
 func firstWord(text string) string {
-	if i := strings.IndexFunc(text, unicode.IsSpace); i >= 0 {
+	if i := strings.IndexAny(text, space); i >= 0 {
 		return text[:i]
 	}
 	return text
--- a/core/tackwave/times.go
+++ b/core/tackwave/times.go
@@ -1,7 +1,6 @@
 package tackwave
 
 import (
-	"iter"
 	"slices"
 
 	"auburntack/core/tackclock"
@@ -12,6 +11,8 @@
 const (
 	// learnRate is the weight of the newest duration, one part in learnRate.
 	learnRate = 8
+	// priorWeight is how many durations the expectation counts for.
+	priorWeight = 3
 
 	// repairHorizon is how long after a repair a loss counts as the second
 	// one, and the longest settling time.
@@ -35,7 +36,7 @@
 	// span is a learned duration. Its zero value has seen nothing.
 	span struct {
 		mean tackclock.Duration
-		seen bool
+		seen int // up to learnRate-priorWeight
 	}
 
 	// times are the durations of one VM's maintenance.
@@ -51,6 +52,7 @@
 		away    map[tackid.VM]bool
 		back    map[tackid.VM]tackclock.Time
 		delays  []tackclock.Duration // after a repair, to the next loss; noLoss for none
+		losses  int                  // how many delays are not noLoss
 		settled tackclock.Duration
 	}
 )
@@ -58,16 +60,18 @@
 // noLoss stands for a repair that no loss followed.
 const noLoss = repairHorizon + 1
 
-func (s *span) add(d tackclock.Duration) {
-	if !s.seen {
-		s.mean, s.seen = d, true
-		return
+// add takes in a duration that was seen. What was expected before the first
+// one counts like a few: one slow VM must not make a whole night look late.
+func (s *span) add(d, expected tackclock.Duration) {
+	if s.seen == 0 {
+		s.mean = expected
 	}
-	s.mean += (d - s.mean) / learnRate
+	s.seen = min(s.seen+1, learnRate-priorWeight)
+	s.mean += (d - s.mean) / tackclock.Duration(s.seen+priorWeight)
 }
 
 func (s *span) or(d tackclock.Duration) tackclock.Duration {
-	if s.seen {
+	if s.seen > 0 {
 		return s.mean
 	}
 	return d
@@ -78,23 +82,17 @@
 	return t.drain.or(expectedDrain) + t.operation.or(cfg.Reboot) + t.back.or(expectedBack)
 }
 
-// observe follows the health of every VM. A VM that was away, lost or under
+// follow takes in the health of one VM. A VM that was away, lost or under
 // maintenance, and serves again has been repaired.
-func (r *repairs) observe(now tackclock.Time, vms iter.Seq[*tackfleet.VM]) {
-	if r.away == nil {
-		r.away = make(map[tackid.VM]bool)
-		r.back = make(map[tackid.VM]tackclock.Time)
-	}
-	for vm := range vms {
-		r.follow(now, vm)
-	}
-}
-
 func (r *repairs) follow(now tackclock.Time, vm *tackfleet.VM) {
 	away := vm.Health == tackfleet.HealthLost || vm.State == tackfleet.VMMaintenance
-	if !away && !r.away[vm.ID] && len(r.back) == 0 {
+	if !away && len(r.away) == 0 && len(r.back) == 0 {
 		return
 	}
+	if r.away == nil {
+		r.away = make(map[tackid.VM]bool)
+		r.back = make(map[tackid.VM]tackclock.Time)
+	}
 	back, repaired := r.back[vm.ID]
 	switch {
 	case away && repaired:
@@ -109,7 +107,7 @@
 		r.add(noLoss)
 		delete(r.back, vm.ID)
 	case r.away[vm.ID] && vm.Available():
-		r.back[vm.ID] = now
+		r.back[vm.ID] = max(vm.Since, vm.HealthSince)
 		delete(r.away, vm.ID)
 	}
 }
@@ -123,26 +121,31 @@
 
 func (r *repairs) add(d tackclock.Duration) {
 	r.delays = append(r.delays, d)
+	r.losses += lossIn(d)
 	if len(r.delays) > maxRepairs {
-		r.delays = slices.Delete(r.delays, 0, len(r.delays)-maxRepairs)
+		r.losses -= lossIn(r.delays[0])
+		r.delays = slices.Delete(r.delays, 0, 1)
 	}
 	r.settled = r.learn()
 }
 
+func lossIn(d tackclock.Duration) int {
+	if d == noLoss {
+		return 0
+	}
+	return 1
+}
+
 // learn returns the shortest settling time after which at most one repair in
 // acceptedShare was followed by a loss, zero where too few were seen.
 func (r *repairs) learn() tackclock.Duration {
-	sorted := slices.Clone(r.delays)
-	slices.Sort(sorted)
-	lost, _ := slices.BinarySearch(sorted, noLoss)
-	if lost < minSecondLosses {
-		return 0
-	}
-	accepted := len(sorted) / acceptedShare
-	if lost <= accepted {
+	accepted := len(r.delays) / acceptedShare
+	if r.losses < minSecondLosses || r.losses <= accepted {
 		return 0
 	}
-	return sorted[lost-1-accepted]
+	sorted := slices.Clone(r.delays)
+	slices.Sort(sorted)
+	return sorted[r.losses-1-accepted]
 }
 
 // settling returns the settling time, at least least.
--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -21,6 +22,11 @@
 	// heartbeat.
 	minHeartbeat = 10 * tackclock.Millisecond
 	maxHeartbeat = 30 * tackclock.Second
+	// userTimeoutHeartbeats is when the kernel gives a connection up, in
+	// heartbeats: after they would have found it, should they not run.
+	userTimeoutHeartbeats = 4
+	// warnEvery spaces out the log lines about refused connections.
+	warnEvery = tackclock.Second
 )
 
 type (
@@ -62,7 +68,7 @@
 func (l *Links) setOptions(conn syscall.Conn) {
 	raw, err := conn.SyscallConn()
 	if err == nil {
-		err = setUserTimeout(raw, (silentAfter+1)*l.cfg.Heartbeat)
+		err = setUserTimeout(raw, userTimeoutHeartbeats*l.cfg.Heartbeat)
 	}
 	if err != nil {
 		l.cfg.Logger.WithError(err).Debug("socket option refused, heartbeats alone find silent links")
@@ -93,8 +99,9 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: l.cfg.DialTimeout.Std(),
+		IdleTimeout:       l.cfg.DialTimeout.Std(),
 		MaxHeaderBytes:    helloBytes,
-		ErrorLog:          log.New(discard{}, "", 0),
+		ErrorLog:          log.New(io.Discard, "", 0),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
@@ -133,11 +140,11 @@
 	defer ws.CloseNow()
 	k, h, err := l.admit(ctx, ws, conn)
 	if err != nil {
-		l.refuse(ws, conn, err)
+		l.refuse(ctx, ws, conn, err)
 		return
 	}
 	err = l.carry(ctx, ws, conn, k, h)
-	if errors.Is(err, errSilent) {
+	if isSilent(err) {
 		k.counters.add(foundSilent, 1)
 	}
 	k.log().WithError(err).Debug("connection from peer ended")
@@ -188,11 +195,27 @@
 	return errA == nil && errB == nil && net.ParseIP(hostA).Equal(net.ParseIP(hostB))
 }
 
-func (l *Links) refuse(ws *websocket.Conn, conn *countedConn, err error) {
+// refuse tells the sender why, so that its operators find the reason in its
+// own log.
+func (l *Links) refuse(ctx context.Context, ws *websocket.Conn, conn *countedConn, err error) {
 	l.total.add(refused, 1)
-	l.cfg.Logger.WithError(err).WithField("remote", conn.RemoteAddr().String()).Warn("peer connection refused")
-	reason := err.Error()
-	_ = ws.Close(websocket.StatusPolicyViolation, reason[:min(len(reason), 120)])
+	log := l.cfg.Logger.WithError(err).WithField("remote", conn.RemoteAddr().String())
+	if l.mayWarn() {
+		log.Warn("peer connection refused")
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.DialTimeout.Std())
+	defer cancel()
+	answer := l.hello("")
+	answer.Refused = err.Error()
+	_ = writeHello(ctx, ws, answer) // the connection is closed next
+}
+
+// mayWarn reports whether a refusal may be logged. Whoever can connect could
+// fill the disk with log lines otherwise.
+func (l *Links) mayWarn() bool {
+	now := int64(l.cfg.Clock.Now())
+	last := l.warned.Load()
+	return now-last >= int64(warnEvery) && l.warned.CompareAndSwap(last, now)
 }
 
 // carry hands the connection's messages over until it ends. It takes the
@@ -203,18 +226,21 @@
 	a := &accepted{nonce: h.Nonce, end: cancel}
 	conn.belongsTo(k)
 	conn.heardBy(k)
-	k.replaceAccepted(a)
+	if !k.replaceAccepted(a) {
+		return &UnknownPeerError{Peer: k.peer.ID}
+	}
 	defer k.dropAccepted(a)
 	notify(k.kick)
 
-	ws.SetReadLimit(int64(l.cfg.MaxMessageBytes) + batchBytes)
+	ws.SetReadLimit(int64(max(l.cfg.MaxMessageBytes, batchBytes)))
+	// A handler that panics ends the process, as on any other goroutine. On
+	// this one net/http would recover it, and the VM would go on with a state
+	// that is half changed.
 	var group sync.WaitGroup
-	group.Go(func() {
-		heartbeat := min(max(tackclock.Duration(h.HeartbeatMS), minHeartbeat), maxHeartbeat)
-		cancel(conn.watch(ctx, heartbeat, func() {}))
-		ws.CloseNow()
-	})
-	cancel(l.deliver(ws, k))
+	group.Go(func() { cancel(l.deliver(ws, k)) })
+	heartbeat := min(max(tackclock.Duration(h.HeartbeatMS), minHeartbeat), maxHeartbeat)
+	cancel(conn.watch(ctx, heartbeat, func() {}))
+	ws.CloseNow()
 	group.Wait()
 	return context.Cause(ctx)
 }
@@ -242,14 +268,20 @@
 	f(e.From, e.Body)
 }
 
-func (k *link) replaceAccepted(a *accepted) {
+// replaceAccepted ends the connection that a takes the place of. It reports
+// false where the peer is no longer one.
+func (k *link) replaceAccepted(a *accepted) bool {
 	k.mu.Lock()
 	old := k.accepted
-	k.accepted = a
+	if !k.gone {
+		k.accepted = a
+	}
+	gone := k.gone
 	k.mu.Unlock()
 	if old != nil {
 		old.end(errReplaced)
 	}
+	return !gone
 }
 
 func (k *link) dropAccepted(a *accepted) {
@@ -263,18 +295,3 @@
 func (k *link) log() logrus.FieldLogger {
 	return k.owner.cfg.Logger.WithField("peer", string(k.peer.ID))
 }
-
-// forget removes the metrics of a link that is gone.
-func (l *Links) forget(k *link) {
-	prefix := fmt.Sprintf("peer.%s.", k.peer.ID)
-	for _, name := range []string{
-		"sent_bytes", "received_bytes", "sent_messages", "received_messages",
-		"dropped_messages", "found_silent", "refused_connections", "unknown_kinds",
-	} {
-		l.cfg.Registry.Unregister(prefix + name)
-	}
-}
-
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/io/tackpeer/conn.go
+++ b/io/tackpeer/conn.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"auburntack/core/tackclock"
 )
 
@@ -22,15 +20,6 @@
 )
 
 type (
-	// counters are the metrics of one peer, or of all.
-	counters struct {
-		sentBytes, receivedBytes       metrics.Counter
-		sentMessages, receivedMessages metrics.Counter
-		dropped, foundSilent           metrics.Counter
-		refused, unknownKinds          metrics.Counter
-		total                          *counters
-	}
-
 	// countedConn counts the bytes that cross a connection.
 	countedConn struct {
 		net.Conn
@@ -42,41 +31,13 @@
 		sendingLarge  atomic.Bool
 		largeProgress atomic.Int64
 	}
-)
-
-func newCounters(r metrics.Registry, prefix string, total *counters) *counters {
-	counter := func(name string) metrics.Counter {
-		return metrics.GetOrRegisterCounter(prefix+name, r)
-	}
-	return &counters{
-		sentBytes:        counter("sent_bytes"),
-		receivedBytes:    counter("received_bytes"),
-		sentMessages:     counter("sent_messages"),
-		receivedMessages: counter("received_messages"),
-		dropped:          counter("dropped_messages"),
-		foundSilent:      counter("found_silent"),
-		refused:          counter("refused_connections"),
-		unknownKinds:     counter("unknown_kinds"),
-		total:            total,
-	}
-}
 
-// add adds n to the counter that which picks, of the peer and of the total.
-func (c *counters) add(which func(*counters) metrics.Counter, n int) {
-	which(c).Inc(int64(n))
-	if c.total != nil {
-		which(c.total).Inc(int64(n))
+	// silence counts the heartbeats in a row in which nothing moved.
+	silence struct {
+		last   int64
+		missed int
 	}
-}
-
-func sentBytes(c *counters) metrics.Counter        { return c.sentBytes }
-func receivedBytes(c *counters) metrics.Counter    { return c.receivedBytes }
-func sentMessages(c *counters) metrics.Counter     { return c.sentMessages }
-func receivedMessages(c *counters) metrics.Counter { return c.receivedMessages }
-func dropped(c *counters) metrics.Counter          { return c.dropped }
-func foundSilent(c *counters) metrics.Counter      { return c.foundSilent }
-func refused(c *counters) metrics.Counter          { return c.refused }
-func unknownKinds(c *counters) metrics.Counter     { return c.unknownKinds }
+)
 
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
@@ -131,16 +92,10 @@
 
 // watch calls beat at every heartbeat and returns errSilent once nothing has
 // moved on the connection, ctx's error once that ends.
-//
-// A connection can stay open for good with nothing arriving, when a device
-// between the two ends has forgotten it: writes go on succeeding, nobody
-// reads them, and the peer looks lost although a new connection would work.
-// Heartbeats are counted rather than time, so that a process that was itself
-// stopped for a while does not take its own pause for the other's silence.
 func (c *countedConn) watch(ctx context.Context, every tackclock.Duration, beat func()) error {
 	ticker := time.NewTicker(every.Std())
 	defer ticker.Stop()
-	last, missed := c.moved(), 0
+	s := silence{last: c.moved()}
 	for {
 		beat()
 		select {
@@ -148,14 +103,25 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		now := c.moved()
-		missed++
-		if now != last {
-			missed = 0
-		}
-		last = now
-		if missed >= silentAfter {
+		if s.beat(c.moved()) {
 			return errSilent
 		}
 	}
 }
+
+// beat is told at every heartbeat how much has moved, and reports whether the
+// connection is silent.
+//
+// A connection can stay open for good with nothing arriving, when a device
+// between the two ends has forgotten it: writes go on succeeding, nobody
+// reads them, and the peer looks lost although a new connection would work.
+// Heartbeats are counted rather than time, so that a process that was itself
+// stopped for a while does not take its own pause for the other's silence.
+func (s *silence) beat(moved int64) bool {
+	s.missed++
+	if moved != s.last {
+		s.missed = 0
+	}
+	s.last = moved
+	return s.missed >= silentAfter
+}
