--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -72,6 +72,7 @@
 	v.node.Tick(now)
 	v.tickDirectory(now)
 	v.tickReport(now)
+	v.tickShare(now)
 	v.tickDuties(now)
 }
 
@@ -209,6 +210,7 @@
 	v.directoryMu.Lock()
 	v.directory.SetPeers(peerIDs(plain, v.cfg.VM.ID))
 	v.directoryMu.Unlock()
+	v.sharer.SetPeers(v.clock.Now(), neighbours(plain))
 }
 
 func (v *VM) snapshotWhenDue() error {
--- a/io/tackvm/message.go
+++ b/io/tackvm/message.go
@@ -15,6 +15,7 @@
 	kindConfirm   tackpeer.Kind = "confirm"
 	kindConfirmed tackpeer.Kind = "confirmed"
 	kindReport    tackpeer.Kind = "report"
+	kindShare     tackpeer.Kind = "share"
 )
 
 type (
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -45,6 +45,9 @@
 	}
 	v.routedBy = next
 	v.routes.Store(v.makeRoutes(leased))
+	if v.sharer.User != nil {
+		v.sharer.SetTable(now, v.routes.Load())
+	}
 }
 
 func (v *VM) makeRoutes(leased bool) *tackroute.Table {
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -15,6 +15,7 @@
 	"auburntack/core/tackmember"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackroute"
+	"auburntack/core/tackshare"
 	"auburntack/core/tackstate"
 	"auburntack/core/tackwave"
 	"auburntack/io/tackdisk"
@@ -71,6 +72,9 @@
 		waiting waiters
 		duties  duties
 
+		sharer tackshare.Sharer
+		shared tackclock.Time
+
 		snapshotAt tackid.Revision
 		routedBy   routeInputs
 	}
@@ -117,6 +121,7 @@
 	v.duties.planner = &tackwave.Planner{}
 	v.publishRoutes(clock.Now())
 	v.caller = v.newCaller(logger)
+	v.startSharing(clock.Now(), v.configuredMembers())
 	return v, nil
 }
 
@@ -206,6 +211,7 @@
 	v.links.Handle(kindConfirm, v.onConfirm)
 	v.links.Handle(kindConfirmed, v.onConfirmed)
 	v.links.Handle(kindReport, v.onReport)
+	v.links.Handle(kindShare, v.onShare)
 	v.directory.Configure(v.cfg.VM.ID, v.cfg.VM.DataCentre)
 	v.directory.SetPeers(peerIDs(v.configuredMembers(), v.cfg.VM.ID))
 	if v.cfg.Platform.Address != "" {
