Queue again a request that was admitted and found no slot

Cause: admission counts slots, choice takes one; a share that shrinks or a backend server that leaves in between left the request without, and it was refused although slots were about to be free. Ruled out: the directory and the lease, both were up. Conclusion: it goes back to the queue, where its deadline bounds it.

--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -18,6 +18,8 @@
 const (
 	maxKey  = 255 // bytes of an idempotency key
 	maxName = 128 // bytes of a team's name
+
+	maxReturns = 8 // to the queue, of a request that found no slot
 )
 
 // call is one request of a caller.
@@ -189,10 +191,10 @@
 	var last *failure
 	for {
 		candidate, ok := c.service.pick(c.tried)
+		if !ok && last == nil {
+			candidate, ok, last = c.pickAgain()
+		}
 		if !ok {
-			if last == nil {
-				last = refusal(http.StatusServiceUnavailable, codeNoBackend, "no backend server has a slot free", tackclock.Second)
-			}
 			return nil, last
 		}
 		c.tries++
@@ -214,6 +216,24 @@
 	}
 }
 
+// pickAgain goes back into the queue when a request that was admitted finds no
+// slot: the share of this entry VM, or a backend server, went between the two.
+// Without it a caller is refused although slots are about to be free.
+func (c *call) pickAgain() (tackroute.Candidate, bool, *failure) {
+	for range maxReturns {
+		c.table = c.h.table()
+		c.service.leave(c.id)
+		if f := c.enter(); f != nil {
+			c.hasLeft = true
+			return tackroute.Candidate{}, false, f
+		}
+		if candidate, ok := c.service.pick(c.tried); ok {
+			return candidate, true, nil
+		}
+	}
+	return tackroute.Candidate{}, false, refusal(http.StatusServiceUnavailable, codeNoBackend, "no backend server has a slot free", tackclock.Second)
+}
+
 // mayRetry reports whether the request may be sent once more.
 func (c *call) mayRetry(f *failure) bool {
 	if c.r.Context().Err() != nil || c.touched.Load() {
