Count unknown outcomes in the demo by request

Cause: a key whose outcome is unknown says so each time it is repeated, and the demo counted both against the one request that the lost VM had cut.

--- a/io/tackdemo/report.go
+++ b/io/tackdemo/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,8 @@
 		}
 	}
 	planned := d.tally.Cut() - m.lostCut
+	slices.Sort(c.OutcomeUnknown)
+	unknown := len(slices.Compact(c.OutcomeUnknown))
 	twice := 0
 	for _, b := range d.servers {
 		if d.platform.Times(b.VM) != 1 {
@@ -57,7 +60,7 @@
 	return []invariant{
 		{"availability budget", fmt.Sprintf("%d looks, %d below %d", w.looks, w.breaches, minAvailable), w.breaches == 0 && w.looks > 0},
 		{"a VM is in exactly one pool", fmt.Sprintf("%d otherwise", w.pools), w.pools == 0},
-		{"one whole answer for each request", fmt.Sprintf("%d sent, %d answered, %d refused, %d unknown, %d broken", c.Sent, c.Answered, c.Refused, c.Unknown, c.Broken), c.Broken == 0 && c.Unknown <= m.lostCut && c.Sent > 0},
+		{"one whole answer for each request", fmt.Sprintf("%d sent, %d answered, %d refused, %d unknown, %d broken", c.Sent, c.Answered, c.Refused, c.Unknown, c.Broken), c.Broken == 0 && unknown <= m.lostCut && c.Sent > 0},
 		{"never part of another's answer", fmt.Sprintf("%d mixed", c.Mixed), c.Mixed == 0},
 		{"did_not_run did not run", fmt.Sprintf("%d said, %d ran", c.Refused, falsely), falsely == 0},
 		{"work with a key runs at most once", fmt.Sprintf("%d doubled", d.tally.DoubledKeys()), d.tally.DoubledKeys() == 0},
--- a/io/tackstandin/callers.go
+++ b/io/tackstandin/callers.go
@@ -50,8 +50,11 @@
 		// Broken got no whole answer, Mixed one that was not theirs.
 		Broken int
 		Mixed  int
-		// DidNotRun names the bodies of the refused requests.
-		DidNotRun []string
+		// DidNotRun names the bodies of the refused requests, and
+		// OutcomeUnknown those of the unknown ones. A repeated key that is
+		// unknown stands there twice.
+		DidNotRun      []string
+		OutcomeUnknown []string
 		// Notes tells the first problems in words.
 		Notes []string
 	}
@@ -87,6 +90,7 @@
 	counts := c.counts
 	counts.Notes = slices.Clone(counts.Notes)
 	counts.DidNotRun = slices.Clone(counts.DidNotRun)
+	counts.OutcomeUnknown = slices.Clone(counts.OutcomeUnknown)
 	return counts
 }
 
@@ -167,6 +171,7 @@
 			k.DidNotRun = append(k.DidNotRun, body)
 		} else {
 			k.Unknown++
+			k.OutcomeUnknown = append(k.OutcomeUnknown, body)
 		}
 	}, "%s: status %d, outcome %q: %s", body, answer.StatusCode, outcome, got)
 }
