--- /dev/null
+++ b/core/tackledger/snapshot.go
@@ -0,0 +1,177 @@
+package tackledger
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"unique"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+const snapshotVersion = 1
+
+type (
+	// VersionError reports a snapshot of a version that this program can't
+	// read.
+	VersionError struct {
+		Version int
+	}
+
+	snapshot struct {
+		Version  int                  `cbor:"1,keyasint"`
+		Revision tackid.Revision      `cbor:"2,keyasint"`
+		Now      tackclock.Time       `cbor:"3,keyasint"`
+		Lives    map[tackid.Peer]Life `cbor:"4,keyasint"`
+		Records  []savedRecord        `cbor:"5,keyasint"`
+	}
+
+	// savedRecord is a record and the digest that it stands under.
+	savedRecord struct {
+		At          digest          `cbor:"1,keyasint"`
+		Team        tackid.Team     `cbor:"2,keyasint,omitempty"`
+		Fingerprint digest          `cbor:"3,keyasint"`
+		Request     digest          `cbor:"4,keyasint"`
+		Peer        tackid.Peer     `cbor:"5,keyasint,omitempty"`
+		Life        Life            `cbor:"6,keyasint,omitempty"`
+		Begun       tackclock.Time  `cbor:"7,keyasint"`
+		Until       tackclock.Time  `cbor:"8,keyasint,omitempty"`
+		Ended       tackclock.Time  `cbor:"9,keyasint,omitempty"`
+		Revision    tackid.Revision `cbor:"10,keyasint"`
+		Finished    tackid.Revision `cbor:"11,keyasint,omitempty"`
+		Outcome     Outcome         `cbor:"12,keyasint,omitempty"`
+		Answer      *Answer         `cbor:"13,keyasint,omitempty"`
+	}
+)
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("tackledger: snapshot version %d, this program reads up to %d", e.Version, snapshotVersion)
+}
+
+// Snapshot returns the state as CBOR. Two states that applied the same changes
+// give the same bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{
+		Version:  snapshotVersion,
+		Revision: s.revision,
+		Now:      s.now,
+		Lives:    s.lives,
+		Records:  make([]savedRecord, 0, len(s.records)),
+	}
+	if out.Lives == nil {
+		out.Lives = make(map[tackid.Peer]Life)
+	}
+	for at, r := range s.records {
+		out.Records = append(out.Records, r.save(at))
+	}
+	slices.SortFunc(out.Records, compareSaved)
+	data, err := encoding.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("tackledger: encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the state by that of a snapshot; the limits stay. The error
+// is a *VersionError for a snapshot of a later program.
+func (s *State) Restore(data []byte) error {
+	var in snapshot
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return fmt.Errorf("tackledger: decode snapshot: %w", err)
+	}
+	if in.Version > snapshotVersion {
+		return &VersionError{Version: in.Version}
+	}
+	*s = State{Limits: s.Limits}
+	s.advance(in.Revision, in.Now)
+	for peer, life := range in.Lives {
+		s.lives[peer] = life
+	}
+	for i := range in.Records {
+		s.restore(&in.Records[i])
+	}
+	s.requeueAnswers(in.Records)
+	return nil
+}
+
+// restore puts one record back.
+func (s *State) restore(v *savedRecord) {
+	r := &record{
+		team:        unique.Make(v.Team),
+		peer:        unique.Make(v.Peer),
+		fingerprint: v.Fingerprint,
+		request:     v.Request,
+		life:        v.Life,
+		begun:       v.Begun,
+		until:       v.Until,
+		ended:       v.Ended,
+		revision:    v.Revision,
+		finished:    v.Finished,
+		outcome:     v.Outcome,
+		answer:      v.Answer,
+	}
+	s.records[v.At] = r
+	s.teams[v.Team]++
+	if r.answer != nil {
+		s.bytes += r.answer.size()
+	}
+	if r.outcome == OutcomeDidNotRun {
+		s.released.push(entry{v.At, v.Revision, v.Ended})
+		return
+	}
+	s.begun.push(entry{v.At, v.Revision, v.Begun})
+}
+
+// requeueAnswers lists the answers in the order in which they came.
+func (s *State) requeueAnswers(records []savedRecord) {
+	var answered []*savedRecord
+	for i := range records {
+		if records[i].Answer != nil {
+			answered = append(answered, &records[i])
+		}
+	}
+	slices.SortFunc(answered, func(a, b *savedRecord) int { return cmp.Compare(a.Finished, b.Finished) })
+	for _, v := range answered {
+		s.answered.push(entry{v.At, v.Revision, v.Ended})
+	}
+}
+
+// save returns the record in the snapshot's form.
+func (r *record) save(at digest) savedRecord {
+	return savedRecord{
+		At:          at,
+		Team:        r.team.Value(),
+		Fingerprint: r.fingerprint,
+		Request:     r.request,
+		Peer:        r.peer.Value(),
+		Life:        r.life,
+		Begun:       r.begun,
+		Until:       r.until,
+		Ended:       r.ended,
+		Revision:    r.revision,
+		Finished:    r.finished,
+		Outcome:     r.outcome,
+		Answer:      r.answer,
+	}
+}
+
+// compareSaved orders records as their queues do, then by digest.
+func compareSaved(a, b savedRecord) int {
+	if c := cmp.Compare(a.Revision, b.Revision); c != 0 {
+		return c
+	}
+	return bytes.Compare(a.At[:], b.At[:])
+}
--- /dev/null
+++ b/core/tackroute/chooser_test.go
@@ -0,0 +1,108 @@
+package tackroute_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackroute"
+)
+
+const (
+	here  tackid.DataCentre = "rennes-a"
+	there tackid.DataCentre = "quimper"
+)
+
+func candidates(dc tackid.DataCentre, n int) []tackroute.Candidate {
+	all := make([]tackroute.Candidate, n)
+	for i := range all {
+		name := fmt.Sprintf("%s-%d", dc, i)
+		all[i] = tackroute.Candidate{BackendServer: tackid.BackendServer(name), VM: tackid.VM("vm-" + name),
+			DataCentre: dc, Slots: 8, Connections: 64, Incarnation: 1}
+	}
+	return all
+}
+
+func TestPickPrefersHomeUntilFull(t *testing.T) {
+	convey.Convey("With one backend server at home and one elsewhere", t, func() {
+		var c tackroute.Chooser
+		c.SetCandidates(append(candidates(here, 1), candidates(there, 1)...))
+		for range 8 {
+			got, ok := c.Pick(0, tackroute.Ask{Home: here})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.DataCentre, convey.ShouldEqual, here)
+		}
+		convey.Convey("the ninth goes elsewhere, and stays if home only is asked", func() {
+			_, ok := c.Pick(0, tackroute.Ask{Home: here, HomeOnly: true})
+			convey.So(ok, convey.ShouldBeFalse)
+			got, ok := c.Pick(0, tackroute.Ask{Home: here})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.DataCentre, convey.ShouldEqual, there)
+		})
+	})
+}
+
+// Symptom: a VM is rebooted while a request still runs on it.
+// Sequence: a request is in flight; the backend server leaves the table and
+// announces itself again with a later incarnation, on another VM; a request to
+// the new life ends first.
+// Cause: work in flight was counted by name alone, so the end of the newer
+// request was taken for that of the older one.
+func TestInFlightCountsByLife(t *testing.T) {
+	convey.Convey("After a backend server moved with a request in flight", t, func() {
+		var c tackroute.Chooser
+		table := candidates(here, 1)
+		c.SetCandidates(table)
+		older, _ := c.Pick(0, tackroute.Ask{Home: here})
+		c.SetCandidates(nil)
+		table[0].VM, table[0].Incarnation = "vm-new", 2
+		c.SetCandidates(table)
+		newer, _ := c.Pick(0, tackroute.Ask{Home: here})
+		c.Done(1, newer, tackroute.Outcome{})
+		convey.So(c.InFlight(older.VM), convey.ShouldEqual, 1)
+		convey.So(c.InFlight("vm-new"), convey.ShouldEqual, 0)
+		c.Done(2, older, tackroute.Outcome{})
+		convey.So(c.InFlight(older.VM), convey.ShouldEqual, 0)
+	})
+}
+
+// Symptom: a backend server that just announced itself gets more requests than it
+// has slots.
+// Sequence: slots are shared; a new backend server appears in the table before
+// this peer was granted a part of it.
+// Cause: a candidate without a share was taken for one whose slots are all ours.
+func TestNewCandidateWaitsForItsShare(t *testing.T) {
+	convey.Convey("With shares for one of two backend servers", t, func() {
+		var c tackroute.Chooser
+		both := candidates(here, 2)
+		lots := []tackroute.Lot{{BackendServer: "rennes-a-0", Incarnation: 1}, {BackendServer: "rennes-a-1", Incarnation: 1}}
+		c.SetShares(here, 100, []tackroute.Share{{Lot: lots[0], Slots: 3}})
+		c.SetCandidates(both)
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 3)
+		c.SetShares(here, 100, []tackroute.Share{{Lot: lots[0], Slots: 3}, {Lot: lots[1], Slots: 2}})
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 5)
+	})
+}
+
+// Symptom: a request that was admitted is refused a moment later for want of a
+// slot.
+// Sequence: two are admitted; before they are sent, the peer is asked to give
+// slots back, and its bound falls to one.
+// Cause: the bound, which is for requests yet to be admitted, was held against
+// those that were.
+func TestAdmittedRequestsFindTheirSlots(t *testing.T) {
+	convey.Convey("With two slots held and a bound of one", t, func() {
+		var c tackroute.Chooser
+		c.SetCandidates(append(candidates(here, 1), candidates(there, 1)...))
+		c.SetShares(here, 1, []tackroute.Share{{Lot: tackroute.Lot{BackendServer: "rennes-a-0", Incarnation: 1}, Slots: 2}})
+		c.SetShares(there, 1, []tackroute.Share{{Lot: tackroute.Lot{BackendServer: "quimper-0", Incarnation: 1}, Slots: 1}})
+		convey.So(c.Capacity(0, tackroute.Ask{Home: here}), convey.ShouldEqual, 2)
+		for _, want := range []tackid.DataCentre{here, there, here} {
+			got, ok := c.Pick(0, tackroute.Ask{Home: here})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.DataCentre, convey.ShouldEqual, want)
+		}
+	})
+}
