--- a/core/tackreplica/ready.go
+++ b/core/tackreplica/ready.go
@@ -2,7 +2,9 @@
 
 import "auburntack/core/tackid"
 
-// Applied tells the node that the state machine has applied up to i.
+// Applied tells the node that the state machine has applied up to i, by
+// entries or by a snapshot, and that nothing goes by an older state any more.
+// The next Ready reports it to the leader, which waits for it.
 func (n *Node) Applied(i tackid.Revision) {
 	if i <= n.applied {
 		return
@@ -51,7 +53,6 @@
 	}
 	if r.Snapshot != nil && r.Snapshot == n.install {
 		n.install = nil
-		n.Applied(r.Snapshot.Index)
 	}
 	n.advanceStable(r.Entries)
 	n.messages = append([]Message(nil), n.messages[len(r.Messages):]...)
--- a/core/tackreplica/step_test.go
+++ b/core/tackreplica/step_test.go
@@ -136,6 +136,24 @@
 	})
 }
 
+// Symptom: a VM routes by a state that the leader has reported as past.
+// Sequence: a VM takes over a snapshot; its routes are made a moment later.
+// Cause: the snapshot was reported as applied before the owner said so. Fails
+// with Advance noting what it hands back as applied.
+func TestSnapshotIsAppliedWhenTheOwnerSaysSo(t *testing.T) {
+	convey.Convey("Only the owner's word is reported", t, func() {
+		n := New(Config{Self: "b", Members: threeVoters}, Stored{}, 0)
+		n.Step(1, Message{Kind: MessageChunk, From: "a", To: "b", Term: 1, Stamp: 1,
+			Chunk: &Chunk{Index: 5, Term: 1, Members: threeVoters}})
+		sent := drain(n)
+		convey.So(sent, convey.ShouldHaveLength, 1)
+		convey.So(sent[0].Index, convey.ShouldEqual, 5)
+		convey.So(sent[0].Applied, convey.ShouldEqual, 0)
+		n.Applied(5)
+		convey.So(drain(n)[0].Applied, convey.ShouldEqual, 5)
+	})
+}
+
 // Symptom: a removed VM's stale answer, or a VM of a later version, stops the
 // service for a second.
 // Sequence: a VM that is no member answers with a higher term, or a member
--- a/core/tackreplica/vm_test.go
+++ b/core/tackreplica/vm_test.go
@@ -122,8 +122,8 @@
 	for _, e := range r.Committed {
 		v.apply(e)
 	}
-	v.node.Applied(v.applied)
 	v.node.Advance(r)
+	v.node.Applied(v.applied)
 	v.compact()
 	v.work()
 }
