Go by each VM's own settings for the addresses of its peers

Cause: the first membership in the log carried the addresses that the first leader had in its settings, and every VM replaced its own by them. Where two VMs reach a third by different addresses, one of them lost its link. Ruled out: elections; with the links right the same test elects. Before: with the leader cut one way (wires between processes that swallow bytes) no command was accepted in 60 s. Conclusion: the log holds an address only for a member added later.

--- a/cmd/auburntackd/path_test.go
+++ b/cmd/auburntackd/path_test.go
@@ -47,6 +47,7 @@
 	platform tackstandin.Platform
 	balancer tackstandin.Balancer
 	tally    tackstandin.Tally
+	wires    *tackstandin.Wires
 }
 
 // newSite starts three daemons in two data centres, the last without a disk,
@@ -64,6 +65,9 @@
 		{DataCentre: "rennes-a", Replica: true},
 	})
 	must(t, err)
+	s.wires, err = tackstandin.Rewire(s.daemons, more)
+	must(t, err)
+	t.Cleanup(s.wires.Close)
 	s.startDaemons(t)
 	for _, d := range s.daemons {
 		s.balancer.Entries = append(s.balancer.Entries, tackstandin.Entry{Caller: d.Caller, Operator: d.Operator})
--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -89,13 +89,27 @@
 			folder:     folder,
 		})
 	}
+	return daemons, configure(daemons, more, nil)
+}
+
+// Rewire writes the settings anew, so that every daemon reaches the others by
+// wires that can be cut. Call it before the daemons are started.
+func Rewire(daemons []*Daemon, more string) (*Wires, error) {
+	wires, err := newWires(daemons)
+	if err != nil {
+		return nil, err
+	}
+	return wires, configure(daemons, more, wires)
+}
+
+func configure(daemons []*Daemon, more string, wires *Wires) error {
 	for _, d := range daemons {
-		d.config = filepath.Join(folder, d.ID+".ini")
-		if err := os.WriteFile(d.config, []byte(d.settings(daemons)+more), 0o644); err != nil {
-			return nil, fmt.Errorf("standin: %w", err)
+		d.config = filepath.Join(d.folder, d.ID+".ini")
+		if err := os.WriteFile(d.config, []byte(d.settings(daemons, wires)+more), 0o644); err != nil {
+			return fmt.Errorf("standin: %w", err)
 		}
 	}
-	return daemons, nil
+	return nil
 }
 
 // FreePorts returns n loopback addresses that nothing listens on.
@@ -116,7 +130,7 @@
 	return nil, fmt.Errorf("standin: no %d free ports from %d to %d", n, firstPort, lastPort)
 }
 
-func (d *Daemon) settings(all []*Daemon) string {
+func (d *Daemon) settings(all []*Daemon, wires *Wires) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[vm]\nid = %s\ndata_centre = %s\n", d.ID, d.DataCentre)
 	fmt.Fprintf(&b, "[listen]\ncaller = %s\noperator = %s\npeer = %s\n", d.Caller, d.Operator, d.Peer)
@@ -124,9 +138,14 @@
 		fmt.Fprintf(&b, "[state]\nfolder = %s\nreplica = true\n", d.DataFolder())
 	}
 	for _, p := range all {
-		if p != d {
-			fmt.Fprintf(&b, "[peer.%s]\ndata_centre = %s\naddress = %s\nreplica = %t\n", p.ID, p.DataCentre, p.Peer, p.Replica)
+		if p == d {
+			continue
+		}
+		address := p.Peer
+		if wires != nil {
+			address = wires.between[direction{d.ID, p.ID}].Address()
 		}
+		fmt.Fprintf(&b, "[peer.%s]\ndata_centre = %s\naddress = %s\nreplica = %t\n", p.ID, p.DataCentre, address, p.Replica)
 	}
 	return b.String()
 }
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -206,7 +206,7 @@
 	for _, m := range members {
 		plain = append(plain, m.Member)
 	}
-	v.links.SetPeers(linkPeers(plain, v.cfg.VM.ID))
+	v.links.SetPeers(v.linkPeers(plain))
 	v.directoryMu.Lock()
 	v.directory.SetPeers(peerIDs(plain, v.cfg.VM.ID))
 	v.directoryMu.Unlock()
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -5,6 +5,7 @@
 package tackvm
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -177,19 +178,21 @@
 	return nil
 }
 
+// configuredMembers returns the members that the settings name. They have no
+// addresses: those are each VM's own settings, and the log holds one only for
+// a member that was added later. With the addresses in it, every VM would go
+// by those in the settings of whichever VM led first.
 func (v *VM) configuredMembers() []tackreplica.Member {
 	members := []tackreplica.Member{{
 		Peer:       v.cfg.VM.ID,
 		DataCentre: v.cfg.VM.DataCentre,
 		Voter:      v.cfg.State.Replica,
-		Address:    v.cfg.Listen.Peer,
 	}}
 	for _, p := range v.cfg.Peers {
 		members = append(members, tackreplica.Member{
 			Peer:       p.ID,
 			DataCentre: p.DataCentre,
 			Voter:      p.Replica,
-			Address:    p.Address,
 		})
 	}
 	return members
@@ -199,7 +202,7 @@
 	v.links = tackpeer.New(tackpeer.Config{
 		Self:     v.cfg.VM.ID,
 		Listen:   v.cfg.Listen.Peer,
-		Peers:    linkPeers(v.configuredMembers(), v.cfg.VM.ID),
+		Peers:    v.linkPeers(v.configuredMembers()),
 		Clock:    v.clock,
 		Logger:   logger,
 		Registry: v.registry,
@@ -219,12 +222,20 @@
 	}
 }
 
-func linkPeers(members []tackreplica.Member, self tackid.Peer) []tackpeer.Peer {
+// linkPeers returns the members other than this VM with their addresses: the
+// log's for one that was added, the settings' for the others.
+func (v *VM) linkPeers(members []tackreplica.Member) []tackpeer.Peer {
+	configured := make(map[tackid.Peer]string)
+	for _, p := range v.cfg.Peers {
+		configured[p.ID] = p.Address
+	}
 	var peers []tackpeer.Peer
 	for _, m := range members {
-		if m.Peer != self {
-			peers = append(peers, tackpeer.Peer{ID: m.Peer, DataCentre: m.DataCentre, Address: m.Address})
+		if m.Peer == v.cfg.VM.ID {
+			continue
 		}
+		address := cmp.Or(m.Address, configured[m.Peer])
+		peers = append(peers, tackpeer.Peer{ID: m.Peer, DataCentre: m.DataCentre, Address: address})
 	}
 	return peers
 }
