Wait until an accepted operation has begun

A platform may accept an operation and still show the VM as serving: the wave took it for done, gave the VM work again, and it was stopped under it (TestPlatformThatFails/to_begin fails without wasStopped).

--- a/core/tackwave/bench_test.go
+++ b/core/tackwave/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -282,3 +283,16 @@
 		})
 	}
 }
+
+// TestPlanStaysSmall holds a plan for one of letter 1's pools to its bytes.
+func TestPlanStaysSmall(t *testing.T) {
+	w := newWorld(1)
+	w.addPool("p", 64, 10, percent(80), true)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	Cost(w.f, "p", tackfleet.ActionUpgrade, 0, Settings{Prefer: PreferTime})
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > 1<<20 {
+		t.Fatalf("a plan for 64 VMs allocated %d bytes", n)
+	}
+}
--- a/core/tackwave/phase.go
+++ b/core/tackwave/phase.go
@@ -10,9 +10,14 @@
 	"auburntack/core/tackid"
 )
 
-// domainPatience is how many times the operation limit a VM is awaited whose
-// whole rack or data centre is lost.
-const domainPatience = 4
+const (
+	// domainPatience is how many times the operation limit a VM is awaited
+	// whose whole rack or data centre is lost.
+	domainPatience = 4
+	// beginWithin is how long the platform may take to begin an operation
+	// that it has accepted.
+	beginWithin = 3 * tackclock.Second
+)
 
 // advance takes the VMs that a wave holds to their next phases. It does so
 // whatever the wave's status is: a VM that a paused, stopped or cancelled
@@ -95,7 +100,7 @@
 	st := t.v.Operation(m.VM)
 	confirmed := st.Operation == m.Operation
 	switch {
-	case confirmed && st.State == PlatformServing:
+	case confirmed && st.State == PlatformServing && t.wasStopped(m):
 		p.Phase = tackfleet.PhaseReturning
 		t.times.operation.add(waited, t.cfg.Reboot)
 		delete(t.asked, m.Operation)
@@ -111,6 +116,15 @@
 	}
 }
 
+// wasStopped reports whether a VM that the platform shows as up has been down
+// for its operation. A platform may accept an operation and show the VM as
+// serving until it begins: the VM would get work again and be stopped under
+// it. So either its health has changed since, or there was time to begin.
+func (t *tick) wasStopped(m *tackfleet.WaveVM) bool {
+	vm, _ := t.f.VM(m.VM)
+	return vm.HealthSince.After(m.Since) || t.now.Sub(m.Since) >= beginWithin
+}
+
 // await waits until the VM's backend servers announce themselves again.
 func (t *tick) await(w *tackfleet.Wave, m *tackfleet.WaveVM, vm *tackfleet.VM, p *tackfleet.WavePhase) {
 	waited := t.now.Sub(m.Since)
--- a/core/tackwave/planner_test.go
+++ b/core/tackwave/planner_test.go
@@ -157,7 +157,7 @@
 
 // Symptom: a wave hangs, or a VM is operated twice.
 // Sequence: the platform loses requests and answers, says that an operation
-// failed, or says nothing at all.
+// failed, begins one late, or says nothing at all.
 // Cause: one request is taken for granted, or a silent platform is awaited
 // for ever.
 func TestPlatformThatFails(t *testing.T) {
@@ -168,10 +168,12 @@
 	}{
 		"now and then": {faults{mute: 0.5, refused: 0.2}, tackfleet.WaveFinished, ""},
 		"always":       {faults{mute: 1}, tackfleet.WaveStopped, "broke among the first VMs"},
+		"to begin":     {faults{lag: 2 * tackclock.Second}, tackfleet.WaveFinished, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(9)
 			w.faults = c.faults
+			w.step = tackclock.Second
 			w.addPool("p", 12, 3, percent(50), true)
 			w.startWave("n", "p", tackfleet.ActionReboot, 0)
 			w.run(longest)
--- a/core/tackwave/world_test.go
+++ b/core/tackwave/world_test.go
@@ -18,13 +18,14 @@
 type (
 	// faults are the chances of what goes wrong; zero is a quiet world.
 	faults struct {
-		loss    float64 // per VM and tick: lost for some minutes
-		second  float64 // per repair: lost again soon after
-		breaks  float64 // per operation: the VM does not come back
-		refused float64 // per operation: the platform says that it failed
-		mute    float64 // per question: the platform's answer is lost
-		restart float64 // per tick: the leader changes between two changes
-		busy    float64 // per drain: work that outlasts the drain limit
+		loss    float64            // per VM and tick: lost for some minutes
+		second  float64            // per repair: lost again soon after
+		breaks  float64            // per operation: the VM does not come back
+		refused float64            // per operation: the platform says that it failed
+		mute    float64            // per question: the platform's answer is lost
+		restart float64            // per tick: the leader changes between two changes
+		busy    float64            // per drain: work that outlasts the drain limit
+		lag     tackclock.Duration // until an accepted operation begins
 	}
 
 	machine struct {
@@ -33,6 +34,7 @@
 		from, to tackclock.Time // down in between
 		work     map[tackid.Revision]tackclock.Time
 		op       tackid.Operation
+		begins   tackclock.Time
 		ends     tackclock.Time
 		failed   bool
 		until    tackclock.Time      // has work until then
@@ -216,7 +218,7 @@
 	for _, id := range w.ids {
 		m := w.machines[id]
 		health := tackfleet.HealthServing
-		if w.now < m.ends || m.failed || w.now >= m.from && w.now < m.to {
+		if m.begins <= w.now && w.now < m.ends || m.failed || w.now >= m.from && w.now < m.to {
 			health = tackfleet.HealthLost
 		}
 		if vm, ok := w.f.VM(id); ok && vm.Health != health {
@@ -239,7 +241,8 @@
 		w.wrong = append(w.wrong, fmt.Sprintf("%s stopped in state %v with work in flight", o.VM, vm.State))
 	}
 	reboot := w.between(2, 4)
-	m.op, m.ends, m.failed = o.Operation, w.now.Add(reboot), w.rng.Float64() < w.refused
+	m.op, m.begins, m.failed = o.Operation, w.now.Add(w.lag), w.rng.Float64() < w.refused
+	m.ends = m.begins.Add(reboot)
 	if m.failed {
 		return
 	}
@@ -274,6 +277,11 @@
 			w.wrong = append(w.wrong, fmt.Sprintf("%s is in %d waves", id, n))
 		}
 	}
+	for vm := range w.f.EachVM() {
+		if m := w.machines[vm.ID]; vm.Routable() && m.begins <= w.now && w.now < m.ends {
+			w.wrong = append(w.wrong, fmt.Sprintf("%s may get work during its operation", vm.ID))
+		}
+	}
 	w.peak = max(w.peak, out)
 	have, required := w.serving()
 	for s, n := range have {
@@ -350,6 +358,8 @@
 	switch {
 	case m.op == "" || w.rng.Float64() < w.mute:
 		return OperationStatus{}
+	case w.now < m.begins:
+		return OperationStatus{State: PlatformServing, Operation: m.op}
 	case w.now < m.ends:
 		return OperationStatus{State: PlatformRebooting, Operation: m.op}
 	case m.failed:
