--- a/core/tacklimit/gate.go
+++ b/core/tacklimit/gate.go
@@ -1,7 +1,7 @@
 // Package tacklimit decides which requests of a service may start, which wait
 // and which are refused at once.
 //
-// A Gate serves one service on one entry VM. It starts no more requests than
+// A Gate serves one service on one peer. It starts no more requests than
 // there are slots, keeps the rest in a bounded queue with a deadline each,
 // starts urgent requests first, holds every team to its quota and shares what
 // is left evenly among the teams that wait. What cannot start before its
@@ -9,6 +9,8 @@
 package tacklimit
 
 import (
+	"maps"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -76,7 +78,7 @@
 
 		capacity int
 
-		entries map[uint64]*entry
+		entries table
 		teams   map[tackid.Team]*team
 		parked  []*team
 		fair    [classes]fairQueue
@@ -89,7 +91,6 @@
 		stale   []uint64
 		started []uint64
 		expired []uint64
-		free    *entry
 	}
 
 	// entry is a request that waits or runs.
@@ -105,9 +106,10 @@
 		// time any more; zero if there is no deadline.
 		giveUp tackclock.Time
 		// prev and next link the entries of a lane, later and earlier those
-		// of a bucket of the wheel.
+		// of a bucket of the wheel, chain those of a cell of the table.
 		prev, next     *entry
 		earlier, later *entry
+		chain          *entry
 	}
 )
 
@@ -117,7 +119,7 @@
 	if r.Deadline != 0 && !now.Before(r.Deadline) {
 		return g.refuse(now, r, CodeDeadlinePassed, 0)
 	}
-	if g.entries[r.ID] != nil {
+	if g.entries.get(r.ID) != nil {
 		return g.refuse(now, r, CodeDuplicate, 0)
 	}
 	t := g.teamOf(r.Team)
@@ -138,7 +140,7 @@
 // returns the requests that start in its place.
 func (g *Gate) Release(now tackclock.Time, id uint64) (started []uint64) {
 	g.started = g.started[:0]
-	e := g.entries[id]
+	e := g.entries.get(id)
 	if e == nil || !e.running {
 		return g.started
 	}
@@ -154,7 +156,7 @@
 // Cancel takes a request that waits out of the queue and reports whether it
 // did; after that it is never started. A request that runs must be released.
 func (g *Gate) Cancel(_ tackclock.Time, id uint64) bool {
-	e := g.entries[id]
+	e := g.entries.get(id)
 	if e == nil || e.running {
 		return false
 	}
@@ -189,10 +191,13 @@
 }
 
 // SetQuotas sets the number of slots that each team may hold at once, over all
-// Gates that share the Quotas. A team that is missing is bounded by its fair
-// share alone.
+// Gates that share the Quotas. A team that is missing or has zero is bounded by
+// its fair share alone. A peer that shares quotas with others sets Quotas
+// to its parts instead.
 func (g *Gate) SetQuotas(quotas map[tackid.Team]int) {
-	g.quotas().Set(quotas)
+	bounds := maps.Clone(quotas)
+	maps.DeleteFunc(bounds, func(_ tackid.Team, slots int) bool { return slots == 0 })
+	g.quotas().Set(bounds)
 }
 
 // quotas returns the Quotas in use.
@@ -212,6 +217,19 @@
 	return n
 }
 
+// WaitingOf returns the number of requests of a team that wait.
+func (g *Gate) WaitingOf(team tackid.Team) int {
+	t := g.teams[team]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for i := range t.lanes {
+		n += t.lanes[i].length
+	}
+	return n
+}
+
 // Running returns the number of requests that hold a slot.
 func (g *Gate) Running() int {
 	n := 0
@@ -271,7 +289,7 @@
 // they were next, unless they were cancelled since.
 func (g *Gate) expireStale() {
 	for _, id := range g.stale {
-		if e := g.entries[id]; e != nil && e.stale {
+		if e := g.entries.get(id); e != nil && e.stale {
 			g.expired = append(g.expired, id)
 			g.remove(e)
 		}
@@ -348,7 +366,7 @@
 	g.waiting[e.Class]++
 	e.team.push(g, e)
 	if e.Deadline != 0 {
-		e.giveUp = max(e.Deadline.Add(-g.drain.shortest()), now+1)
+		e.giveUp = max(lastStart(now, e.Deadline, 2*g.drain.typical()), now+1)
 		g.wheel.add(now, e)
 	}
 }
@@ -366,24 +384,14 @@
 }
 
 func (g *Gate) newEntry(r Request, t *team) *entry {
-	if g.entries == nil {
-		g.entries = make(map[uint64]*entry)
-	}
-	e := g.free
-	if e == nil {
-		e = new(entry)
-	} else {
-		g.free = e.next
-	}
-	*e = entry{Request: r, team: t}
-	g.entries[r.ID] = e
+	e := g.entries.add(r)
+	e.team = t
 	return e
 }
 
 // remove forgets an entry that neither waits nor runs.
 func (g *Gate) remove(e *entry) {
-	delete(g.entries, e.ID)
-	g.forget(e.team)
-	*e = entry{Request: e.Request, next: g.free}
-	g.free = e
+	t := e.team
+	g.entries.remove(e)
+	g.forget(t)
 }
--- a/core/tackmember/view.go
+++ b/core/tackmember/view.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 
-	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 )
@@ -70,7 +69,7 @@
 	if d.cache.valid {
 		return
 	}
-	d.cache = listing{valid: true}
+	d.cache = listing{valid: true, servers: make([]BackendServerRecord, 0, len(d.cache.servers)+1)}
 	for _, k := range sortedKeys(d.entries) {
 		e := d.entries[k]
 		switch {
@@ -85,9 +84,9 @@
 	}
 }
 
-// settle works out anew what is known under k, and lets go of the own record
-// where a better one is held elsewhere.
-func (d *Directory) settle(now tackclock.Time, k key) {
+// settle works out anew what is known under k. An own record that others have
+// overtaken is left to end by silence.
+func (d *Directory) settle(k key) {
 	e := d.entries[k]
 	next, found := d.merge(k)
 	if !found {
@@ -107,14 +106,12 @@
 	}
 	d.index(k, e, &next)
 	*e = next
-	d.release(now, k, e)
-	d.rescue(now, k, e)
 }
 
 // settleAll works out everything anew.
-func (d *Directory) settleAll(now tackclock.Time) {
+func (d *Directory) settleAll() {
 	for _, k := range sortedKeys(d.entries) {
-		d.settle(now, k)
+		d.settle(k)
 	}
 }
 
@@ -213,44 +210,6 @@
 	d.vms[is.shown.VM][k] = d.entries[k]
 }
 
-// release ends the own record under k when its incarnation is over, or when a
-// peer that is linked holds a better one. Without it, each peer that a
-// balancer ever chose would go on holding the record. An own record that lags
-// behind the stage of its incarnation is raised to it.
-func (d *Directory) release(now tackclock.Time, k key, e *entry) {
-	mine := d.own.records[k]
-	if mine == nil || !mine.held() {
-		return
-	}
-	over := mine.Incarnation < e.top.Incarnation || e.top.Stage == StageWithdrawn
-	elsewhere := e.holder != nil && e.holder != d.own &&
-		e.holder.standing == standingHeard && d.linked(now, e.holder.peer)
-	was := *mine
-	switch {
-	case over:
-		d.put(now, mine.ended(mine.Stage), 0)
-	case elsewhere:
-		d.put(now, mine.ended(mine.Stage), 0)
-		was.Stage = e.top.Stage
-		d.nearby[k] = &was
-	case mine.Stage < e.top.Stage:
-		was.Stage = e.top.Stage
-		d.put(now, was.Record, was.within)
-		d.own.records[k].heard = was.heard
-	}
-}
-
-// rescue publishes what announced itself here a while ago and has just been
-// given up by its holder.
-func (d *Directory) rescue(now tackclock.Time, k key, e *entry) {
-	r := d.nearby[k]
-	if e.holder != nil || r == nil || now.Sub(r.heard) > lifetime(r.within) || r.compare(&e.top) < 0 {
-		return
-	}
-	d.publish(now, r.Record, r.within)
-	d.own.records[k].heard = r.heard
-}
-
 // sorted returns the spaces by id, for a fixed order of what follows.
 func (d *Directory) sorted() []*space {
 	list := slices.Collect(maps.Values(d.spaces))
--- a/core/tackreplica/node.go
+++ b/core/tackreplica/node.go
@@ -63,7 +63,7 @@
 	}
 
 	// Node is one VM's share of the replicated log. It is not safe for
-	// concurrent use.
+	// concurrent use, and questions count as use, since they note the time.
 	Node struct {
 		cfg     Config
 		rand    *rand.Rand
@@ -85,8 +85,8 @@
 		applied  tackid.Revision
 		verified tackid.Revision // equal to the leader's log up to here
 
-		configs  []config
-		departed []departure
+		configs []config
+		removed []removal
 
 		electionAt tackclock.Time
 		votes      map[tackid.Peer]bool
@@ -130,6 +130,8 @@
 	// A voter that restarted has forgotten when it last heard a leader. If it
 	// voted at once, that leader could still be answering by its lease.
 	n.voteFrom = now.Add(n.promise())
+	// It has also forgotten which members were removed just now.
+	n.noteRemoval("")
 	n.resetElection()
 	return n
 }
@@ -210,7 +212,7 @@
 // Step takes in a message from another node.
 func (n *Node) Step(now tackclock.Time, m Message) {
 	n.see(now)
-	if n.failed || m.To != n.cfg.Self || m.From == n.cfg.Self {
+	if n.failed || m.To != n.cfg.Self || m.From == n.cfg.Self || !m.Kind.known() {
 		return
 	}
 	switch m.Kind {
--- a/core/tackshare/allocate.go
+++ b/core/tackshare/allocate.go
@@ -12,6 +12,7 @@
 type claimant struct {
 	peer    tackid.Peer
 	session *session
+	want    int
 	held    int
 	// target is its fair part of what all want.
 	target int
@@ -19,7 +20,7 @@
 	spread bool
 }
 
-// allocate divides the slots of a group that this entry VM owns: free ones go
+// allocate divides the slots of a group that this peer owns: free ones go
 // to those that are short of their fair part, and what is still missing is
 // taken from those that hold more than theirs. While nobody is short the free
 // slots are spread, so that a burst finds some at hand.
@@ -46,43 +47,62 @@
 
 // inherits reports whether the group was taken over so recently that a holder
 // of the last owner's grants may not have claimed them yet. A grant now could
-// put two entry VMs on one slot.
+// put two peers on one slot. A peer that has just started need not wait for those
+// that know of its start, since they have claimed what they hold.
 func (s *Sharer) inherits(now tackclock.Time, o *owning) bool {
-	return len(s.peers) > 1 && now.Sub(o.since) < lease+margin
+	if len(s.peers) == 1 || now.Sub(o.since) >= lease+margin {
+		return false
+	}
+	if o.since != s.began {
+		return true
+	}
+	for _, l := range s.links {
+		if !l.knowsMe {
+			return true
+		}
+	}
+	return false
 }
 
+// claimants returns the holders in the division. A member wants one slot at
+// least, if there are enough, so that its first request after a pause starts at once, and so that it
+// has something to go on with if it is cut off.
 func (s *Sharer) claimants(g *group) []claimant {
 	members := g.members(s.live)
+	least := min(g.total()/len(members), 1)
 	var all []claimant
 	for _, peer := range sortedPeers(g.owning.sessions) {
 		h := g.owning.sessions[peer]
-		spread := h.want > 0 || slices.Contains(members, peer)
-		all = append(all, claimant{peer: peer, session: h, held: h.held(), spread: spread})
+		c := claimant{peer: peer, session: h, want: h.want, held: h.held(), spread: h.want > 0}
+		if slices.Contains(members, peer) {
+			c.want, c.spread = max(c.want, least), true
+		}
+		all = append(all, c)
 	}
 	return all
 }
 
 // setTargets gives each claimant what it wants if there is enough for all.
 // Else each is sure of half an even part, and the rest goes by what is still
-// wanted, so that callers wait about equally long at a busy entry VM as at
+// wanted, so that callers wait about equally long at a busy peer as at
 // others, and a flood at one does not stop the others.
 func setTargets(claimants []claimant, slots int) {
-	floor := slots / (2 * max(len(claimants), 1))
+	floor := max(slots/(2*max(len(claimants), 1)), min(slots/max(len(claimants), 1), 1))
 	unmet := 0
 	for i := range claimants {
 		c := &claimants[i]
-		c.target = min(c.session.want, floor)
+		c.target = min(c.want, floor)
 		slots -= c.target
-		unmet += c.session.want - c.target
+		unmet += c.want - c.target
 	}
 	rest := min(slots, unmet)
 	for i := range claimants {
 		c := &claimants[i]
-		more := c.session.want - c.target
+		more := c.want - c.target
 		if more <= 0 {
 			continue
 		}
-		part := (rest*more + unmet - 1) / unmet
+		part := rest * more / unmet
 		c.target += part
 		rest -= part
 		unmet -= more
@@ -107,7 +127,7 @@
 	var found *claimant
 	for i := range claimants {
 		c := &claimants[i]
-		if c.spread && (found == nil || c.held-c.session.want < found.held-found.session.want) {
+		if c.spread && (found == nil || c.held-c.want < found.held-found.want) {
 			found = c
 		}
 	}
--- a/core/tackshare/model_test.go
+++ b/core/tackshare/model_test.go
@@ -18,12 +18,16 @@
 	executorSlots                = 8
 	meanService                  = 50.0
 	patience                     = 2 * tackclock.Second
+	// tickEvery and tickAgain are how often a Sharer is ticked, and how soon
+	// again when requests begin to wait.
+	tickEvery = 100 * tackclock.Millisecond
+	tickAgain = 10 * tackclock.Millisecond
 )
 
 type (
-	// sharing is one way for entry VMs to share the slots of executors.
+	// sharing is one way for peers to share the slots of executors.
 	sharing interface {
-		// pick takes a slot for a request at an entry VM.
+		// pick takes a slot for a request at a peer.
 		pick(now tackclock.Time, vm int) (executor int, ok bool)
 		done(now tackclock.Time, vm, executor int)
 		// tick sends messages; waiting holds the requests that wait by VM.
@@ -36,7 +40,7 @@
 		vms, executors int
 		// part is the arrivals as a part of what all executors can do.
 		part float64
-		// hot is the part of the arrivals that comes through one entry VM,
+		// hot is the part of the arrivals that comes through one peer,
 		// which is another one every hotFor.
 		hot    float64
 		hotFor tackclock.Duration
@@ -49,7 +53,7 @@
 		// of all slot time.
 		idle            float64
 		meanWait        float64
-		messages, bytes float64 // per entry VM and second
+		messages, bytes float64 // per peer and second
 	}
 
 	running struct {
@@ -57,7 +61,7 @@
 		sent, ends   tackclock.Time
 	}
 
-	// model steps entry VMs and executors millisecond by millisecond.
+	// model steps peers and executors millisecond by millisecond.
 	model struct {
 		load
 		way     sharing
@@ -180,118 +184,25 @@
 	m.idleMS += min(idle, callers)
 }
 
-// fixedShares deals the slots out once and for all.
-type fixedShares struct {
-	part [][]int
-	used [][]int
-}
-
-func newFixedShares(l load) sharing {
-	f := &fixedShares{part: grid(l.vms, l.executors), used: grid(l.vms, l.executors)}
-	for e := range l.executors {
-		for slot := range executorSlots {
-			f.part[(e*executorSlots+slot)%l.vms][e]++
-		}
-	}
-	return f
-}
-
-func (f *fixedShares) pick(_ tackclock.Time, vm int) (int, bool) {
-	best := -1
-	for e, used := range f.used[vm] {
-		if used < f.part[vm][e] && (best < 0 || used < f.used[vm][best]) {
-			best = e
-		}
-	}
-	if best < 0 {
-		return 0, false
-	}
-	f.used[vm][best]++
-	return best, true
-}
-
-func (f *fixedShares) done(_ tackclock.Time, vm, executor int) { f.used[vm][executor]-- }
-func (f *fixedShares) tick(tackclock.Time, []int)              {}
-func (f *fixedShares) traffic() (int, int)                     { return 0, 0 }
-
-// reportedLoads tells every entry VM each interval what the others have in
-// flight, and takes the less loaded of two executors.
-type reportedLoads struct {
-	own      [][]int
-	known    [][]int // by VM: what all others reported
-	random   *rand.Rand
-	interval tackclock.Duration
-	messages int
-	bytes    int
-}
-
-func newReportedLoads(l load, interval tackclock.Duration) sharing {
-	return &reportedLoads{own: grid(l.vms, l.executors), known: grid(l.vms, l.executors),
-		random: rand.New(rand.NewPCG(7, 7)), interval: interval}
-}
-
-func (r *reportedLoads) pick(_ tackclock.Time, vm int) (int, bool) {
-	n := len(r.own[vm])
-	a, b := r.random.IntN(n), r.random.IntN(n)
-	load := func(e int) int { return r.own[vm][e] + r.known[vm][e] }
-	if load(b) < load(a) {
-		a = b
-	}
-	if load(a) >= executorSlots {
-		return 0, false
-	}
-	r.own[vm][a]++
-	return a, true
-}
-
-func (r *reportedLoads) done(_ tackclock.Time, vm, executor int) { r.own[vm][executor]-- }
-
-func (r *reportedLoads) tick(now tackclock.Time, _ []int) {
-	if now%tackclock.Time(r.interval) != 0 {
-		return
-	}
-	for vm := range r.known {
-		clear(r.known[vm])
-	}
-	for from, own := range r.own {
-		var loads []tackshare.Count
-		for e, n := range own {
-			if n > 0 {
-				loads = append(loads, tackshare.Count{Lot: lotOf(e), Slots: n})
-			}
-		}
-		encoded, _ := cbor.Marshal(loads)
-		for to := range r.known {
-			if to == from {
-				continue
-			}
-			r.messages++
-			r.bytes += len(encoded)
-			for e, n := range own {
-				r.known[to][e] += n
-			}
-		}
-	}
-}
-
-func (r *reportedLoads) traffic() (int, int) { return r.messages, r.bytes }
-
-// leasedShares drives the real Sharer and Chooser of every entry VM.
+// leasedShares drives the real Sharer and Chooser of every peer.
 type leasedShares struct {
 	vms      []*entryVM
 	flying   []envelope
-	delay    tackclock.Duration
 	messages int
 	bytes    int
+	// random, if set, makes the network lose a tenth of the frames, double a
+	// tenth and delay each by up to 60 ms.
+	random *rand.Rand
 }
 
 type (
 	entryVM struct {
-		sharer  *tackshare.Sharer
-		chooser tackroute.Chooser
-		waiting int
-		ticked  tackclock.Time
-		down    bool
+		sharer   *tackshare.Sharer
+		chooser  tackroute.Chooser
+		inFlight int
+		waiting  int
+		ticked   tackclock.Time
+		down     bool
 	}
 
 	envelope struct {
@@ -330,29 +241,43 @@
 }
 
 func newLeasedShares(l load) *leasedShares {
-	w := &leasedShares{delay: 1}
-	var peers []tackshare.Neighbour
-	for vm := range l.vms {
-		peers = append(peers, tackshare.Neighbour{Peer: peerOf(vm), DataCentre: home})
-	}
-	start := tackclock.Time(tackclock.Hour)
-	table := tableOf(l.executors)
+	w := new(leasedShares)
 	for vm := range l.vms {
-		v := new(entryVM)
-		v.sharer = &tackshare.Sharer{Self: peerOf(vm), Home: home, Epoch: 1, User: v}
-		v.chooser.SetCandidates(table.Services[service])
-		v.sharer.SetPeers(start, peers)
-		v.sharer.SetTable(start, table)
-		w.vms = append(w.vms, v)
+		w.vms = append(w.vms, newEntryVM(tackclock.Time(tackclock.Hour), vm, l.vms, 1))
+		w.vms[vm].setTable(tackclock.Time(tackclock.Hour), l.executors)
 	}
 	return w
 }
 
+// newEntryVM starts one of a number of peers.
+func newEntryVM(now tackclock.Time, vm, vms int, epoch uint64) *entryVM {
+	var peers []tackshare.Neighbour
+	for vm := range vms {
+		peers = append(peers, tackshare.Neighbour{Peer: peerOf(vm), DataCentre: home})
+	}
+	v := new(entryVM)
+	v.sharer = &tackshare.Sharer{Self: peerOf(vm), Home: home, Epoch: epoch, User: v}
+	v.sharer.SetPeers(now, peers)
+	return v
+}
+
+// setTable lets a peer know that many executors.
+func (v *entryVM) setTable(now tackclock.Time, executors int) {
+	table := tableOf(executors)
+	v.chooser.SetCandidates(table.Services[service])
+	v.sharer.SetTable(now, table)
+}
+
 func (w *leasedShares) pick(now tackclock.Time, vm int) (int, bool) {
-	c, ok := w.vms[vm].chooser.Pick(now, tackroute.Ask{Home: home})
+	v := w.vms[vm]
+	if v.down || v.inFlight >= w.capacity(now, vm) {
+		return 0, false
+	}
+	c, ok := v.chooser.Pick(now, tackroute.Ask{Home: home})
 	if !ok {
 		return 0, false
 	}
+	v.inFlight++
 	return executorOf(c), true
 }
 
@@ -364,6 +289,7 @@
 
 func (w *leasedShares) done(now tackclock.Time, vm, executor int) {
 	lot := lotOf(executor)
+	w.vms[vm].inFlight--
 	w.vms[vm].chooser.Done(now, tackroute.Candidate{BackendServer: lot.BackendServer, Incarnation: lot.Incarnation},
 		tackroute.Outcome{})
 }
@@ -381,9 +307,9 @@
 		}
 	}
 	for vm, v := range w.vms {
-		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= 5
+		began := v.waiting == 0 && waiting[vm] > 0 && now.Sub(v.ticked) >= tickAgain
 		v.waiting = waiting[vm]
-		if v.down || (now.Sub(v.ticked) < 25 && !began) {
+		if v.down || (now.Sub(v.ticked) < tickEvery && !began) {
 			continue
 		}
 		v.ticked = now
@@ -397,16 +323,39 @@
 		encoded, _ := cbor.Marshal(o.Frame)
 		w.messages++
 		w.bytes += len(encoded)
-		w.flying = append(w.flying, envelope{at: now.Add(w.delay), from: from, to: to, frame: o.Frame})
+		var received tackshare.Frame
+		if err := cbor.Unmarshal(encoded, &received); err != nil {
+			panic(err)
+		}
+		for range w.copies() {
+			w.flying = append(w.flying, envelope{at: now.Add(w.delay()), from: from, to: to, frame: received})
+		}
 	}
 }
 
-func (w *leasedShares) traffic() (int, int) { return w.messages, w.bytes }
+func (w *leasedShares) copies() int {
+	if w.random == nil {
+		return 1
+	}
+	switch w.random.IntN(10) {
+	case 0:
+		return 0
+	case 1:
+		return 2
+	}
+	return 1
+}
 
-func grid(rows, columns int) [][]int {
-	g := make([][]int, rows)
-	for i := range g {
-		g[i] = make([]int, columns)
+func (w *leasedShares) delay() tackclock.Duration {
+	if w.random == nil {
+		return 1
 	}
-	return g
+	return tackclock.Duration(1 + w.random.IntN(60))
 }
+
+// capacity is what a peer may have in flight.
+func (w *leasedShares) capacity(now tackclock.Time, vm int) int {
+	return w.vms[vm].chooser.Capacity(now, tackroute.Ask{Home: home})
+}
+
+func (w *leasedShares) traffic() (int, int) { return w.messages, w.bytes }
--- a/core/tackshare/owner.go
+++ b/core/tackshare/owner.go
@@ -11,7 +11,7 @@
 )
 
 type (
-	// owning is what this entry VM granted of a group. The sessions outlive
+	// owning is what this peer granted of a group. The sessions outlive
 	// the ownership: if it comes back before the holders noticed, they go on.
 	owning struct {
 		active   bool
@@ -142,11 +142,10 @@
 	return append(grants, gr)
 }
 
-// exchangeWithSelf does between this entry VM and the groups it owns what
+// exchangeWithSelf does between this peer and the groups it owns what
 // frames do with others.
-func (s *Sharer) exchangeWithSelf(now tackclock.Time) {
-	for _, key := range s.order {
-		g := s.groups[key]
+func (s *Sharer) exchangeWithSelf(now tackclock.Time, groups []*group) {
+	for _, g := range groups {
 		if !g.owning.active {
 			continue
 		}
@@ -172,22 +171,21 @@
 	s.apply(now, g)
 }
 
-// forgetPeer drops what is shared with an entry VM that started anew.
+// forgetPeer drops what is shared with a peer that started anew.
 func (s *Sharer) forgetPeer(now tackclock.Time, peer tackid.Peer) {
-	for _, key := range s.order {
-		g := s.groups[key]
+	for _, g := range s.all {
 		delete(g.owning.sessions, peer)
 		if g.holding.owner == peer {
-			s.restart(now, g, peer)
+			g.holding.restart(now, peer)
 			s.apply(now, g)
 		}
 	}
 }
 
-// dropSilentSessions frees what is held by entry VMs whose lease has run out.
+// dropSilentSessions frees what is held by peers whose lease has run out.
 func (s *Sharer) dropSilentSessions(now tackclock.Time) {
-	for _, key := range s.order {
-		o := &s.groups[key].owning
+	for _, g := range s.all {
+		o := &g.owning
 		for peer := range o.sessions {
 			l := s.links[peer]
 			if peer != s.Self && (l == nil || now.Sub(l.heard) >= lease+margin) {
@@ -200,11 +198,11 @@
 // refreshOwners works out the owner of each group anew. A group that changes
 // hands is claimed from the new owner by those that hold slots.
 func (s *Sharer) refreshOwners(now tackclock.Time) {
-	for _, key := range s.order {
-		g := s.groups[key]
-		owner := s.ownerOf(key)
+	for _, g := range s.all {
+		g.holding.member = slices.Contains(g.members(s.live), s.Self)
+		owner := s.ownerOf(g)
 		if owner != g.holding.owner {
-			s.restart(now, g, owner)
+			g.holding.restart(now, owner)
 		}
 		if active := owner == s.Self; active != g.owning.active {
 			g.owning.active, g.owning.since = active, now
@@ -213,14 +211,14 @@
 	}
 }
 
-// ownerOf returns the entry VM that divides the group: of its members the one
+// ownerOf returns the peer that divides the group: of its members the one
 // with the highest hash of both names. So groups spread evenly, few change
-// hands when an entry VM comes or goes, and a data centre that is cut off
+// hands when a peer comes or goes, and a data centre that is cut off
 // divides its own slots.
-func (s *Sharer) ownerOf(key Group) tackid.Peer {
+func (s *Sharer) ownerOf(g *group) tackid.Peer {
 	best, bestScore := s.Self, uint64(0)
-	for _, p := range s.groups[key].members(s.live) {
-		if score := score(key, p); score > bestScore {
+	for _, p := range g.members(s.live) {
+		if score := score(g.Group, p); score > bestScore {
 			best, bestScore = p, score
 		}
 	}
--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -18,6 +18,8 @@
 const (
 	maxKey  = 255 // bytes of an idempotency key
 	maxName = 128 // bytes of a team's name
+
+	maxReturns = 8 // to the queue, of a request that found no slot
 )
 
 // call is one request of a caller.
@@ -42,10 +44,12 @@
 	touched  atomic.Bool // some of a streamed body was read
 	reserved int64       // bytes of the body that count in Handler.held
 
-	tries int
-	tried []tackid.BackendServer
+	granted atomic.Bool // another try was granted already
+	tries   int
+	tried   []tackid.BackendServer
 
-	status  int // of the answer, once it began
+	hasLeft bool // the place of admission was given back
+	status  int  // of the answer, once it began
 	outcome tackledger.Outcome
 	gone    bool
 }
@@ -63,13 +67,16 @@
 	if f := c.readBody(); f != nil {
 		return f
 	}
+	if f := c.checkAside(); f != nil {
+		return f
+	}
 	if c.key != "" {
 		return c.serveKeyed()
 	}
 	if f := c.enter(); f != nil {
 		return f
 	}
-	defer c.service.leave(c.id)
+	defer c.leave()
 	a, f := c.dispatchAll()
 	if f != nil {
 		return f
@@ -169,6 +176,14 @@
 	})
 }
 
+// leave gives the place of admission back, once.
+func (c *call) leave() {
+	if !c.hasLeft {
+		c.hasLeft = true
+		c.service.leave(c.id)
+	}
+}
+
 // dispatchAll sends the request to one backend server after another until one
 // answers or no further try is allowed. The attempt that it returns has an
 // answer that has begun.
@@ -176,18 +191,22 @@
 	var last *failure
 	for {
 		candidate, ok := c.service.pick(c.tried)
+		if !ok && last == nil {
+			candidate, ok, last = c.pickAgain()
+		}
 		if !ok {
-			if last == nil {
-				last = refusal(http.StatusServiceUnavailable, codeNoBackend, "no backend server has a slot free", tackclock.Second)
-			}
 			return nil, last
 		}
 		c.tries++
 		a := newAttempt(c, candidate)
 		f := a.run()
 		if f == nil {
+			c.ran()
 			return a, nil
 		}
+		if f.broke {
+			c.failedOn(candidate)
+		}
 		last = f
 		c.tried = append(c.tried, candidate.BackendServer)
 		if !c.mayRetry(f) {
@@ -197,11 +216,32 @@
 	}
 }
 
+// pickAgain goes back into the queue when a request that was admitted finds no
+// slot: the share of this entry VM, or a backend server, went between the two.
+// Without it a caller is refused although slots are about to be free.
+func (c *call) pickAgain() (tackroute.Candidate, bool, *failure) {
+	for range maxReturns {
+		c.table = c.h.table()
+		c.service.leave(c.id)
+		if f := c.enter(); f != nil {
+			c.hasLeft = true
+			return tackroute.Candidate{}, false, f
+		}
+		if candidate, ok := c.service.pick(c.tried); ok {
+			return candidate, true, nil
+		}
+	}
+	return tackroute.Candidate{}, false, refusal(http.StatusServiceUnavailable, codeNoBackend, "no backend server has a slot free", tackclock.Second)
+}
+
 // mayRetry reports whether the request may be sent once more.
 func (c *call) mayRetry(f *failure) bool {
 	if c.r.Context().Err() != nil || c.touched.Load() {
 		return false
 	}
+	if c.granted.Swap(false) {
+		return true
+	}
 	return c.service.retry(tackretry.Attempt{
 		Idempotent:   c.repeatable(),
 		SurelyNotRun: f.didNotRun,
@@ -230,7 +270,11 @@
 
 // dispatchID names the dispatch under way.
 func (c *call) dispatchID() tackid.RequestID {
-	return tackid.RequestID(string(c.requestID()) + "." + strconv.Itoa(c.tries))
+	id := make([]byte, 0, 96)
+	id = append(id, c.h.prefix...)
+	id = strconv.AppendUint(id, c.id, 10)
+	id = append(id, '.')
+	return tackid.RequestID(strconv.AppendInt(id, int64(c.tries), 10))
 }
 
 // requestID names the request.
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -15,6 +15,7 @@
 	"auburntack/core/tackmember"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackroute"
+	"auburntack/core/tackshare"
 	"auburntack/core/tackstate"
 	"auburntack/core/tackwave"
 	"auburntack/io/tackdisk"
@@ -50,6 +51,8 @@
 
 		// events are run one at a time by the loop, which alone touches node.
 		events chan func()
+		// ended is closed once the loop takes no more events.
+		ended  chan struct{}
 		node   *tackreplica.Node
 		failed atomic.Pointer[StoppedError]
 
@@ -69,6 +72,9 @@
 		waiting waiters
 		duties  duties
 
+		sharer tackshare.Sharer
+		shared tackclock.Time
+
 		snapshotAt tackid.Revision
 		routedBy   routeInputs
 	}
@@ -100,7 +106,9 @@
 		log:      logger.WithField("vm", string(cfg.VM.ID)),
 		registry: metrics.NewRegistry(),
 		events:   make(chan func(), eventQueue),
+		ended:    make(chan struct{}),
 	}
+	v.meter.clock = clock
 	v.waiting.next = rand.Uint64() >> 1
 	stored, err := v.openDisk(logger)
 	if err != nil {
@@ -113,6 +121,7 @@
 	v.duties.planner = &tackwave.Planner{}
 	v.publishRoutes(clock.Now())
 	v.caller = v.newCaller(logger)
+	v.startSharing(clock.Now(), v.configuredMembers())
 	return v, nil
 }
 
@@ -202,6 +211,7 @@
 	v.links.Handle(kindConfirm, v.onConfirm)
 	v.links.Handle(kindConfirmed, v.onConfirmed)
 	v.links.Handle(kindReport, v.onReport)
+	v.links.Handle(kindShare, v.onShare)
 	v.directory.Configure(v.cfg.VM.ID, v.cfg.VM.DataCentre)
 	v.directory.SetPeers(peerIDs(v.configuredMembers(), v.cfg.VM.ID))
 	if v.cfg.Platform.Address != "" {
