--- a/io/tackhttp/answers_test.go
+++ b/io/tackhttp/answers_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +143,40 @@
 	}
 }
 
+// Symptom: requests wait and fail for a while after a firewall was restarted,
+// though new connections work at once.
+// Sequence: all open connections to the backend servers go silent for good.
+// Cause: the second try used an open connection too, and each request found
+// the next silent one.
+func TestSecondTryUsesNewConnection(t *testing.T) {
+	var lost atomic.Bool
+	loses := func(s *script, n int, c net.Conn, r *bufio.Reader) {
+		for opened := lost.Load(); ; {
+			if _, _, err := s.take(r); err != nil {
+				return
+			}
+			if lost.Load() == opened {
+				io.WriteString(c, ok)
+			}
+		}
+	}
+	var addresses []string
+	for range 4 {
+		addresses = append(addresses, newScript(t, loses).address)
+	}
+	e := newEntry(t, Config{Limits: quick()}, addresses...)
+	for range 8 {
+		exchange(t, e.address, request("GET", "/names"))
+	}
+	lost.Store(true)
+	for range 4 {
+		assertContains(t, exchange(t, e.address, request("GET", "/names")), "HTTP/1.1 200 OK\r\n")
+	}
+	if n := e.counter("connections_silent"); n != 1 {
+		t.Errorf("%d connections were found silent by requests, want 1", n)
+	}
+}
+
 // Symptom: work that takes long is never answered, though it is done in time.
 // Sequence: the backend servers need more than half of the caller's time.
 // Cause: the request was given up for another try, again and again.
--- a/io/tackhttp/attempt.go
+++ b/io/tackhttp/attempt.go
@@ -39,6 +39,7 @@
 	ctx       context.Context
 	watch     *time.Timer
 	begun     atomic.Bool // the answer has begun
+	reused    atomic.Bool // the connection carried a request before
 	early     atomic.Bool // the watch ends before the caller's time, to ask elsewhere
 	stream    *streamReader
 	trace     httptrace.ClientTrace
@@ -129,6 +130,7 @@
 		return
 	}
 	conn.held.Store(&a.dispatch)
+	a.reused.Store(info.Reused)
 	if a.sent() {
 		// The transport is about to send the request again. The connection
 		// would refuse the write; cancelling keeps it from trying them all.
@@ -266,6 +268,9 @@
 	c := a.call
 	c.h.log.WithError(err).WithField("backend_server", string(a.candidate.BackendServer)).Debug("dispatch failed")
 	result, f := a.classify(err, sent)
+	if result == tackroute.Silent && a.reused.Load() {
+		c.h.sender.forgetIdle(c.h.clock.Now())
+	}
 	f.broke = f.code == codeBrokenAnswer || f.code == codeSilent && sent
 	a.end(result)
 	a.free()
--- a/io/tackhttp/sender.go
+++ b/io/tackhttp/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 
 	"auburntack/core/tackclock"
@@ -13,6 +14,9 @@
 // that must not run twice.
 const freshIdle = tackclock.Second
 
+// forgetEvery is how often idle connections are given up at most.
+const forgetEvery = tackclock.Second
+
 // sender sends requests to backend servers.
 type sender struct {
 	dialer net.Dialer
@@ -20,8 +24,12 @@
 
 	// often carries requests that may be sent again. Once carries the others:
 	// its idle connections are given up sooner, since a request that meets a
-	// connection that has gone silent ends with an unknown outcome.
-	often, once http.Transport
+	// connection that has gone silent ends with an unknown outcome. Fresh
+	// opens a connection for each request, and carries the second tries: what
+	// has lost track of one connection has often lost all that were open.
+	often, once, fresh http.Transport
+
+	forgot atomic.Int64 // when the idle connections were last given up
 }
 
 func (s *sender) init(limits Limits, m *meters) {
@@ -40,6 +48,8 @@
 	}
 	s.prepare(&s.often, limits, limits.IdleWait)
 	s.prepare(&s.once, limits, min(freshIdle, limits.IdleWait))
+	s.prepare(&s.fresh, limits, limits.IdleWait)
+	s.fresh.DisableKeepAlives = true
 }
 
 func (s *sender) prepare(t *http.Transport, limits Limits, idle tackclock.Duration) {
@@ -66,12 +76,27 @@
 
 // transport returns the transport for a call.
 func (s *sender) transport(c *call) *http.Transport {
-	if c.repeatable() {
+	switch {
+	case c.tries > 1:
+		return &s.fresh
+	case c.repeatable():
 		return &s.often
 	}
 	return &s.once
 }
 
+// forgetIdle gives up all idle connections after one was found silent. Each of
+// them could otherwise cost a request its wait. It does so once a second at
+// most: one backend server that hangs must not cost all others their
+// connections again and again.
+func (s *sender) forgetIdle(now tackclock.Time) {
+	last := s.forgot.Load()
+	if now.Sub(tackclock.Time(last)) < forgetEvery || !s.forgot.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	s.close()
+}
+
 func (s *sender) close() {
 	s.often.CloseIdleConnections()
 	s.once.CloseIdleConnections()
--- a/io/tackvm/caller.go
+++ b/io/tackvm/caller.go
@@ -19,6 +19,7 @@
 
 func (v *VM) newCaller(logger *logrus.Logger) *tackhttp.Handler {
 	c := v.cfg.Caller
+	tackhttp.DivertStandardLog(logger)
 	return tackhttp.New(tackhttp.Config{
 		Self:  v.cfg.VM.ID,
 		Home:  v.cfg.VM.DataCentre,
