Measure what real daemons use by size, changes and worst minutes

The capacity page needs slopes of running processes, not only of the decision packages. tackmeasure starts daemons on loopback with light announcers and fits bytes, processor time and memory.

--- /dev/null
+++ b/cmd/tackmeasure/main.go
@@ -0,0 +1,74 @@
+// Command tackmeasure measures what real daemons use on this machine and
+// writes the tables of docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"auburntack/io/tackmeasure"
+
+	"github.com/spf13/cobra"
+)
+
+// limit ends a run that hangs.
+const limit = 15 * time.Minute
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var daemon string
+	var quick, tabs bool
+	var sizes, daemons []int
+	cmd := &cobra.Command{
+		Use:           "tackmeasure --daemon PATH",
+		Short:         "Measure bytes, processor time and memory of real daemons",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			plan := tackmeasure.Full()
+			if quick {
+				plan = tackmeasure.Quick()
+			}
+			if len(sizes) > 0 {
+				plan.VMs = sizes
+			}
+			if len(daemons) > 0 {
+				plan.Daemons = daemons
+			}
+			plan.Binary, plan.Tabs, plan.Out = daemon, tabs, os.Stdout
+			return run(cmd.Context(), plan)
+		},
+	}
+	cmd.Flags().StringVar(&daemon, "daemon", "", "path of a built auburntackd")
+	cmd.Flags().BoolVar(&quick, "quick", false, "small sizes, less than a minute")
+	cmd.Flags().BoolVar(&tabs, "tabs", false, "write tables with tabs")
+	cmd.Flags().IntSliceVar(&daemons, "daemons", nil, "numbers of daemons, each a cluster")
+	cmd.Flags().IntSliceVar(&sizes, "vms", nil, "numbers of VMs, ascending")
+	cmd.MarkFlagRequired("daemon")
+	return cmd
+}
+
+// run measures in a folder of its own, which it removes.
+func run(ctx context.Context, plan tackmeasure.Plan) error {
+	folder, err := os.MkdirTemp("", "tackmeasure")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	plan.Folder = folder
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return plan.Run(ctx)
+}
--- /dev/null
+++ b/io/tackmeasure/cluster.go
@@ -0,0 +1,203 @@
+package tackmeasure
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburntack/io/tackstandin"
+)
+
+const (
+	dataCentres = 10
+	startLimit  = time.Minute
+	senders     = 32
+	doTries     = 20
+)
+
+// cluster is a number of daemons with announcers.
+type cluster struct {
+	daemons    []*tackstandin.Daemon
+	announcers *Announcers
+	vms        int
+	serial     atomic.Int64
+}
+
+// newCluster starts n daemons, of which the first replicas have a disk, in as
+// many data centres as there are up to ten.
+func newCluster(ctx context.Context, binary, folder string, n, replicas int) (*cluster, error) {
+	var places []tackstandin.Place
+	for i := range n {
+		places = append(places, tackstandin.Place{
+			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+			Replica:    i < replicas,
+		})
+	}
+	daemons, err := tackstandin.NewCluster(binary, folder, "", places)
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{daemons: daemons}
+	if err := c.startDaemons(); err != nil {
+		c.stop()
+		return nil, err
+	}
+	c.announcers = NewAnnouncers(daemons)
+	return c, c.prepare(ctx)
+}
+
+func (c *cluster) startDaemons() error {
+	failed := make(chan error, len(c.daemons))
+	for _, d := range c.daemons {
+		go func() { failed <- d.Start(startLimit) }()
+	}
+	var first error
+	for range c.daemons {
+		if err := <-failed; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// stop ends the announcers and every daemon that was started.
+func (c *cluster) stop() {
+	if c.announcers != nil {
+		c.announcers.Stop()
+	}
+	for _, d := range c.daemons {
+		if d.Running() {
+			d.Kill()
+		}
+	}
+}
+
+// prepare makes the pools with a service each and the teams' quotas.
+func (c *cluster) prepare(ctx context.Context) error {
+	var first, second []string
+	for i := range pools {
+		first = append(first, fmt.Sprintf("create pool pool-%d", i))
+		second = append(second, fmt.Sprintf("create service %s on pool pool-%d", serviceName(i), i))
+	}
+	for i := range teams {
+		first = append(first, fmt.Sprintf("set quota team-%d slots %d", i, 100))
+	}
+	if err := c.do(ctx, first); err != nil {
+		return err
+	}
+	return c.do(ctx, second)
+}
+
+// grow adds VMs, each with a backend server and a worker, until there are n.
+func (c *cluster) grow(ctx context.Context, n int) error {
+	var commands []string
+	for i := c.vms; i < n; i++ {
+		commands = append(commands, fmt.Sprintf("add vm %s to pool pool-%d", vmName(i), i%pools))
+	}
+	c.vms = n
+	c.announcers.Grow(n)
+	return c.do(ctx, commands)
+}
+
+// do has the commands accepted, some at the same time, through every daemon.
+func (c *cluster) do(ctx context.Context, commands []string) error {
+	var sending sync.WaitGroup
+	var next atomic.Int64
+	failed := make(chan error, senders)
+	for range senders {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			for i := int(next.Add(1)) - 1; i < len(commands); i = int(next.Add(1)) - 1 {
+				if err := c.doOne(ctx, i, commands[i]); err != nil {
+					failed <- err
+					return
+				}
+			}
+		}()
+	}
+	sending.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return ctx.Err()
+	}
+}
+
+// doOne sends a command, with the same id, until it is accepted.
+func (c *cluster) doOne(ctx context.Context, i int, command string) error {
+	id := fmt.Sprintf("measure-%d", c.serial.Add(1))
+	var last string
+	for try := range doTries {
+		d := c.daemons[(i+try)%len(c.daemons)]
+		reply, err := d.Do(command, id)
+		if err == nil && reply.Status == http.StatusOK {
+			return nil
+		}
+		last = fmt.Sprint(err, reply.Status, reply.Error.Message)
+		if !sleep(ctx, tryAgain) {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("measure: %q was not accepted: %s", command, last)
+}
+
+// load sends changes of configuration at a rate until ctx ends and returns
+// how long they took, and how many were not accepted.
+func (c *cluster) load(ctx context.Context, perSecond float64) (took []time.Duration, failed int) {
+	var mu sync.Mutex
+	var sending sync.WaitGroup
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			sending.Wait()
+			return took, failed
+		case <-ticker.C:
+		}
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			began := time.Now()
+			err := c.doOne(context.Background(), i, fmt.Sprintf("set config key-%d value-%d", i%500, i))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed++
+				return
+			}
+			took = append(took, time.Since(began))
+		}()
+	}
+}
+
+// leader returns the daemon that leads.
+func (c *cluster) leader(ctx context.Context) (*tackstandin.Daemon, error) {
+	for {
+		for _, d := range c.daemons {
+			if d.Running() && roleOf(d) == RoleLeader {
+				return d, nil
+			}
+		}
+		if !sleep(ctx, tryAgain/10) {
+			return nil, fmt.Errorf("measure: no leader: %w", ctx.Err())
+		}
+	}
+}
+
+// sleep reports whether d passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/tackmeasure/worst.go
@@ -0,0 +1,130 @@
+package tackmeasure
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"auburntack/io/tackstandin"
+)
+
+const (
+	// restartBurst is how many backend servers restart on a day.
+	restartBurst = 530
+	catchUpEvery = 20 * time.Millisecond
+)
+
+// worst measures the worst minutes of the largest cluster.
+func (r *run) worst(ctx context.Context, c *cluster) error {
+	steps := []struct {
+		name string
+		do   func(context.Context, *cluster) error
+	}{
+		{fmt.Sprintf("%d restarts at once", restartBurst), func(context.Context, *cluster) error {
+			c.announcers.Restart(restartBurst)
+			return nil
+		}},
+		{"all announce anew", func(context.Context, *cluster) error {
+			c.announcers.RestartAll()
+			return nil
+		}},
+		{"learner restarted", r.restartLearner},
+		{"leader killed", r.killLeader},
+	}
+	for _, s := range steps {
+		if err := r.minuteOf(ctx, c, s.name, s.do); err != nil {
+			return fmt.Errorf("%s: %w", s.name, err)
+		}
+	}
+	return nil
+}
+
+// minuteOf measures what is used from when do begins until a window has
+// passed.
+func (r *run) minuteOf(ctx context.Context, c *cluster, name string, do func(context.Context, *cluster) error) error {
+	taken, failed := c.announcers.Counts()
+	began := time.Now()
+	uses, err := c.during(func() error {
+		if err := do(ctx, c); err != nil {
+			return err
+		}
+		if !sleep(ctx, r.Window-time.Since(began)) {
+			return ctx.Err()
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	nowTaken, nowFailed := c.announcers.Counts()
+	r.minute.Add(name, time.Since(began).Seconds(),
+		fmt.Sprintf("announcements taken %d, failed %d", nowTaken-taken, nowFailed-failed))
+	r.keep(c, name, -1, uses)
+	if !sleep(ctx, r.Settle) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// restartLearner kills the last daemon, which has no disk when there are more
+// than the replicas, and waits until it is ready again.
+func (r *run) restartLearner(_ context.Context, c *cluster) error {
+	d := c.daemons[len(c.daemons)-1]
+	d.Kill()
+	began := time.Now()
+	if err := d.Start(startLimit); err != nil {
+		return err
+	}
+	ready := time.Since(began)
+	after, err := read(d, c.announcers)
+	if err != nil {
+		return err
+	}
+	r.minute.Add("learner ready", ready.Seconds(), fmt.Sprintf("%d bytes received by then", after.received))
+	return nil
+}
+
+// killLeader kills the leader, has a change accepted by another daemon and
+// starts the killed one again.
+func (r *run) killLeader(ctx context.Context, c *cluster) error {
+	dead, err := c.leader(ctx)
+	if err != nil {
+		return err
+	}
+	dead.Kill()
+	took, err := acceptedBy(ctx, c.other(dead))
+	if err != nil {
+		return err
+	}
+	r.minute.Add("change after the leader was killed", took.Seconds(), "until in force on the others")
+	began := time.Now()
+	if err := dead.Start(startLimit); err != nil {
+		return err
+	}
+	r.minute.Add("killed leader ready", time.Since(began).Seconds(), "with its disk")
+	return nil
+}
+
+// other returns a daemon that is not d.
+func (c *cluster) other(d *tackstandin.Daemon) *tackstandin.Daemon {
+	if c.daemons[0] == d {
+		return c.daemons[1]
+	}
+	return c.daemons[0]
+}
+
+// acceptedBy sends a change to d until it is accepted and returns how long
+// that took.
+func acceptedBy(ctx context.Context, d *tackstandin.Daemon) (time.Duration, error) {
+	began := time.Now()
+	for {
+		reply, err := d.Do("set config after kill", "measure-after-kill")
+		if err == nil && reply.Status == http.StatusOK {
+			return time.Since(began), nil
+		}
+		if !sleep(ctx, catchUpEvery) {
+			return 0, ctx.Err()
+		}
+	}
+}
--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -217,6 +217,22 @@
 	return cmd.ProcessState.ExitCode()
 }
 
+// Running reports whether the process was started and has not ended.
+func (d *Daemon) Running() bool {
+	d.mu.Lock()
+	exited := d.exited
+	d.mu.Unlock()
+	if exited == nil {
+		return false
+	}
+	select {
+	case <-exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // PID returns the process id.
 func (d *Daemon) PID() int {
 	d.mu.Lock()
