List the VMs that await idleness once a change, not forty times a second

Cause: every tick (25 ms) of a VM that does not lead copied all VMs of the fleet to find those that drain or move; the throttle of 250 ms held only once one was found.

--- a/io/tackmeasure/fits.go
+++ b/io/tackmeasure/fits.go
@@ -61,7 +61,7 @@
 			add("VMs", r.points(role, q, func(s sample) (int, bool) { return s.vms, s.daemons == largest && s.changes == 0 }))
 			add("daemons", r.points(role, q, func(s sample) (int, bool) { return s.daemons, s.vms == all && s.changes == 0 }))
 			add("changes/s", r.points(role, q, func(s sample) (int, bool) {
-				return int(s.changes), s.daemons == largest && s.vms == all && s.changes >= 0
+				return int(s.changes), s.daemons == largest && s.vms == all && s.changes != worstMinute
 			}))
 		}
 	}
--- a/io/tackmeasure/measure.go
+++ b/io/tackmeasure/measure.go
@@ -57,6 +57,9 @@
 	}
 )
 
+// worstMinute marks a sample that is of no steady window.
+const worstMinute = -1
+
 // replicasOf returns how many of n daemons have a disk.
 func replicasOf(n int) int {
 	if n < 5 {
@@ -199,7 +202,7 @@
 		if err != nil {
 			return nil, err
 		}
-		u := use(d, from[d], to)
+		u := use(from[d], to)
 		u.Role = roleOf(d)
 		uses = append(uses, u)
 	}
--- a/io/tackmeasure/sample.go
+++ b/io/tackmeasure/sample.go
@@ -27,8 +27,7 @@
 
 	// Use is what one daemon used in a window of time.
 	Use struct {
-		Daemon string
-		Role   Role
+		Role Role
 		// Sent, Received and Operator are bytes a second on the links to the
 		// peers and on the operators' port, Messages the number on the links.
 		Sent     float64
@@ -86,16 +85,15 @@
 	}, nil
 }
 
-// use returns what was used between two readings. A daemon that was restarted
-// between them began again at zero.
-func use(d *tackstandin.Daemon, from, to reading) Use {
+// use returns what was used between two readings of a daemon. One that was
+// restarted between them began again at zero.
+func use(from, to reading) Use {
 	if from.pid != to.pid {
 		from = reading{at: from.at, operator: from.operator}
 	}
 	seconds := to.at.Sub(from.at).Seconds()
 	each := func(n int64) float64 { return float64(n) / seconds }
 	return Use{
-		Daemon:   d.ID,
 		Sent:     each(to.sent - from.sent),
 		Received: each(to.received - from.received),
 		Messages: each(to.messages - from.messages),
--- a/io/tackmeasure/worst.go
+++ b/io/tackmeasure/worst.go
@@ -60,7 +60,7 @@
 	nowTaken, nowFailed := c.announcers.Counts()
 	r.minute.Add(name, time.Since(began).Seconds(),
 		fmt.Sprintf("announcements taken %d, failed %d", nowTaken-taken, nowFailed-failed))
-	r.keep(c, name, -1, uses)
+	r.keep(c, name, worstMinute, uses)
 	if !sleep(ctx, r.Settle) {
 		return ctx.Err()
 	}
--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -47,10 +47,19 @@
 		reported tackclock.Time
 		hadIdle  bool
 		stopped  atomic.Bool
+		leaving  leaving
 
 		operations operations
 	}
 
+	// leaving are the VMs that may get no new work, as of the fleet's
+	// revision.
+	leaving struct {
+		made  bool
+		fleet tackid.Revision
+		vms   []tackid.VM
+	}
+
 	// operations are the calls to the platform that are under way and what
 	// it last said of each VM.
 	operations struct {
--- a/io/tackvm/fence.go
+++ b/io/tackvm/fence.go
@@ -42,14 +42,32 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	r := report{Applied: v.applied.Index, Stopped: v.duties.stopped.Load()}
-	for _, vm := range v.state.Fleet.VMs() {
-		if awaitsIdle(&vm) && v.caller.Idle(vm.ID) {
-			r.Idle = append(r.Idle, vm.ID)
+	v.refreshLeaving()
+	for _, vm := range v.duties.leaving.vms {
+		if v.caller.Idle(vm) {
+			r.Idle = append(r.Idle, vm)
 		}
 	}
 	return r
 }
 
+// refreshLeaving lists the VMs that may get no new work, anew only when the
+// fleet changed: the report is made at every tick, and looking at thousands of
+// VMs each time took a peer more processor time than all else it does. The
+// lock on the state is held.
+func (v *VM) refreshLeaving() {
+	l := &v.duties.leaving
+	if l.made && l.fleet == v.routedBy.fleet {
+		return
+	}
+	l.made, l.fleet, l.vms = true, v.routedBy.fleet, nil
+	for vm := range v.state.Fleet.EachVM() {
+		if awaitsIdle(vm) {
+			l.vms = append(l.vms, vm.ID)
+		}
+	}
+}
+
 func awaitsIdle(vm *tackfleet.VM) bool {
 	return vm.State == tackfleet.VMDraining || vm.State == tackfleet.VMMoving
 }
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -152,7 +152,7 @@
 	}
 	v.applied = tackreplica.Entry{Index: snap.Index, Term: snap.Term, Time: snap.Time}
 	v.snapshotAt = snap.Index
-	v.routedBy.revision = 0
+	v.routedBy.fleet = snap.Index
 	return nil
 }
 
