--- a/core/tackfleet/query.go
+++ b/core/tackfleet/query.go
@@ -109,6 +109,11 @@
 	return s.tasks.Tasks()
 }
 
+// EachTask ranges over every task, sorted by id, without copying them all.
+func (s *State) EachTask() iter.Seq[*Task] {
+	return s.tasks.EachTask()
+}
+
 // RunningOn returns how many tasks run on a worker.
 func (s *State) RunningOn(worker tackid.VM) int {
 	return s.tasks.RunningOn(worker)
--- a/core/tackfleet/types.go
+++ b/core/tackfleet/types.go
@@ -49,6 +49,10 @@
 	TaskSetAside  = tacktask.TaskSetAside
 	TaskUnknown   = tacktask.TaskUnknown
 
+	TryFailed     = tacktask.TryFailed
+	TryStopped    = tacktask.TryStopped
+	TryNotStarted = tacktask.TryNotStarted
+
 	CodeBudget  = tackentry.CodeBudget
 	CodeStale   = tackentry.CodeStale
 	CodeExists  = tackentry.CodeExists
@@ -85,6 +89,7 @@
 	TaskState  = tacktask.TaskState
 	Task       = tacktask.Task
 	TaskChange = tacktask.TaskChange
+	TryEnd     = tacktask.TryEnd
 	Quota      = tacktask.Quota
 
 	Code         = tackentry.Code
--- a/core/tacktask/model.go
+++ b/core/tacktask/model.go
@@ -26,7 +26,21 @@
 	TaskUnknown
 )
 
+const (
+	// TryFailed is a try that came to nothing, or nobody knows to what.
+	TryFailed TryEnd = iota
+	// TryStopped is a try that was stopped to make room. It does not count:
+	// a task that yields often would be set aside for nothing it did.
+	TryStopped
+	// TryNotStarted is a try that its worker refused, so that it surely
+	// never ran.
+	TryNotStarted
+)
+
 type (
+	// TryEnd says why a running task goes back to the queue.
+	TryEnd uint8
+
 	// TaskState is where a task stands.
 	TaskState uint8
 
@@ -51,6 +65,8 @@
 		Accelerators int             `cbor:"17,keyasint,omitempty"`
 		// Checkpointed says that the work so far is kept for the next try.
 		Checkpointed bool `cbor:"18,keyasint,omitempty"`
+		// Ended is when the task was cancelled or otherwise came to its end.
+		Ended tackclock.Time `cbor:"19,keyasint,omitempty"`
 	}
 
 	// TaskChange takes one task to the next state. Tries counts up when
@@ -61,6 +77,12 @@
 		Worker       tackid.VM   `cbor:"3,keyasint,omitempty"`
 		Reason       string      `cbor:"4,keyasint,omitempty"`
 		Checkpointed bool        `cbor:"5,keyasint,omitempty"`
+		// Token, unless zero, is the token that the change is about. Without
+		// it, a change that was proposed twice and came late would end the
+		// next try, whose lease lives.
+		Token tackid.Token `cbor:"6,keyasint,omitempty"`
+		// End says why a running task is queued again.
+		End TryEnd `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Quota bounds what a team may hold at once. Zero means no bound.
@@ -100,10 +122,13 @@
 // A non-idempotent task is never given back to the queue: its worker may have
 // done the work and only its answer was lost, and a second run would do it
 // twice. It becomes unknown instead, until somebody learns how it ended.
-func (t *Task) afterTry() TaskState {
+func (t *Task) afterTry(end TryEnd) TaskState {
 	switch {
-	case !t.Idempotent:
+	case !t.Idempotent && end != TryNotStarted:
 		return TaskUnknown
+	case end == TryStopped:
+		t.Tries--
+		return TaskQueued
 	case t.Tries >= MaxTries:
 		return TaskSetAside
 	}
--- a/core/tacktask/tasks.go
+++ b/core/tacktask/tasks.go
@@ -3,6 +3,8 @@
 package tacktask
 
 import (
+	"iter"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackcommand"
 	"auburntack/core/tackentry"
@@ -96,9 +98,12 @@
 	if t == nil {
 		return tackentry.Refuse(tackentry.CodeMissing, "no task %q", c.Task)
 	}
+	if c.Token != 0 && c.Token != t.Token {
+		return tackentry.Refuse(tackentry.CodeStale, "task %q has token %d, not %d", t.ID, t.Token, c.Token)
+	}
 	next := c.State
 	if t.State == TaskRunning && next == TaskQueued {
-		next = t.afterTry()
+		next = t.afterTry(c.End)
 	}
 	if !t.State.leadsTo(next) {
 		return tackentry.Refuse(tackentry.CodeState, "task %q can't go from %s to %s", t.ID, t.State, next)
@@ -137,6 +142,7 @@
 	case next == TaskRunning:
 		k.count(t, 1)
 	case t.ended():
+		t.Ended = at.Time
 		k.ended.Put(at.Time, t.ID, struct{}{})
 	}
 }
@@ -174,6 +180,17 @@
 	return k.tasks.Values()
 }
 
+// EachTask ranges over every task, sorted by id.
+func (k *Tasks) EachTask() iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		for _, t := range k.tasks.All() {
+			if !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // Quota returns the quota of a team, or nil.
 func (k *Tasks) Quota(team tackid.Team) *Quota {
 	return k.quotas.Get(team)
