--- a/core/tackplace/answer.go
+++ b/core/tackplace/answer.go
@@ -37,6 +37,9 @@
 		l.checkpointed = true
 	case a.Verb == VerbRenew && a.Outcome == OutcomeNotSent:
 		l.renewed = 0
+	case a.Verb == VerbRenew && a.Outcome == OutcomeUnknown:
+		// Long before the worker ends the task by itself.
+		l.renewed = l.renewed.Add(-t.cfg.Lease / 4)
 	case a.Verb == VerbThrottle && a.Outcome != OutcomeDone && a.Cores == l.bound():
 		l.throttled = 0
 	case a.Verb == VerbThrottle && a.Outcome != OutcomeDone:
@@ -54,7 +57,9 @@
 		l.shown = true
 	case l.resent:
 		// Refused or not, the worker may have it from the first start.
-		l.again = a.Outcome == OutcomeNotSent
+		if a.Outcome == OutcomeNotSent {
+			l.again, l.pending = true, ""
+		}
 	case a.Outcome == OutcomeRefused:
 		l.pending = ""
 		t.over(l)
--- a/core/tackplace/estimate.go
+++ b/core/tackplace/estimate.go
@@ -17,7 +17,8 @@
 	// memoryFade is how much of a high mark of memory a new measurement
 	// below it leaves, so that one outlier is forgotten in time.
 	memoryFade = 0.999
-	// spare is what is kept above what was measured.
+	// spare is what is kept above the memory that was measured, and how far
+	// above what was declared the cores in use must be to count as more.
 	spare = 1.1
 	// leastCores and mostCores bound what is made of declared cores.
 	leastCores = 0.25
@@ -92,12 +93,22 @@
 	if r.n < enough {
 		return n
 	}
-	factor := (r.cores.value + 2*r.cores.off) * spare
-	n.cores *= min(max(factor, leastCores), mostCores)
+	n.cores *= r.coresFactor()
 	n.memoryMB = int(float64(n.memoryMB) * max(1, r.memory*spare))
 	return n
 }
 
+// coresFactor returns what to set aside for each declared core: the mean and
+// what tasks commonly stray from it, but no more than was declared as long as
+// the mean is not above it.
+func (r *ratios) coresFactor() float64 {
+	most := 1.0
+	if r.cores.value > spare {
+		most = mostCores
+	}
+	return min(max(r.cores.value+2*r.cores.off, leastCores), most)
+}
+
 // learn takes in what a running task uses.
 func (t *tick) learn(l *lease, u *Usage) {
 	if u.Cores <= 0 && u.MemoryMB <= 0 {
@@ -114,8 +125,8 @@
 		return // what it would use can't be seen
 	}
 	r.cores.add(u.Cores / float64(l.row.Cores))
-	measured := need{cores: max(u.Cores*spare, leastCores*float64(l.row.Cores))}
-	l.need.cores = max(measured.cores, min(l.need.cores, t.needOf(l.row).cores))
+	least := max(u.Cores, leastCores*float64(l.row.Cores))
+	l.need.cores = max(least, min(l.need.cores, t.needOf(l.row).cores))
 }
 
 // learnTime takes in how long a task took.
