Place tasks from the leader and carry the orders out

The leader decides about tasks beside the waves, asks workers through the platform in bounded goroutines and reads their usage back. A VM counts as idle only once no task can still run there. The stand-in platform passes on what is asked of stand-in workers, which refuse lower tokens and end what lost its lease.

--- a/io/tackstandin/platform.go
+++ b/io/tackstandin/platform.go
@@ -9,14 +9,16 @@
 )
 
 type (
-	// Platform reboots and upgrades the VMs of its backend servers. Set the
-	// fields, then call Start.
+	// Platform reboots and upgrades the VMs of its backend servers and
+	// workers, and passes on what is asked of tasks. Set the fields, then
+	// call Start.
 	Platform struct {
 		// Reboot is how long a VM is away.
 		Reboot time.Duration
 
 		mu      sync.Mutex
 		vms     map[string]*platformVM
+		workers map[string]*Worker
 		address string
 		server  *http.Server
 		running sync.WaitGroup
@@ -26,10 +28,16 @@
 		state     string
 		operation string
 		times     int
-		servers   []*BackendServer
+		machines  []machine
 		failing   bool
 	}
 
+	// machine is what runs on a VM and goes down with it.
+	machine interface {
+		Start() error
+		Stop()
+	}
+
 	platformAnswer struct {
 		VM        string `json:"vm"`
 		State     string `json:"state"`
@@ -46,7 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	vm := p.vm(b.VM)
-	vm.servers = append(vm.servers, b)
+	vm.machines = append(vm.machines, b)
 }
 
 // Fail makes the VM fail when it is next rebooted or upgraded.
@@ -77,6 +85,9 @@
 	mux.HandleFunc("POST /vms/{vm}/reboot", p.operate)
 	mux.HandleFunc("POST /vms/{vm}/upgrade", p.operate)
 	mux.HandleFunc("GET /vms/{vm}", p.show)
+	mux.HandleFunc("POST /workers/{worker}/tasks", p.startTask)
+	mux.HandleFunc("POST /workers/{worker}/tasks/{task}/{verb}", p.askTask)
+	mux.HandleFunc("GET /workers/{worker}/tasks", p.listTasks)
 	p.server = &http.Server{Handler: mux}
 	go p.server.Serve(port)
 	return nil
@@ -122,8 +133,8 @@
 
 func (p *Platform) reboot(vm *platformVM) {
 	defer p.running.Done()
-	for _, b := range vm.servers {
-		b.Stop()
+	for _, m := range vm.machines {
+		m.Stop()
 	}
 	time.Sleep(p.Reboot)
 	p.mu.Lock()
@@ -132,8 +143,8 @@
 		vm.state = "failed"
 		return
 	}
-	for _, b := range vm.servers {
-		if b.Start() != nil {
+	for _, m := range vm.machines {
+		if m.Start() != nil {
 			vm.state = "failed"
 			return
 		}
--- /dev/null
+++ b/io/tackstandin/tasks.go
@@ -0,0 +1,72 @@
+package tackstandin
+
+import "time"
+
+func (t *TaskTally) started(task, worker string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.starts == nil {
+		t.starts = make(map[string]int)
+		t.done = make(map[string]int)
+		t.leases = make(map[string]taskLease)
+	}
+	t.starts[task]++
+	if l, live := t.leases[task]; live && l.worker != worker && l.until.After(time.Now()) {
+		t.doubled++
+	}
+	t.leases[task] = taskLease{worker, until}
+}
+
+func (t *TaskTally) renewed(task, worker string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leases[task].worker == worker {
+		t.leases[task] = taskLease{worker, until}
+	}
+}
+
+func (t *TaskTally) ended(task, worker string, done bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leases[task].worker == worker {
+		delete(t.leases, task)
+	}
+	if done {
+		t.done[task]++
+	}
+}
+
+func (t *TaskTally) addCut() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cut++
+}
+
+// Starts returns how often the task was started.
+func (t *TaskTally) Starts(task string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.starts[task]
+}
+
+// Done returns how often the task ran to its end.
+func (t *TaskTally) Done(task string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.done[task]
+}
+
+// Doubled returns how often a task was started while another worker still
+// held a lease on it.
+func (t *TaskTally) Doubled() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.doubled
+}
+
+// Cut returns how many tasks were cut by a reboot.
+func (t *TaskTally) Cut() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut
+}
--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -49,6 +49,7 @@
 		stopped  atomic.Bool
 
 		operations operations
+		tasks      tasks
 	}
 
 	// operations are the calls to the platform that are under way and what
@@ -78,8 +79,10 @@
 		return
 	}
 	v.mu.RLock()
+	placement := v.decideTasks(now)
 	decision := v.duties.planner.Decide(view{v: v, now: now}, v.waveSettings(now))
-	changes := append(v.observations(now), decision.Changes...)
+	changes := append(v.observations(now), v.withoutLive(decision.Changes)...)
+	changes = append(changes, placement.Changes...)
 	v.mu.RUnlock()
 	for i := range changes {
 		v.proposeDuty(now, &changes[i])
@@ -88,6 +91,8 @@
 		v.operate(op)
 	}
 	v.pollOperations(now)
+	v.carryOutOrders(placement.Orders)
+	v.pollUsage(now)
 }
 
 func (v *VM) dutyPending(now tackclock.Time) bool {
@@ -157,10 +162,11 @@
 // Fleet returns the state that this VM has applied.
 func (w view) Fleet() *tackfleet.State { return &w.v.state.Fleet }
 
-// Idle reports whether no peer has work in flight on the VM.
+// Idle reports whether no peer has work in flight on the VM and no task may
+// still run there.
 func (w view) Idle(id tackid.VM, fence tackid.Revision) bool {
 	vm, ok := w.v.state.Fleet.VM(id)
-	return ok && w.v.idle(w.now, vm, fence)
+	return ok && !w.v.runsTasks(id) && w.v.idle(w.now, vm, fence)
 }
 
 // Fenced reports whether no peer routes by a revision older than rev.
