Show that a drain ends while a restarted peer has work on the VM

A peer that stopped as planned has told the leader that nothing is left on it. io/tackvm keeps that word (duties.reports, Stopped) after the peer has started again, and tickReport sends nothing while nothing is idle, so idleOn answers yes for a VM on which the new life runs a request. go test ./cmd/auburntackd -run DrainWaits fails: the VM is drained with one request of 4 s in flight. After a rolling upgrade of auburntack the next wave would reboot VMs with work on them.

--- /dev/null
+++ b/cmd/auburntackd/drain_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"auburntack/io/tackstandin"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// slowly starts the backend server anew with requests that take d.
+func slowly(t *testing.T, b *tackstandin.BackendServer, d time.Duration) {
+	t.Helper()
+	b.Stop()
+	b.Delay = d
+	must(t, b.Start())
+}
+
+// Symptom: a request is cut by a reboot, although the wave says that it waited
+// until the VM was idle.
+// Sequence: a VM of the system is stopped as planned, for an upgrade, and
+// starts again; later a request through it runs on a VM that is drained.
+// Cause: the leader went on by the word of the former life, which had nothing
+// left and would take no more.
+func TestDrainWaitsForRestartedPeer(t *testing.T) {
+	s := newSite(t, 1)
+	slowly(t, s.servers[0], 4*time.Second)
+	_, others := s.leader(t)
+	peer := others[0]
+	peer.Stop()
+	must(t, peer.Start(startLimit))
+	s.await(t, "the backend server's new life", func() bool {
+		return len(s.rows(t, "show backend_servers where state = serving")) == 1
+	})
+	answered := make(chan int, 1)
+	go func() {
+		r, err := http.Get("http://" + peer.Caller + "/names-api/slow")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		r.Body.Close()
+		answered <- r.StatusCode
+	}()
+	s.await(t, "the request to run", func() bool { return s.servers[0].Active() == 1 })
+	s.do(t, "drain vm w-1")
+	s.await(t, "the VM to be drained", func() bool {
+		return len(s.rows(t, "show vms where state = drained")) == 1
+	})
+	left := s.servers[0].Active()
+	Convey("The request has ended before the VM counts as drained", t, func() {
+		So(left, ShouldEqual, 0)
+		So(<-answered, ShouldEqual, http.StatusOK)
+	})
+}
