--- /dev/null
+++ b/cmd/auburntackd/config_bench_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"auburntack/io/tackstandin"
+)
+
+// BenchmarkSetConfig measures from the moment at which a command is sent to
+// the answer, which comes once the change is in force on every daemon. It is
+// sent to the leader, to another daemon, and with one daemon frozen just
+// before, which holds the answer up until its lease has run out.
+func BenchmarkSetConfig(b *testing.B) {
+	sites := []struct {
+		name   string
+		places []tackstandin.Place
+	}{
+		{"3", places(3, "rennes-a", "quimper", "brest")},
+		{"8", places(5, "rennes-a", "rennes-b", "quimper", "brest", "rennes-a", "rennes-b", "quimper", "brest")},
+	}
+	for _, site := range sites {
+		b.Run("daemons="+site.name, func(b *testing.B) {
+			leader, other := newCluster(b, site.places)
+			b.Run("leader", func(b *testing.B) { benchmarkSet(b, leader, func() {}) })
+			b.Run("other", func(b *testing.B) { benchmarkSet(b, other, func() {}) })
+			b.Run("frozen", func(b *testing.B) {
+				benchmarkSet(b, leader, func() { refreeze(b, leader, other) })
+			})
+		})
+	}
+}
+
+// places returns one place in each of the data centres, the first ones with a
+// vote.
+func places(replicas int, in ...string) []tackstandin.Place {
+	var all []tackstandin.Place
+	for i, dc := range in {
+		all = append(all, tackstandin.Place{DataCentre: dc, Replica: i < replicas})
+	}
+	return all
+}
+
+// newCluster starts daemons and returns the leader and the last of the others.
+func newCluster(b *testing.B, places []tackstandin.Place) (leader, other *tackstandin.Daemon) {
+	b.Helper()
+	daemons, err := tackstandin.NewCluster(binary, b.TempDir(), "", places)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var started sync.WaitGroup
+	for _, d := range daemons {
+		started.Add(1)
+		go func() {
+			defer started.Done()
+			if err := d.Start(startLimit); err != nil {
+				b.Error(err)
+			}
+		}()
+	}
+	started.Wait()
+	b.Cleanup(func() {
+		for _, d := range daemons {
+			d.Kill()
+		}
+	})
+	s := site{daemons: daemons}
+	reply, err := daemons[0].Ask("show peers where role = leader")
+	if err != nil || len(reply.Rows) != 1 {
+		b.Fatalf("no leader: %v %v", reply.Rows, err)
+	}
+	leader = s.named(fmt.Sprint(reply.Rows[0][0]))
+	for _, d := range daemons {
+		if d != leader {
+			other = d
+		}
+	}
+	return leader, other
+}
+
+// refreeze lets a daemon take up what it missed and freezes it again.
+func refreeze(b *testing.B, leader, d *tackstandin.Daemon) {
+	b.Helper()
+	d.Signal(syscall.SIGCONT)
+	b.Cleanup(func() { d.Signal(syscall.SIGCONT) })
+	for end := time.Now().Add(startLimit); ; time.Sleep(50 * time.Millisecond) {
+		reply, err := leader.Ask("show peers where peer = " + d.ID + " and leased = true")
+		if err == nil && len(reply.Rows) == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			b.Fatalf("%s does not get its lease back: %v %v", d.ID, reply, err)
+		}
+	}
+	d.Signal(syscall.SIGSTOP)
+}
+
+func benchmarkSet(b *testing.B, d *tackstandin.Daemon, before func()) {
+	b.ReportAllocs()
+	var took []time.Duration
+	for i := range b.N {
+		before()
+		began := time.Now()
+		reply, err := d.Do(fmt.Sprintf("set config key-%d value-%d", i%50, i), "")
+		took = append(took, time.Since(began))
+		if err != nil || reply.Status != http.StatusOK {
+			b.Fatalf("set config: %d %s %v", reply.Status, reply.Error.Message, err)
+		}
+	}
+	slices.Sort(took)
+	b.ReportMetric(milliseconds(took[len(took)/2]), "median_ms")
+	b.ReportMetric(milliseconds(took[len(took)*99/100]), "p99_ms")
+	b.ReportMetric(milliseconds(took[len(took)-1]), "longest_ms")
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
