Go on from what was accepted after a restart in a cut-off data centre

Cause: which entries are committed was known in memory only. Before: the first Ready after such a start commits nothing. After: all that was noted; TestRestartWhileCutOff serves by the last accepted value on real processes. The note costs at most one write each 200 ms while there are changes and none when idle.

--- a/cmd/auburntackd/cut_test.go
+++ b/cmd/auburntackd/cut_test.go
@@ -112,3 +112,36 @@
 		})
 	})
 }
+
+// Symptom: a data centre that is cut off serves by an old configuration, or
+// nothing, once its VM of the system has restarted.
+// Sequence: changes are accepted, brest is cut off, its daemon is killed and
+// starts again while nobody else can be reached.
+// Cause: which changes were accepted is the leader's word; without a note of
+// it on the disk a restart goes back to the last snapshot, here to none.
+func TestRestartWhileCutOff(t *testing.T) {
+	s := newSite(t, 4)
+	s.do(t, "set config colour red")
+	s.do(t, "set config colour blue")
+	brest := s.daemons[1]
+	s.await(t, "brest to note what was accepted", func() bool {
+		value, _ := valueOn(brest, "colour")
+		return value == "blue"
+	})
+	time.Sleep(time.Second)
+	s.wires.Cut(brest, true)
+	brest.Kill()
+	must(t, brest.Start(startLimit))
+	s.await(t, "backend servers to announce themselves", func() bool {
+		reply, err := brest.Ask("show backend_servers")
+		return err == nil && len(reply.Rows) == 2
+	})
+	value, confirmed := valueOn(brest, "colour")
+	plain := callOn(t, brest, http.MethodPost, "restarted-while-cut-off", "")
+	Convey("It goes on by what it had accepted, and says that it is not sure", t, func() {
+		So(value, ShouldEqual, "blue")
+		So(confirmed, ShouldBeFalse)
+		So(plain.outcome, ShouldEqual, "answered")
+		So(plain.body, ShouldContainSubstring, "restarted-while-cut-off")
+	})
+}
--- a/core/tackreplica/message.go
+++ b/core/tackreplica/message.go
@@ -85,11 +85,14 @@
 
 	// HardState is what a voter must have on disk before it answers. Eligible
 	// is set once the folder's copy of the log may count towards a quorum; a
-	// folder that was lost comes back without it.
+	// folder that was lost comes back without it. Commit is a revision that
+	// is known to be committed, perhaps not the newest.
 	HardState struct {
 		Term     Term        `cbor:"1,keyasint"`
 		Vote     tackid.Peer `cbor:"2,keyasint,omitempty"`
 		Eligible bool        `cbor:"3,keyasint,omitempty"`
+
+		Commit tackid.Revision `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Snapshot replaces the log up to and including Index. Data is the state
--- a/core/tackreplica/node.go
+++ b/core/tackreplica/node.go
@@ -20,7 +20,10 @@
 	defaultHeartbeat = 200 * tackclock.Millisecond
 	defaultElection  = 1000 * tackclock.Millisecond
 	defaultLease     = 900 * tackclock.Millisecond
-	defaultBatch     = 64 << 10
+
+	// commitNote is the least time between two notes of what is committed.
+	commitNote   = 200 * tackclock.Millisecond
+	defaultBatch = 64 << 10
 	// windowBatches bounds how many full batches may be under way to one
 	// member, so that a slow member does not fill the leader's memory.
 	windowBatches = 16
@@ -104,8 +107,9 @@
 		incoming  incomingSnapshot
 		install   *Snapshot
 
-		probeAt tackclock.Time
-		reports map[tackid.Peer]*report
+		probeAt      tackclock.Time
+		commitNoteAt tackclock.Time
+		reports      map[tackid.Peer]*report
 
 		messages []Message
 	}
@@ -172,6 +176,18 @@
 		n.noteMembership(e)
 	}
 	n.log.stable = n.log.last()
+	n.commit = max(n.commit, min(stored.Hard.Commit, n.log.last()))
+}
+
+// noteCommit has the newest committed revision written to the folder, at most
+// once in commitNote. A VM that restarts while it is cut off would otherwise
+// go by its snapshot and take back what it had shown.
+func (n *Node) noteCommit() {
+	if n.commit <= n.hard.Commit || n.now < n.commitNoteAt {
+		return
+	}
+	n.commitNoteAt = n.now.Add(commitNote)
+	n.hard.Commit = min(n.commit, n.log.stable)
 }
 
 // Tick moves the node's time to now: heartbeats, elections, step-down.
@@ -180,6 +196,7 @@
 	if n.failed {
 		return
 	}
+	n.noteCommit()
 	if n.role == Leader {
 		n.tickLeader()
 		return
