End a VM that cannot go on, and tell each failure of the operators' port

A replica whose folder was removed catches up, and with another one killed after it everything accepted is there.

--- a/cmd/auburntackd/failure_test.go
+++ b/cmd/auburntackd/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -177,3 +178,36 @@
 		s.assertWhole(counts)
 	})
 }
+
+// Symptom: changes that were accepted are gone after one disk was replaced and
+// then another VM lost.
+// Sequence: a replica is killed and its data folder removed, it comes back
+// empty and catches up; then another replica is killed for good.
+// Cause: an emptied replica that votes as if it had never held anything, or a
+// leader that counts it before it has caught up.
+func TestLostDiskThenLostVM(t *testing.T) {
+	s := newSite(t, 2)
+	for i := range 20 {
+		s.do(t, fmt.Sprintf("set config key-%d value-%d", i, i))
+	}
+	emptied := s.daemons[1]
+	emptied.Kill()
+	must(t, os.RemoveAll(emptied.DataFolder()))
+	must(t, emptied.Start(startLimit))
+	s.await(t, "the emptied replica to catch up", func() bool {
+		value, confirmed := valueOn(emptied, "key-19")
+		return confirmed && value == "value-19"
+	})
+	s.daemons[0].Kill()
+	last := s.acceptedBy(t, emptied, "set config after loss", "after-1")
+	Convey("The two that are left hold everything", t, func() {
+		So(last.Accepted, ShouldBeTrue)
+		for _, d := range s.daemons[1:] {
+			for i := range 20 {
+				value, _ := valueOn(d, fmt.Sprintf("key-%d", i))
+				So(value, ShouldEqual, fmt.Sprintf("value-%d", i))
+			}
+		}
+	})
+	must(t, s.daemons[0].Start(startLimit))
+}
--- a/io/tackoperator/server.go
+++ b/io/tackoperator/server.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -290,7 +291,7 @@
 	if errors.As(err, &wrongType) {
 		writeError(w, http.StatusBadRequest, errorDetail{
 			Code:      "bad_request",
-			Message:   fmt.Sprintf("%s is a %s, want %s", wrongType.Field, wrongType.Value, wrongType.Type),
+			Message:   fmt.Sprintf("%s is a %s, want a %s", wrongType.Field, wrongType.Value, jsonKind(wrongType.Type.Kind())),
 			DidNotRun: true,
 			Field:     wrongType.Field,
 		})
@@ -300,6 +301,22 @@
 	return false
 }
 
+// jsonKind names in JSON's words what a field must be.
+func jsonKind(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Struct, reflect.Map:
+		return "object"
+	case reflect.Slice, reflect.Array:
+		return "list"
+	default:
+		return "number"
+	}
+}
+
 func writeBodyError(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -350,7 +367,7 @@
 		DidNotRun: true,
 		Line:      line,
 		Column:    column,
-		Expected:  strings.Join(expected, ", "),
+		Expected:  strings.Join(expected, " or "),
 	})
 }
 
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -23,7 +23,9 @@
 	startLimit = 5 * tackclock.Second
 	// handOverLimit is how long a stopping leader waits for its successor.
 	handOverLimit = 2 * tackclock.Second
-	readyEvery    = 50 * time.Millisecond
+	// brokenLimit is how long a VM that cannot go on lets requests finish.
+	brokenLimit = 2 * tackclock.Second
+	readyEvery  = 50 * time.Millisecond
 )
 
 // listeners are the ports, taken before anything else so that a port in use
@@ -74,20 +76,25 @@
 	go v.watchReady(serving)
 	select {
 	case err := <-ended:
+		v.stopBroken(caller)
 		return v.whyEnded(err)
+	case <-v.broken:
+		v.stopBroken(caller)
 	case <-ctx.Done():
+		v.stopInOrder(caller)
 	}
-	v.stopInOrder(caller)
 	stop()
 	err = v.whyEnded(<-ended)
-	operator.Close()
 	v.log.Info("stopped")
 	return err
 }
 
 func (v *VM) listen(ctx context.Context, caller *tackhttp.Server) (listeners, error) {
 	var ports listeners
-	var err error
+	err := tryPeerPort(v.cfg.Listen.Peer)
+	if err != nil {
+		return ports, err
+	}
 	if ports.caller, err = caller.Listen(ctx, v.cfg.Listen.Caller); err != nil {
 		return ports, portError("caller", err)
 	}
@@ -98,6 +105,16 @@
 	return ports, nil
 }
 
+// tryPeerPort finds out whether the links will be able to listen. They would
+// try again for ever, and the VM would take part in nothing meanwhile.
+func tryPeerPort(address string) error {
+	port, err := net.Listen("tcp", address)
+	if err != nil {
+		return portError("peer", err)
+	}
+	return port.Close()
+}
+
 func portError(name string, err error) error {
 	return &StoppedError{
 		What:   "listen on the " + name + " port",
@@ -121,16 +138,14 @@
 
 // serveLoop runs the loop. Its state cannot be rebuilt without a restart, so
 // a failure or panic ends the process rather than the loop alone.
-func (v *VM) serveLoop(ctx context.Context) (err error) {
+func (v *VM) serveLoop(ctx context.Context) error {
 	defer func() {
 		if r := recover(); r != nil {
 			v.fail(&StoppedError{What: "run the log", Advice: "report this as a fault", Err: fmt.Errorf("panic: %v", r)})
-			err = suture.ErrTerminateSupervisorTree
 		}
 	}()
 	if err := v.runLoop(ctx); err != nil {
 		v.fail(err)
-		return suture.ErrTerminateSupervisorTree
 	}
 	return suture.ErrDoNotRestart
 }
@@ -140,7 +155,9 @@
 	if !errors.As(err, &stopped) {
 		stopped = &StoppedError{What: "run", Advice: "see the log", Err: err}
 	}
-	v.failed.CompareAndSwap(nil, stopped)
+	if v.failed.CompareAndSwap(nil, stopped) {
+		close(v.broken)
+	}
 }
 
 func (v *VM) whyEnded(err error) error {
@@ -224,6 +241,18 @@
 	return v.directory.CaughtUp()
 }
 
+// stopBroken ends a VM that cannot go on. Requests under way get a moment to
+// finish; nothing else is worth waiting for.
+func (v *VM) stopBroken(caller *tackhttp.Server) {
+	v.ready.Store(false)
+	v.serves.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), brokenLimit.Std())
+	defer cancel()
+	if err := caller.Shutdown(ctx); err != nil {
+		v.log.WithError(err).Warn("requests cut")
+	}
+}
+
 // stopInOrder ends a VM so that nobody notices: the balancer sees that it is
 // not ready and has time to follow, requests that came are answered, another
 // replica leads, and the leader knows that nothing is left here.
@@ -270,6 +299,9 @@
 // handOver gives leadership to another replica, so that commands do not wait
 // for an election.
 func (v *VM) handOver(ctx context.Context) {
+	if len(v.status.Load().Members) == 1 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit.Std())
 	defer cancel()
 	for v.status.Load().Leader == v.cfg.VM.ID {
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -56,6 +56,7 @@
 		ended  chan struct{}
 		node   *tackreplica.Node
 		failed atomic.Pointer[StoppedError]
+		broken chan struct{} // closed once failed is set
 
 		// mu guards state and applied. Only the loop writes them.
 		mu      sync.RWMutex
@@ -108,6 +109,7 @@
 		registry: metrics.NewRegistry(),
 		events:   make(chan func(), eventQueue),
 		ended:    make(chan struct{}),
+		broken:   make(chan struct{}),
 	}
 	v.meter.clock = clock
 	v.waiting.next = rand.Uint64() >> 1
