Let no peer's former life vouch for its present one

Cause: found by TestDrainWaitsForRestartedPeer, which stood in KNOWN-RED: the leader kept the last word of a VM that stopped as planned after it had started again, so a VM with its work counted as idle. By reading: a member without any grant by this leader has no lease end, and counted at once as long without. Before: one request was still running on a VM that counted as drained. Ruled out: going without the word of a stopped VM, which would hold every wave while one is upgraded.

--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -45,9 +45,12 @@
 
 		reports  map[tackid.Peer]heardReport
 		reported tackclock.Time
-		hadIdle  bool
-		stopped  atomic.Bool
-		leaving  leaving
+		// reportedTo is the leader that had a report of this life.
+		reportedTo tackid.Peer
+		unleased   map[tackid.Peer]tackclock.Time
+		hadIdle    bool
+		stopped    atomic.Bool
+		leaving    leaving
 
 		operations operations
 		tasks      tasks
@@ -80,9 +83,14 @@
 // tickDuties has the leader compare what the fleet should be with what is
 // seen and propose the difference.
 func (v *VM) tickDuties(now tackclock.Time) {
-	if now.Sub(v.duties.at) < dutyEvery || !v.node.LeaderLease(now) {
+	if !v.node.LeaderLease(now) {
+		v.duties.unleased = nil
 		return
 	}
+	if now.Sub(v.duties.at) < dutyEvery {
+		return
+	}
+	v.watchLeases(now)
 	v.duties.at = now
 	if v.dutyPending(now) {
 		return
--- a/io/tackvm/fence.go
+++ b/io/tackvm/fence.go
@@ -15,6 +15,9 @@
 	// centre may still be at work for a caller it had then. Without a lease
 	// it sends nothing out of its own data centre.
 	farWork = 2 * tackclock.Minute
+	// lastWords is how much longer than its lease a VM that said it has
+	// stopped may still be granted one.
+	lastWords = tackclock.Second / 2
 )
 
 // tickReport tells the leader which of the VMs that may get no new work are
@@ -28,10 +31,11 @@
 		return
 	}
 	r := v.report()
-	if len(r.Idle) == 0 && !v.duties.hadIdle {
+	if len(r.Idle) == 0 && !v.duties.hadIdle && v.duties.reportedTo == leader {
 		return
 	}
 	v.duties.reported = now
+	v.duties.reportedTo = leader
 	v.duties.hadIdle = len(r.Idle) > 0
 	v.send(leader, kindReport, r)
 }
@@ -96,7 +100,7 @@
 		return false
 	}
 	for _, p := range missing {
-		if v.dataCentreOf(p) == in && !v.stoppedAsPlanned(p) {
+		if m := v.member(p); m.DataCentre == in && !v.stoppedAsPlanned(m) {
 			return false
 		}
 	}
@@ -121,14 +125,33 @@
 	if m.Peer == v.cfg.VM.ID {
 		return v.caller.Idle(vm.ID)
 	}
-	r, heard := v.duties.reports[m.Peer]
-	if heard && r.Stopped {
+	if v.stoppedAsPlanned(m) {
 		return true
 	}
+	r, heard := v.duties.reports[m.Peer]
 	if heard && r.Applied >= fence && contains(r.Idle, vm.ID) {
 		return true
 	}
-	return m.DataCentre != vm.DataCentre && now.Sub(m.LeaseUntil) > farWork
+	since, unleased := v.duties.unleased[m.Peer]
+	return m.DataCentre != vm.DataCentre && unleased && now.Sub(since) > farWork
+}
+
+// watchLeases notes since when this leader has known each member to be without
+// a lease. A new leader cannot tell what the one before it granted, so it
+// counts from its own first look.
+func (v *VM) watchLeases(now tackclock.Time) {
+	if v.duties.unleased == nil {
+		v.duties.unleased = make(map[tackid.Peer]tackclock.Time)
+	}
+	for _, m := range v.status.Load().Members {
+		_, noted := v.duties.unleased[m.Peer]
+		switch leased := m.LeaseUntil.After(now); {
+		case leased:
+			delete(v.duties.unleased, m.Peer)
+		case !noted:
+			v.duties.unleased[m.Peer] = now
+		}
+	}
 }
 
 func contains(vms []tackid.VM, vm tackid.VM) bool {
@@ -140,16 +163,22 @@
 	return false
 }
 
-func (v *VM) stoppedAsPlanned(p tackid.Peer) bool {
-	r, heard := v.duties.reports[p]
-	return heard && r.Stopped
+// stoppedAsPlanned reports whether the member said that it was stopping with
+// nothing left, and has not lived since. A later life holds leases again before
+// it takes callers; going by the word of the former one would cut its work.
+func (v *VM) stoppedAsPlanned(m tackreplica.MemberStatus) bool {
+	r, heard := v.duties.reports[m.Peer]
+	if !heard || !r.Stopped {
+		return false
+	}
+	return !m.LeaseUntil.After(r.at.Add(v.cfg.Replica.Lease + lastWords))
 }
 
-func (v *VM) dataCentreOf(p tackid.Peer) tackid.DataCentre {
+func (v *VM) member(p tackid.Peer) tackreplica.MemberStatus {
 	for _, m := range v.status.Load().Members {
 		if m.Peer == p {
-			return m.DataCentre
+			return m
 		}
 	}
-	return ""
+	return tackreplica.MemberStatus{}
 }
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -79,21 +79,32 @@
 // settle carries out what the log asks for until it asks for nothing more,
 // then brings what depends on it up to date.
 func (v *VM) settle() error {
+	if err := v.carryOutAll(); err != nil {
+		return err
+	}
+	now := v.clock.Now()
+	v.publishRoutes(now)
+	v.node.Applied(v.applied.Index)
+	// What was applied is reported at once: the leader answers a command only
+	// when every VM has said so.
+	if err := v.carryOutAll(); err != nil {
+		return err
+	}
+	v.refreshStatus(now)
+	v.answerConfirms(now)
+	return v.snapshotWhenDue()
+}
+
+func (v *VM) carryOutAll() error {
 	for {
 		r, ok := v.node.Ready()
 		if !ok {
-			break
+			return nil
 		}
 		if err := v.carryOut(r); err != nil {
 			return err
 		}
 	}
-	now := v.clock.Now()
-	v.publishRoutes(now)
-	v.node.Applied(v.applied.Index)
-	v.refreshStatus(now)
-	v.answerConfirms(now)
-	return v.snapshotWhenDue()
 }
 
 func (v *VM) carryOut(r tackreplica.Ready) error {
@@ -106,7 +117,9 @@
 		return err
 	}
 	for _, m := range r.Messages {
-		v.send(m.To, kindReplica, m)
+		to := m.To
+		m.From, m.To = "", "" // the link tells both
+		v.send(to, kindReplica, m)
 	}
 	for _, e := range r.Committed {
 		if err := v.apply(e); err != nil {
@@ -253,7 +266,7 @@
 	if !v.decode(from, body, &m) {
 		return
 	}
-	m.From = from
+	m.From, m.To = from, v.cfg.VM.ID
 	v.post(context.Background(), func() { v.node.Step(v.clock.Now(), m) })
 }
 
