--- a/io/tackhttp/handler_test.go
+++ b/io/tackhttp/handler_test.go
@@ -1,6 +1,11 @@
 package tackhttp
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -71,6 +76,40 @@
 	t.Errorf("not refused: %q", got)
 }
 
+// Symptom: a backend server takes one dispatch for another, or works on for a
+// caller whose time is over.
+// Sequence: a caller sends header fields of auburntack, or marks fields as
+// meant for one connection.
+// Cause: they were passed on as they came.
+func TestRequestHeaderCannotBeForged(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	backend := newScript(t, func(s *script, _ int, c net.Conn, r *bufio.Reader) {
+		req, _, err := s.take(r)
+		if err != nil {
+			return
+		}
+		seen <- req.Header
+		io.WriteString(c, ok)
+	})
+	e := newEntry(t, Config{}, backend.address)
+	exchange(t, e.address, request("GET", "/names", "Auburntack-Request-Id: forged", "Auburntack-Outcome: did_not_run",
+		"Auburntack-Timeout-Ms: 9000", "Auburntack-Team: post", "Auburntack-Other: x", "Connection: X-One", "X-One: 1",
+		"Te: trailers", "Upgrade: h2c", "Proxy-Authorization: x", "X-Two: 2", "Expect: 100-continue"))
+	h := <-seen
+	for name, want := range map[string]string{"X-Two": "2", headerTeam: "post", headerOutcome: "", "Auburntack-Other": "",
+		"X-One": "", "Te": "", "Upgrade": "", "Proxy-Authorization": "", "Expect": "", "Connection": ""} {
+		if got := h.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+	if id := h.Get(headerRequestID); id == "forged" || id == "" {
+		t.Errorf("request id is %q", id)
+	}
+	if left, err := strconv.Atoi(h.Get(headerTimeout)); err != nil || left <= 0 || left > 9000 {
+		t.Errorf("time left is %q", h.Get(headerTimeout))
+	}
+}
+
 func TestOwnAnswers(t *testing.T) {
 	backend := newScript(t, echo)
 	e := newEntry(t, Config{}, backend.address)
