--- a/io/tackmeasure/announcers.go
+++ b/io/tackmeasure/announcers.go
@@ -44,6 +44,7 @@
 	announcer struct {
 		mu     sync.Mutex
 		says   announcement
+		silent bool
 		home   int
 		anew   chan struct{}
 		parent *Announcers
@@ -182,6 +183,22 @@
 	}
 }
 
+// Silence has everything in the data centre fall silent, or come back with a
+// new incarnation.
+func (a *Announcers) Silence(dataCentre string, silent bool) {
+	for _, x := range a.all {
+		if x.says.DataCentre != dataCentre {
+			continue
+		}
+		x.mu.Lock()
+		x.silent = silent
+		x.mu.Unlock()
+		if !silent {
+			x.restart()
+		}
+	}
+}
+
 // Counts returns how many announcements were taken and how many were not.
 func (a *Announcers) Counts() (taken, failed int64) {
 	return a.sent.Load(), a.failed.Load()
@@ -229,9 +246,10 @@
 // that not all come together.
 func (x *announcer) announce() time.Duration {
 	x.mu.Lock()
+	silent := x.silent
 	body, err := json.Marshal(x.says)
 	x.mu.Unlock()
-	if err != nil {
+	if err != nil || silent {
 		return tryAgain
 	}
 	daemons := x.parent.daemons
--- a/io/tackmeasure/measure.go
+++ b/io/tackmeasure/measure.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -92,7 +93,8 @@
 	}
 }
 
-// Run measures by the plan and writes the tables to Out.
+// Run measures by the plan and writes the tables to Out, after an error with
+// what was measured until then.
 func (p Plan) Run(ctx context.Context) error {
 	r := &run{Plan: p}
 	r.steady.Columns = []string{
@@ -102,7 +104,7 @@
 	r.minute.Columns = []string{"worst minute", "took s", "what was counted"}
 	for _, n := range p.Daemons {
 		if err := r.cluster(ctx, n, n == p.Daemons[len(p.Daemons)-1]); err != nil {
-			return err
+			return errors.Join(err, r.write())
 		}
 	}
 	return r.write()
@@ -183,30 +185,46 @@
 	return nil
 }
 
-// during returns what each daemon used while f ran.
+// during returns what each daemon used while f ran, of those that run at both
+// ends of it.
 func (c *cluster) during(f func() error) ([]Use, error) {
-	from := make(map[*tackstandin.Daemon]reading)
-	for _, d := range c.daemons {
-		r, err := read(d, c.announcers)
-		if err != nil {
-			return nil, err
-		}
-		from[d] = r
+	from, err := c.readAll()
+	if err != nil {
+		return nil, err
 	}
 	if err := f(); err != nil {
 		return nil, err
 	}
+	to, err := c.readAll()
+	if err != nil {
+		return nil, err
+	}
 	var uses []Use
 	for _, d := range c.daemons {
-		to, err := read(d, c.announcers)
+		first, ok := from[d]
+		last, still := to[d]
+		if ok && still {
+			u := use(first, last)
+			u.Role = roleOf(d)
+			uses = append(uses, u)
+		}
+	}
+	return uses, nil
+}
+
+func (c *cluster) readAll() (map[*tackstandin.Daemon]reading, error) {
+	readings := make(map[*tackstandin.Daemon]reading)
+	for _, d := range c.daemons {
+		if !d.Running() {
+			continue
+		}
+		r, err := read(d, c.announcers)
 		if err != nil {
 			return nil, err
 		}
-		u := use(from[d], to)
-		u.Role = roleOf(d)
-		uses = append(uses, u)
+		readings[d] = r
 	}
-	return uses, nil
+	return readings, nil
 }
 
 // keep notes what was used and adds it to the table by role.
--- a/io/tackmeasure/worst.go
+++ b/io/tackmeasure/worst.go
@@ -13,6 +13,8 @@
 	// restartBurst is how many backend servers restart on a day.
 	restartBurst = 530
 	catchUpEvery = 20 * time.Millisecond
+	// lossLimit bounds the wait for a lost data centre to be noticed.
+	lossLimit = 40 * time.Second
 )
 
 // worst measures the worst minutes of the largest cluster.
@@ -31,6 +33,8 @@
 		}},
 		{"learner restarted", r.restartLearner},
 		{"leader killed", r.killLeader},
+		{"data centre lost", r.loseDataCentre},
+		{"data centre back", r.returnDataCentre},
 	}
 	for _, s := range steps {
 		if err := r.minuteOf(ctx, c, s.name, s.do); err != nil {
@@ -128,3 +132,45 @@
 		}
 	}
 }
+
+// loseDataCentre kills the daemons of the first data centre, silences its
+// backend servers and workers and waits until its VMs are no longer counted
+// on.
+func (r *run) loseDataCentre(ctx context.Context, c *cluster) error {
+	lost := c.daemons[0].DataCentre
+	c.announcers.Silence(lost, true)
+	for _, d := range c.daemons {
+		if d.DataCentre == lost {
+			d.Kill()
+		}
+	}
+	began := time.Now()
+	left := c.vms
+	for left == c.vms && time.Since(began) < lossLimit {
+		if !sleep(ctx, tryAgain) {
+			return ctx.Err()
+		}
+		if reply, err := c.daemons[1].Ask("show vms where health = serving"); err == nil && reply.Confirmed {
+			left = len(reply.Rows)
+		}
+	}
+	r.minute.Add("data centre seen as lost", time.Since(began).Seconds(), fmt.Sprintf("%d of %d VMs serve", left, c.vms))
+	return nil
+}
+
+// returnDataCentre starts again what loseDataCentre ended.
+func (r *run) returnDataCentre(_ context.Context, c *cluster) error {
+	lost := c.daemons[0].DataCentre
+	began := time.Now()
+	for _, d := range c.daemons {
+		if d.DataCentre != lost {
+			continue
+		}
+		if err := d.Start(startLimit); err != nil {
+			return err
+		}
+	}
+	c.announcers.Silence(lost, false)
+	r.minute.Add("daemons of the data centre ready", time.Since(began).Seconds(), "one after the other")
+	return nil
+}
