End the lease of a member that fell silent

Cause: the leader counted each lease from when it sent it, though the stamp that it echoed was the same old one; so the lease of a dead member never ended for the leader, and every command waited out a fresh one. Ruled out: InForce, which asks rightly for leases that have run out.

--- a/core/tackreplica/append.go
+++ b/core/tackreplica/append.go
@@ -190,7 +190,7 @@
 		return
 	}
 	p.heard = n.now
-	p.stamp = m.Stamp
+	p.stamp, p.stamped = m.Stamp, n.now
 	p.noteApplied(m.Applied, sent)
 	switch {
 	case m.Chunk != nil:
--- a/core/tackreplica/lease.go
+++ b/core/tackreplica/lease.go
@@ -79,12 +79,20 @@
 // grants any: so all leases of one leader begin before the next is elected. And
 // only members by a committed entry get one: the next leader knows of no other,
 // and would not wait for their leases to run out.
+//
+// The member counts its lease from when it sent the stamp, which is before it
+// came here. Counted from now instead, the lease of a member that fell silent
+// would never seem to end, and every command would wait for it anew.
 func (n *Node) grantLease(p *progress, m *Message) {
 	if p.stamp == 0 || n.commit < n.termStart || n.now >= n.leaderLeaseUntil() || !n.committedMember(p.peer) {
 		return
 	}
+	until := p.stamped.Add(n.promise())
+	if until <= n.now {
+		return
+	}
 	m.Echo, m.Required = p.stamp, n.commit
-	g := grant{required: n.commit, until: n.now.Add(n.promise())}
+	g := grant{required: n.commit, until: until}
 	p.grants = addGrant(p.grants, g, n.now)
 }
 
--- a/core/tackreplica/progress.go
+++ b/core/tackreplica/progress.go
@@ -19,10 +19,12 @@
 		inflightBytes int
 		sentAt        tackclock.Time
 
-		heard  tackclock.Time
-		acked  tackclock.Time // newest of the leader's stamps it answered
-		stamp  Stamp
-		grants []grant
+		heard tackclock.Time
+		acked tackclock.Time // newest of the leader's stamps it answered
+		stamp Stamp
+		// stamped is when stamp came.
+		stamped tackclock.Time
+		grants  []grant
 
 		chunk outgoingSnapshot
 
