Give a resumed wave a night of its own

Cause: found by reading: the end of the night counted from the wave's start, so a wave that stopped at one night's end stopped again at once when it was resumed the next night. Before: TestResumedWaveHasANightOfItsOwn fails by 24 h. After: it passes. Conclusion: a wave holds when it was started or resumed last.

--- a/core/tackrollout/commands.go
+++ b/core/tackrollout/commands.go
@@ -63,6 +63,7 @@
 	}
 	w.Status = WaveRunning
 	w.Started = at.Time
+	w.Resumed = at.Time
 	return nil
 }
 
@@ -91,6 +92,7 @@
 		}
 	}
 	w.Status = WaveRunning
+	w.Resumed = at.Time
 	w.Reason = ""
 	return nil
 }
--- a/core/tackrollout/model.go
+++ b/core/tackrollout/model.go
@@ -74,6 +74,9 @@
 		VMs         []WaveVM        `cbor:"10,keyasint,omitempty"`
 		Steps       int             `cbor:"11,keyasint,omitempty"`
 		Touched     tackid.Revision `cbor:"12,keyasint,omitempty"`
+		// Resumed is when the wave was started or resumed last: the night that
+		// it must end in is the one after that.
+		Resumed tackclock.Time `cbor:"13,keyasint,omitempty"`
 	}
 
 	// WaveVM is one VM's way through a wave.
--- a/core/tackwave/wave.go
+++ b/core/tackwave/wave.go
@@ -163,7 +163,7 @@
 // ends returns the moment by which the wave must have ended, zero for none.
 func (s Settings) ends(w *tackfleet.Wave) tackclock.Time {
 	if s.NightEnds == 0 && s.Prefer == PreferBuffer {
-		return w.Started.Add(s.Night)
+		return w.Resumed.Add(s.Night)
 	}
 	return s.NightEnds
 }
--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -160,14 +160,14 @@
 }
 
 // nightEnds returns the first moment at the configured time of day that comes
-// after the first of the running waves started, or after now if none runs; it
-// is zero where no time of day is configured. Counting from now alone would
-// give a wave that overruns another whole day.
+// after the first of the running waves was started or resumed, or after now if
+// none runs; it is zero where no time of day is configured. Counting from now
+// alone would give a wave that overruns another whole day.
 func (v *VM) nightEnds(now tackclock.Time) tackclock.Time {
 	began := now
 	for _, w := range v.state.Fleet.Waves() {
-		if w.Status == tackfleet.WaveRunning && w.Started.Before(began) {
-			began = w.Started
+		if w.Status == tackfleet.WaveRunning && w.Resumed.Before(began) {
+			began = w.Resumed
 		}
 	}
 	return v.cfg.Wave.NightEnds.After(began)
