Keep those who wait for an answer in one place

Cause: waiters for proposals and for confirms stood twice, with their locks, maps and drops, in the largest package.

--- a/io/tackvm/confirm.go
+++ b/io/tackvm/confirm.go
@@ -42,8 +42,8 @@
 }
 
 func (v *VM) askLeader(ctx context.Context, ask confirm) (confirmed, error) {
-	serial, answers := v.waiting.addConfirm()
-	defer v.waiting.removeConfirm(serial)
+	serial, answers := v.confirms.Add()
+	defer v.confirms.Remove(serial)
 	ticker := time.NewTicker(askAgainEvery)
 	defer ticker.Stop()
 	ask.Serial = serial
@@ -79,38 +79,38 @@
 }
 
 func (v *VM) keepAsked(from tackid.Peer, ask confirm) {
-	if len(v.waiting.asked) >= askedLimit {
+	if len(v.asked) >= askedLimit {
 		return
 	}
-	for _, a := range v.waiting.asked {
+	for _, a := range v.asked {
 		if a.from == from && a.Serial == ask.Serial {
 			return
 		}
 	}
-	v.waiting.asked = append(v.waiting.asked, askedConfirm{confirm: ask, from: from, at: v.clock.Now()})
+	v.asked = append(v.asked, askedConfirm{confirm: ask, from: from, at: v.clock.Now()})
 }
 
 // answerConfirms answers, on the leader, what can be answered now. It does so
 // only while a majority confirms that this VM leads: a leader that was cut
 // off could otherwise answer with a revision that others have passed.
 func (v *VM) answerConfirms(now tackclock.Time) {
-	if len(v.waiting.asked) == 0 {
+	if len(v.asked) == 0 {
 		return
 	}
 	if v.status.Load().Leader != v.cfg.VM.ID {
-		v.waiting.asked = nil
+		v.asked = nil
 		return
 	}
 	if !v.node.LeaderLease(now) {
 		return
 	}
 	var kept []askedConfirm
-	for _, a := range v.waiting.asked {
+	for _, a := range v.asked {
 		if !v.answerConfirm(now, a) && now.Sub(a.at) < 10*tackclock.Second {
 			kept = append(kept, a)
 		}
 	}
-	v.waiting.asked = kept
+	v.asked = kept
 }
 
 func (v *VM) answerConfirm(now tackclock.Time, a askedConfirm) bool {
@@ -129,7 +129,7 @@
 		answer.Missing = missing
 	}
 	if a.from == v.cfg.VM.ID {
-		v.waiting.confirm(answer)
+		v.confirms.Deliver(answer.Serial, answer)
 		return true
 	}
 	v.send(a.from, kindConfirmed, answer)
@@ -162,36 +162,5 @@
 	if !v.decode(from, body, &answer) {
 		return
 	}
-	v.waiting.confirm(answer)
-}
-
-func (w *waiters) addConfirm() (uint64, chan confirmed) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.confirms == nil {
-		w.confirms = make(map[uint64]chan confirmed)
-	}
-	w.next++
-	answers := make(chan confirmed, 1)
-	w.confirms[w.next] = answers
-	return w.next, answers
-}
-
-func (w *waiters) removeConfirm(serial uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.confirms, serial)
-}
-
-func (w *waiters) confirm(answer confirmed) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	answers, ok := w.confirms[answer.Serial]
-	if !ok {
-		return
-	}
-	select {
-	case answers <- answer:
-	default:
-	}
+	v.confirms.Deliver(answer.Serial, answer)
 }
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -195,7 +195,7 @@
 		v.logChange(p, out)
 	}
 	if p.Origin == v.cfg.VM.ID {
-		v.waiting.finish(p.Serial, out)
+		v.proposals.Deliver(p.Serial, proposed{outcome: out})
 	}
 	return nil
 }
--- a/io/tackvm/propose.go
+++ b/io/tackvm/propose.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"auburntack/core/tackclock"
@@ -24,21 +23,11 @@
 )
 
 type (
-	// waiters are the callers on this VM that wait for something to come
-	// back through the log or from the leader.
-	waiters struct {
-		mu        sync.Mutex
-		next      uint64
-		proposals map[uint64]*proposalWaiter
-		confirms  map[uint64]chan confirmed
-		asked     []askedConfirm
-	}
-
-	// proposalWaiter waits for one proposal. Rejected gets a value each time
-	// a leader says that it did not append it.
-	proposalWaiter struct {
-		outcome  chan tackstate.Outcome
-		rejected chan struct{}
+	// proposed is what comes back for a proposal: its outcome, or the word of a
+	// leader that it surely did not append it.
+	proposed struct {
+		outcome  tackstate.Outcome
+		rejected bool
 	}
 
 	// NotRunError says that nothing was done: no leader took the proposal.
@@ -74,17 +63,17 @@
 // surely nothing was appended and an *UnknownOutcomeError otherwise.
 func (v *VM) propose(ctx context.Context, p tackstate.Proposal) (tackstate.Outcome, error) {
 	p.Origin = v.cfg.VM.ID
-	serial, waiter := v.waiting.add()
-	defer v.waiting.remove(serial)
+	serial, answers := v.proposals.Add()
+	defer v.proposals.Remove(serial)
 	p.Serial = serial
 	data, err := p.Encode()
 	if err != nil {
 		return tackstate.Outcome{}, &NotRunError{Reason: err.Error()}
 	}
-	return v.awaitOutcome(ctx, serial, data, waiter)
+	return v.awaitOutcome(ctx, serial, data, answers)
 }
 
-func (v *VM) awaitOutcome(ctx context.Context, serial uint64, data []byte, waiter *proposalWaiter) (tackstate.Outcome, error) {
+func (v *VM) awaitOutcome(ctx context.Context, serial uint64, data []byte, answers <-chan proposed) (tackstate.Outcome, error) {
 	var sent, rejected int
 	began := v.clock.Now()
 	ticker := time.NewTicker(resendEvery)
@@ -94,9 +83,10 @@
 	}
 	for {
 		select {
-		case out := <-waiter.outcome:
-			return out, nil
-		case <-waiter.rejected:
+		case answer := <-answers:
+			if !answer.rejected {
+				return answer.outcome, nil
+			}
 			rejected++
 		case <-ticker.C:
 			if v.submit(ctx, serial, data) {
@@ -182,54 +172,5 @@
 	if !v.decode(from, body, &r) {
 		return
 	}
-	v.waiting.reject(r.Serial)
-}
-
-func (w *waiters) add() (uint64, *proposalWaiter) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.proposals == nil {
-		w.proposals = make(map[uint64]*proposalWaiter)
-	}
-	w.next++
-	waiter := &proposalWaiter{
-		outcome:  make(chan tackstate.Outcome, 1),
-		rejected: make(chan struct{}, 16),
-	}
-	w.proposals[w.next] = waiter
-	return w.next, waiter
-}
-
-func (w *waiters) remove(serial uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.proposals, serial)
-}
-
-// finish hands the outcome to its waiter. A proposal that was sent twice is
-// applied twice; the first outcome is the one that counts.
-func (w *waiters) finish(serial uint64, out tackstate.Outcome) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	waiter, ok := w.proposals[serial]
-	if !ok {
-		return
-	}
-	select {
-	case waiter.outcome <- out:
-	default:
-	}
-}
-
-func (w *waiters) reject(serial uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	waiter, ok := w.proposals[serial]
-	if !ok {
-		return
-	}
-	select {
-	case waiter.rejected <- struct{}{}:
-	default:
-	}
+	v.proposals.Deliver(r.Serial, proposed{rejected: true})
 }
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -215,8 +215,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			_ = now
+		case <-ticker.C:
 		}
 		if v.mayServe(began) {
 			v.serves.Store(true)
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -24,6 +24,7 @@
 	"auburntack/io/tackpeer"
 	"auburntack/io/tackplatform"
 	"auburntack/io/tacksettings"
+	"auburntack/io/tackwait"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -66,13 +67,18 @@
 		directoryMu sync.Mutex
 		directory   tackmember.Directory
 
-		routes  atomic.Pointer[tackroute.Table]
-		status  atomic.Pointer[tackreplica.Status]
-		ready   atomic.Bool // for the balancer
-		serves  atomic.Bool // for callers: ready, or lingering in a planned stop
-		meter   meter
-		waiting waiters
-		duties  duties
+		routes atomic.Pointer[tackroute.Table]
+		status atomic.Pointer[tackreplica.Status]
+		ready  atomic.Bool // for the balancer
+		serves atomic.Bool // for callers: ready, or lingering in a planned stop
+		meter  meter
+		duties duties
+
+		// proposals and confirms are what callers on this VM wait for, asked
+		// what this VM, as the leader, has yet to answer.
+		proposals tackwait.Waiting[proposed]
+		confirms  tackwait.Waiting[confirmed]
+		asked     []askedConfirm
 
 		sharer tackshare.Sharer
 		shared tackclock.Time
@@ -112,7 +118,6 @@
 		broken:   make(chan struct{}),
 	}
 	v.meter.clock = clock
-	v.waiting.next = rand.Uint64() >> 1
 	stored, err := v.openDisk(logger)
 	if err != nil {
 		return nil, err
