Divide the idle connections between the two pools

Each pool kept 7 to a backend server, so eight entry VMs could hold 112, of the 64 connections that it accepts.

--- a/io/tackhttp/sender.go
+++ b/io/tackhttp/sender.go
@@ -49,6 +49,10 @@
 	s.prepare(&s.often, limits, limits.IdleWait)
 	s.prepare(&s.once, limits, min(freshIdle, limits.IdleWait))
 	s.prepare(&s.fresh, limits, limits.IdleWait)
+	// Together they keep no more than the limit, or the entry VMs would hold
+	// more connections than a backend server accepts.
+	s.often.MaxIdleConnsPerHost = (limits.Idle + 1) / 2
+	s.once.MaxIdleConnsPerHost = max(1, limits.Idle/2)
 	s.fresh.DisableKeepAlives = true
 }
 
@@ -56,7 +60,6 @@
 	t.DialContext = s.dial
 	t.DisableCompression = true
 	t.MaxIdleConns = 0
-	t.MaxIdleConnsPerHost = limits.Idle
 	t.IdleConnTimeout = idle.Std()
 	t.MaxResponseHeaderBytes = int64(limits.HeaderBytes)
 	t.Protocols = new(http.Protocols)
