--- a/io/tackhttp/attempt.go
+++ b/io/tackhttp/attempt.go
@@ -68,6 +68,9 @@
 	a.watch = time.AfterFunc(c.h.limits.DialWait.Std()+c.h.limits.BodyWait.Std(), a.expire)
 	a.wait(c.h.limits.DialWait + c.h.limits.BodyWait)
 	resp, err := c.h.sender.transport(c).RoundTrip(a.request())
+	if err != nil && a.mayReopen() {
+		resp, err = c.h.sender.fresh.RoundTrip(a.request())
+	}
 	if err != nil {
 		return a.failed(err)
 	}
@@ -88,6 +91,14 @@
 	return nil
 }
 
+// mayReopen reports whether the dispatch may go on over a new connection. The
+// transport gives up on a request that is not idempotent if its connection was
+// closed while it took it, although no byte has left: a backend server that
+// closes idle connections would have requests refused that it could run.
+func (a *attempt) mayReopen() bool {
+	return a.reused.Load() && !a.sent() && a.ctx.Err() == nil && !a.call.touched.Load()
+}
+
 // request builds what is sent.
 func (a *attempt) request() *http.Request {
 	c := a.call
--- a/io/tackhttp/service.go
+++ b/io/tackhttp/service.go
@@ -205,6 +205,7 @@
 func (s *service) began(took tackclock.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	took = max(took, tackclock.Millisecond) // zero means that there was none
 	if took >= s.slowest {
 		s.slowest = took
 		return
