--- a/core/tackplace/answer.go
+++ b/core/tackplace/answer.go
@@ -59,6 +59,8 @@
 	case l.resent:
 		// Refused or not, the worker may have it from the first start.
 		l.again = a.Outcome == OutcomeNotSent
+	case a.Outcome == OutcomeUnknown:
+		l.again = l.row.Idempotent
 	case a.Outcome == OutcomeRefused:
 		t.over(l)
 		t.failedOn(l)
--- /dev/null
+++ b/core/tackplace/bench_test.go
@@ -0,0 +1,225 @@
+package tackplace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackcommand"
+	"auburntack/core/tackfleet"
+	"auburntack/core/tackid"
+)
+
+type (
+	// scenario is a pool of workers under more batch work than it holds, to
+	// which urgent tasks come.
+	scenario struct {
+		name                     string
+		workers, cores, memoryMB int
+		teams                    int
+		warm, length             tackclock.Duration
+	}
+
+	outcome struct {
+		urgent       int
+		unknown      int // not idempotent, and the start was lost
+		p50, p999    tackclock.Duration
+		used, plain  float64 // parts of the cores, by the placer and the baseline
+		moves, tasks int
+		over         float64 // part of worker ticks with more cores in use than there are
+	}
+)
+
+var (
+	brittany  = scenario{"Brittany", 50, 16, 32_000, 10, 10 * tackclock.Minute, 20 * tackclock.Minute}
+	mindanao  = scenario{"Mindanao", 50, 32, 128_000, 10, 10 * tackclock.Minute, 20 * tackclock.Minute}
+	letter    = scenario{"letter 1", 2300, 16, 32_000, 45, 3 * tackclock.Minute, 3 * tackclock.Minute}
+	scenarios = []scenario{brittany, mindanao, letter}
+)
+
+// batch makes the sizes of a batch task: declared ones, and by what part of
+// them it really goes.
+func (w *world) batch(s *scenario) (cores, memory int) {
+	return 1 + w.rnd.IntN(s.cores/4), s.memoryMB / s.cores / 2 * (1 + w.rnd.IntN(6))
+}
+
+func (w *world) actually(o *Order) (float64, float64, tackclock.Duration) {
+	row, _ := w.fleet.Task(o.Task)
+	cores := float64(row.Cores) * (0.2 + 0.6*w.rnd.Float64())
+	memory := float64(row.MemoryMB) * (0.3 + 0.6*w.rnd.Float64())
+	if row.Class == tackid.ClassUrgent {
+		return cores, memory, 30 * tackclock.Second
+	}
+	return cores, memory, tackclock.Duration(2+w.rnd.IntN(20)) * tackclock.Minute
+}
+
+func (s *scenario) fill(w *world, from, n int) {
+	for i := from; i < from+n; i++ {
+		cores, memory := w.batch(s)
+		w.create(fmt.Sprintf("batch-%06d", i), fmt.Sprintf("team-%02d", i%s.teams), cores, memory, tackid.ClassBatch, i%5 != 0)
+	}
+}
+
+// measure runs the scenario: batch work fills the pool, then urgent tasks
+// come. One order or answer in 200 is lost.
+func (s scenario) measure() outcome {
+	w := newWorld(1, s.workers, s.cores, s.memoryMB)
+	w.actual = w.actually
+	for i := range s.teams {
+		w.do(tackcommand.Command{SetQuota: &tackcommand.SetQuota{
+			Team: tackid.Team(fmt.Sprintf("team-%02d", i)), Cores: 3 * s.workers * s.cores / s.teams}})
+	}
+	filled := s.workers * s.cores
+	s.fill(w, 0, filled)
+	w.run(s.warm)
+	w.loss = 0.005
+	var o outcome
+	came := make(map[tackid.Task]tackclock.Time)
+	ticks := 0.0
+	for end := w.now.Add(s.length); w.now.Before(end); ticks++ {
+		if w.rnd.IntN(5) == 0 {
+			id := fmt.Sprintf("urgent-%04d", o.urgent)
+			o.urgent++
+			w.create(id, fmt.Sprintf("team-%02d", o.urgent%s.teams), 1+w.rnd.IntN(2), s.memoryMB/8, tackid.ClassUrgent, o.urgent%2 == 0)
+			came[tackid.Task(id)] = w.now.Add(tackclock.Duration(w.rnd.IntN(int(testTick))))
+		}
+		if w.rnd.IntN(5) == 0 {
+			s.fill(w, filled, s.workers/20)
+			filled += s.workers / 20
+		}
+		w.step()
+		used, over := w.cores()
+		o.used += used / float64(s.workers*s.cores)
+		o.over += over / float64(s.workers)
+	}
+	o.used /= ticks
+	o.over /= ticks
+	w.loss = 0
+	w.run(10 * tackclock.Second)
+	o.count(w, came)
+	o.plain = s.firstFit()
+	if len(w.wrong) > 0 {
+		panic(fmt.Sprint(w.wrong))
+	}
+	return o
+}
+
+func (o *outcome) count(w *world, came map[tackid.Task]tackclock.Time) {
+	var waits []tackclock.Duration
+	for id, at := range came {
+		began := w.began[id]
+		switch row, _ := w.fleet.Task(id); {
+		case len(began) > 0:
+			waits = append(waits, began[0].Sub(at))
+		case row.State == tackfleet.TaskUnknown || row.State == tackfleet.TaskRunning && !row.Idempotent:
+			o.unknown++
+		default:
+			waits = append(waits, w.now.Sub(at))
+		}
+	}
+	slices.Sort(waits)
+	o.p50 = waits[len(waits)/2]
+	o.p999 = waits[(len(waits)*999+999)/1000-1]
+	for _, began := range w.began {
+		o.tasks++
+		o.moves += len(began) - 1
+	}
+}
+
+// cores returns the cores in use, no more of a worker than it has, and how
+// many workers are asked for more than they have.
+func (w *world) cores() (sum, over float64) {
+	for id, f := range w.workers {
+		vm, _ := w.fleet.VM(id)
+		used := 0.0
+		for _, r := range f.runs {
+			if r.state == StateRunning {
+				used += r.cores
+			}
+		}
+		if used > float64(vm.Cores) {
+			over++
+		}
+		sum += min(used, float64(vm.Cores))
+	}
+	return sum, over
+}
+
+// firstFit returns the part of the cores in use when each task is put on the
+// first worker that has what was declared, in the order in which they came.
+func (s *scenario) firstFit() float64 {
+	w := newWorld(1, 0, 1, 1)
+	free := make([]need, s.workers)
+	for i := range free {
+		free[i] = need{cores: float64(s.cores), memoryMB: s.memoryMB}
+	}
+	used := 0.0
+	for misses := 0; misses < 50; {
+		cores, memory := w.batch(s)
+		n := need{cores: float64(cores), memoryMB: memory}
+		at := slices.IndexFunc(free, n.within)
+		if at < 0 {
+			misses++
+			continue
+		}
+		free[at].less(n)
+		used += float64(cores) * (0.2 + 0.6*w.rnd.Float64())
+	}
+	return used / float64(s.workers*s.cores)
+}
+
+// TestFigures holds the figures to bounds. They come from the model clock and
+// seeds, so they are the same on every machine.
+func TestFigures(t *testing.T) {
+	for _, s := range []scenario{brittany, mindanao} {
+		t.Run(s.name, func(t *testing.T) {
+			o := s.measure()
+			t.Logf("%+v", o)
+			if o.p999 > 2300 {
+				t.Errorf("urgent tasks start after %v", o.p999)
+			}
+			if o.used < 1.1*o.plain {
+				t.Errorf("%.2f of the cores in use, %.2f by first fit", o.used, o.plain)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace measures each scenario.
+func BenchmarkPlace(b *testing.B) {
+	for _, s := range scenarios {
+		b.Run(s.name, func(b *testing.B) {
+			b.ReportAllocs()
+			var o outcome
+			for b.Loop() {
+				o = s.measure()
+			}
+			b.ReportMetric(float64(o.p50), "urgent_p50_ms")
+			b.ReportMetric(float64(o.p999), "urgent_p99.9_ms")
+			b.ReportMetric(o.used, "cores_used")
+			b.ReportMetric(o.plain, "first_fit_used")
+			b.ReportMetric(float64(o.moves), "moves")
+			b.ReportMetric(float64(o.tasks), "tasks")
+			b.ReportMetric(o.over, "workers_over")
+		})
+	}
+}
+
+// BenchmarkDecide measures one decision in a full pool, where work waits.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{100, 500, 2300} {
+		s := scenario{workers: n, cores: 16, memoryMB: 32_000, teams: 45}
+		w := newWorld(1, n, s.cores, s.memoryMB)
+		w.actual = w.actually
+		s.fill(w, 0, n*12)
+		w.run(tackclock.Minute)
+		v := View{Now: w.now, Term: w.term, Fleet: &w.fleet}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.placer.Decide(v, w.cfg)
+			}
+		})
+	}
+}
--- a/core/tackplace/failure_test.go
+++ b/core/tackplace/failure_test.go
@@ -183,7 +183,7 @@
 		for i := range 400 {
 			So(w.task(fmt.Sprintf("x-%03d", i)).State, ShouldEqual, tackfleet.TaskDone)
 		}
-		So(len(bad.runs), ShouldBeLessThan, 20)
+		So(bad.starts, ShouldBeLessThan, 20)
 	})
 	Convey("Once it works again a probe brings it back", t, func() {
 		bad.fails = false
@@ -192,9 +192,9 @@
 		for i := range 300 {
 			w.create(fmt.Sprintf("y-%03d", i), "a", 1, 900, tackid.ClassNormal, true)
 		}
-		before := len(bad.runs)
+		before := bad.starts
 		w.run(40 * tackclock.Minute)
-		So(len(bad.runs), ShouldBeGreaterThan, before)
+		So(bad.starts, ShouldBeGreaterThan, before)
 		So(w.placer.standing["w-0003"], ShouldBeNil)
 	})
 }
@@ -247,6 +247,38 @@
 	}
 }
 
+// Symptom: an urgent Notice waits for hours behind batch work.
+// Sequence: batch work fills the memory, or the cores, of every worker; an
+// urgent task comes.
+// Cause: without throttling and stopping nothing makes room.
+func TestBatchGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		cores, memory int
+		verb          Verb
+	}{
+		{"cores", 4, 100, VerbThrottle},
+		{"memory", 1, 3800, VerbStop},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(11, 4, 4, 4000)
+			for i := range 8 {
+				w.create(fmt.Sprint("batch-", i), "a", c.cores, c.memory, tackid.ClassBatch, true)
+			}
+			w.run(5 * tackclock.Second)
+			w.create("urgent", "b", 2, 2000, tackid.ClassUrgent, false)
+			w.run(2300)
+			if len(w.began["urgent"]) != 1 || w.orders[c.verb] != 1 {
+				t.Fatalf("started %v, orders %v", w.began["urgent"], w.orders)
+			}
+			w.run(30 * tackclock.Minute)
+			for i := range 8 {
+				assertState(t, w, fmt.Sprint("batch-", i), tackfleet.TaskDone)
+			}
+		})
+	}
+}
+
 // Symptom: workers run out of memory and kill what they run.
 // Sequence: a team declares half of what its tasks use; usage lags by 5 s.
 // Cause: room is set aside by what was declared only.
--- a/core/tackplace/lease.go
+++ b/core/tackplace/lease.go
@@ -12,8 +12,8 @@
 	stageStop
 )
 
-// hurry is how long an answer is waited for before a stop is sent again while
-// urgent work waits.
+// hurry is how long an answer is waited for before a start is sent again, or a
+// stop while urgent work waits.
 const hurry = 500 * tackclock.Millisecond
 
 type (
@@ -163,7 +163,7 @@
 			t.repeatEnd(l)
 		case !l.sent:
 			t.start(l)
-		case l.again:
+		case l.again || t.unanswered(l):
 			t.startAgain(l)
 		case !l.until.After(t.now):
 			t.lost(l)
@@ -193,11 +193,19 @@
 	t.order(l, VerbStart, Order{Lease: t.cfg.Lease, Cores: l.need.wholeCores(), MemoryMB: l.need.memoryMB})
 }
 
-// startAgain sends the start of a task that another leader may not have sent
-// any more. The token is the same, so a worker that has the task goes on with
-// it; waiting for reports instead would hold up urgent work for UsageLag.
+// unanswered reports whether the start of a task that may be run again waits
+// for its answer too long.
+func (t *tick) unanswered(l *lease) bool {
+	return l.row.Idempotent && l.pending == VerbStart && !l.shown && t.now.Sub(l.pendingAt) >= hurry
+}
+
+// startAgain sends the start of a task that may have got lost, or that another
+// leader may not have sent any more. The token is the same, so a worker that
+// has the task goes on with it; waiting for reports instead would hold up
+// urgent work for UsageLag.
 func (t *tick) startAgain(l *lease) {
 	l.again = false
+	l.pending = ""
 	if w := t.workers[l.worker]; w == nil || !w.vm.Available() || l.shown {
 		return
 	}
--- a/core/tackplace/world_test.go
+++ b/core/tackplace/world_test.go
@@ -32,11 +32,12 @@
 	}
 
 	fakeWorker struct {
-		runs  map[tackid.Task]*run
-		token map[tackid.Task]tackid.Token
-		fails bool // everything it starts
-		cut   bool // hears nothing
-		from  tackclock.Time
+		runs   map[tackid.Task]*run
+		token  map[tackid.Task]tackid.Token
+		starts int
+		fails  bool // everything it starts
+		cut    bool // hears nothing
+		from   tackclock.Time
 	}
 
 	message struct {
@@ -61,6 +62,7 @@
 		saving   tackclock.Duration // what a checkpoint takes
 		workers  map[tackid.VM]*fakeWorker
 		sent     []message
+		unsure   []message // those that the platform's client gives up on
 		answers  []Answer
 		pending  []tackfleet.Change
 		began    map[tackid.Task][]tackclock.Time
@@ -124,7 +126,7 @@
 			w.apply(c)
 		}
 	}
-	w.pending, w.answers = nil, nil
+	w.pending, w.answers, w.unsure = nil, nil, nil
 	w.term++
 	w.placer = Placer{}
 }
@@ -172,7 +174,7 @@
 	}
 	if w.rnd.Float64() < w.loss {
 		m.left = true
-		w.answers = append(w.answers, Answer{Order: o})
+		w.unsure = append(w.unsure, message{at: w.now.Add(2 * tackclock.Second), order: o, term: w.term})
 		if w.rnd.IntN(2) == 0 {
 			return
 		}
@@ -182,12 +184,22 @@
 }
 
 func (w *world) deliver() {
+	for len(w.unsure) > 0 && !w.unsure[0].at.After(w.now) {
+		if w.unsure[0].term == w.term {
+			w.answers = append(w.answers, Answer{Order: w.unsure[0].order})
+		}
+		w.unsure = w.unsure[1:]
+	}
 	slices.SortStableFunc(w.sent, func(a, b message) int { return cmp.Compare(a.at, b.at) })
 	for len(w.sent) > 0 && !w.sent[0].at.After(w.now) {
 		m := w.sent[0]
 		w.sent = w.sent[1:]
 		outcome := w.workers[m.order.Worker].take(w, m.order)
-		if !m.left && m.term == w.term && w.rnd.Float64() >= w.loss {
+		switch {
+		case m.left || m.term != w.term:
+		case w.rnd.Float64() < w.loss:
+			w.unsure = append(w.unsure, message{at: w.now.Add(2 * tackclock.Second), order: m.order, term: w.term})
+		default:
 			w.answers = append(w.answers, Answer{Order: m.order, Outcome: outcome})
 		}
 	}
@@ -238,6 +250,7 @@
 	if n := len(w.began[o.Task]); n > 1 && !row.Idempotent {
 		w.wrong = append(w.wrong, fmt.Sprintf("%s, not idempotent, started %d times", o.Task, n))
 	}
+	f.starts++
 	f.token[o.Task] = o.Token
 	r := &run{order: o, began: w.now, leased: w.now.Add(o.Lease), state: StateRunning}
 	var takes tackclock.Duration
@@ -253,8 +266,10 @@
 // work ends what is done and what lost its lease.
 func (w *world) work() {
 	for _, f := range w.workers {
-		for _, r := range f.runs {
+		for id, r := range f.runs {
 			switch {
+			case r.state != StateRunning && w.now.Sub(r.over) > tackclock.Minute:
+				delete(f.runs, id)
 			case r.state != StateRunning:
 			case !r.leased.After(w.now):
 				r.state, r.over = StateStopped, r.leased
