--- a/core/tackplace/lease.go
+++ b/core/tackplace/lease.go
@@ -27,6 +27,7 @@
 		worker tackid.VM
 		token  tackid.Token
 		row    *tackfleet.Task
+		on     *worker // as of the tick under way; nil where it is not known
 		need   need
 
 		// until is when the lease has surely run out.
@@ -84,7 +85,7 @@
 		case tackfleet.TaskQueued:
 			t.queue(row)
 		}
-		if row.State != tackfleet.TaskQueued {
+		if row.State != tackfleet.TaskQueued && len(t.promised) > 0 {
 			delete(t.promised, row.ID)
 		}
 	}
@@ -104,6 +105,7 @@
 	}
 	l.row = row
 	l.seen = t.count
+	l.on = t.workers[l.worker]
 	t.live = append(t.live, l)
 	t.held[row.Team] += row.Cores
 }
@@ -140,6 +142,7 @@
 	if l != nil && l.token == row.Token {
 		l.row = row
 		l.seen = t.count
+		l.on = t.workers[l.worker]
 		t.live = append(t.live, l)
 		return
 	}
@@ -180,7 +183,7 @@
 // start has the worker run a task. For one that is not idempotent the order is
 // sent once: after an answer that was lost, a second could run it twice.
 func (t *tick) start(l *lease) {
-	w := t.workers[l.worker]
+	w := l.on
 	if w == nil || !w.vm.Available() {
 		t.requeue(l, tackfleet.TryNotStarted, "worker left before the start")
 		return
@@ -206,7 +209,7 @@
 func (t *tick) startAgain(l *lease) {
 	l.again = false
 	l.pending = ""
-	if w := t.workers[l.worker]; w == nil || !w.vm.Available() || l.shown {
+	if w := l.on; w == nil || !w.vm.Available() || l.shown {
 		return
 	}
 	l.sentAt = t.now
@@ -231,7 +234,7 @@
 // silent reports whether the worker of a lease neither serves nor answers. Its
 // leases are left to run out, which is the only way to be sure of them.
 func (t *tick) silent(l *lease) bool {
-	w := t.workers[l.worker]
+	w := l.on
 	if w != nil && w.vm.Health == tackfleet.HealthServing {
 		return false
 	}
@@ -271,7 +274,7 @@
 // when it was not answered, so a burst costs no more than its number.
 func (t *tick) endCancelled(l *lease) {
 	if !l.sent || !l.until.After(t.now) {
-		delete(t.leases, l.task)
+		t.over(l)
 		return
 	}
 	if !l.startable.After(t.now) {
--- a/core/tackplace/placer.go
+++ b/core/tackplace/placer.go
@@ -58,6 +58,7 @@
 		cfg Settings
 
 		workers map[tackid.VM]*worker
+		sorted  []*worker // by id
 		pools   map[tackid.Pool]*pool
 		live    []*lease            // by task
 		held    map[tackid.Team]int // declared cores against the quota
--- a/core/tackplace/queue.go
+++ b/core/tackplace/queue.go
@@ -59,7 +59,7 @@
 
 // queue takes in a task that waits, or sets it aside if it can never run.
 func (t *tick) queue(row *tackfleet.Task) {
-	if _, promised := t.promised[row.ID]; promised {
+	if t.isPromised(row.ID) {
 		return
 	}
 	p := t.poolOf(row.Pool)
@@ -80,6 +80,14 @@
 	q.add(row)
 }
 
+func (t *tick) isPromised(id tackid.Task) bool {
+	if len(t.promised) == 0 {
+		return false
+	}
+	_, promised := t.promised[id]
+	return promised
+}
+
 // tooLarge says why no worker of the pool could ever run the task. A worker
 // that has not announced itself yet may be a larger one.
 func (p *pool) tooLarge(row *tackfleet.Task) string {
--- a/core/tackplace/worker.go
+++ b/core/tackplace/worker.go
@@ -15,7 +15,6 @@
 		vm     *tackfleet.VM
 		free   need
 		leases []*lease
-		teams  map[tackid.Team]int
 		rack   *rack
 		probed bool // it has a probe, or may not get one yet
 		busy   bool // it is avoided, and gets probes only
@@ -55,6 +54,7 @@
 		w := &worker{vm: vm, rack: racks[name], free: need{float64(vm.Cores), vm.MemoryMB, vm.Accelerators}}
 		w.busy, w.probed = t.avoided(vm.ID)
 		t.workers[vm.ID] = w
+		t.sorted = append(t.sorted, w)
 		p.add(w)
 	}
 }
@@ -63,17 +63,18 @@
 func (t *tick) fillWorkers() {
 	clear(t.onWorker)
 	for _, l := range t.live {
-		if l.gone || t.leases[l.task] != l {
-			continue
-		}
-		t.onWorker[l.worker]++
-		w := t.workers[l.worker]
-		if w == nil {
-			continue
+		switch w := l.on; {
+		case l.gone:
+		case w == nil:
+			t.onWorker[l.worker]++
+		default:
+			w.leases = append(w.leases, l)
+			w.take(l.room(), l.row.Team)
+			w.probed = w.probed || w.busy
 		}
-		w.leases = append(w.leases, l)
-		w.take(l.room(), l.row.Team)
-		w.probed = w.probed || w.busy
+	}
+	for _, w := range t.sorted {
+		t.onWorker[w.vm.ID] = len(w.leases)
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.promised)) {
 		p := t.promised[id]
--- a/core/tackplace/yield.go
+++ b/core/tackplace/yield.go
@@ -137,7 +137,7 @@
 // non-idempotent task holds the drain until it ends or the wave gives up.
 func (t *tick) drain() {
 	for _, l := range t.live {
-		w := t.workers[l.worker]
+		w := l.on
 		if w == nil || l.gone || l.stage != stageRunning || !l.movable(t.now) {
 			continue
 		}
@@ -155,7 +155,7 @@
 // gives throttled tasks their cores back where there is room again.
 func (t *tick) relieve() {
 	for _, l := range t.live {
-		w := t.workers[l.worker]
+		w := l.on
 		if w == nil || l.gone || l.stage != stageRunning || l.throttled == 0 && !t.heldBack(l) {
 			continue
 		}
@@ -166,10 +166,8 @@
 			l.restore = false
 		}
 	}
-	for vm := range t.f.EachVM() {
-		if w := t.workers[vm.ID]; w != nil {
-			t.relieveMemory(w)
-		}
+	for _, w := range t.sorted {
+		t.relieveMemory(w)
 	}
 }
 
@@ -187,6 +185,9 @@
 			used -= l.used.memoryMB
 		}
 	}
+	if used <= fullMemory*float64(w.vm.MemoryMB) {
+		return
+	}
 	for _, l := range slices.SortedFunc(slices.Values(w.leases), leastClass) {
 		if used <= fullMemory*float64(w.vm.MemoryMB) {
 			return
