--- a/core/tackplace/settings.go
+++ b/core/tackplace/settings.go
@@ -22,7 +22,7 @@
 	// urgent one waits for its room, 800 ms.
 	CheckpointLimit tackclock.Duration
 	// Headroom is the percentage of a worker's memory kept free of work
-	// that is not urgent, 5.
+	// that is not urgent, 10.
 	Headroom int
 	// MaxStarts is how many tasks are placed in one decision, 200.
 	MaxStarts int
@@ -44,7 +44,7 @@
 	fill(&s.GiveUp, 15*tackclock.Second)
 	fill(&s.FinishWithin, 2*tackclock.Minute)
 	fill(&s.CheckpointLimit, 800*tackclock.Millisecond)
-	fill(&s.Headroom, 5)
+	fill(&s.Headroom, 10)
 	fill(&s.MaxStarts, 200)
 	fill(&s.FailuresInRow, 3)
 	fill(&s.ProbeAfter, 30*tackclock.Second)
