--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -45,11 +45,15 @@
 
 		reports  map[tackid.Peer]heardReport
 		reported tackclock.Time
-		hadIdle  bool
-		stopped  atomic.Bool
-		leaving  leaving
+		// reportedTo is the leader that had a report of this life.
+		reportedTo tackid.Peer
+		unleased   map[tackid.Peer]tackclock.Time
+		hadIdle    bool
+		stopped    atomic.Bool
+		leaving    leaving
 
 		operations operations
+		tasks      tasks
 	}
 
 	// leaving are the VMs that may get no new work, as of the fleet's
@@ -79,16 +83,23 @@
 // tickDuties has the leader compare what the fleet should be with what is
 // seen and propose the difference.
 func (v *VM) tickDuties(now tackclock.Time) {
-	if now.Sub(v.duties.at) < dutyEvery || !v.node.LeaderLease(now) {
+	if !v.node.LeaderLease(now) {
+		v.duties.unleased = nil
 		return
 	}
+	if now.Sub(v.duties.at) < dutyEvery {
+		return
+	}
+	v.watchLeases(now)
 	v.duties.at = now
 	if v.dutyPending(now) {
 		return
 	}
 	v.mu.RLock()
+	placement := v.decideTasks(now)
 	decision := v.duties.planner.Decide(view{v: v, now: now}, v.waveSettings(now))
-	changes := append(v.observations(now), decision.Changes...)
+	changes := append(v.observations(now), v.withoutLive(decision.Changes)...)
+	changes = append(changes, placement.Changes...)
 	v.mu.RUnlock()
 	for i := range changes {
 		v.proposeDuty(now, &changes[i])
@@ -97,6 +108,8 @@
 		v.operate(op)
 	}
 	v.pollOperations(now)
+	v.carryOutOrders(placement.Orders)
+	v.pollUsage(now)
 }
 
 func (v *VM) dutyPending(now tackclock.Time) bool {
@@ -147,14 +160,14 @@
 }
 
 // nightEnds returns the first moment at the configured time of day that comes
-// after the first of the running waves started, or after now if none runs; it
-// is zero where no time of day is configured. Counting from now alone would
-// give a wave that overruns another whole day.
+// after the first of the running waves was started or resumed, or after now if
+// none runs; it is zero where no time of day is configured. Counting from now
+// alone would give a wave that overruns another whole day.
 func (v *VM) nightEnds(now tackclock.Time) tackclock.Time {
 	began := now
 	for _, w := range v.state.Fleet.Waves() {
-		if w.Status == tackfleet.WaveRunning && w.Started.Before(began) {
-			began = w.Started
+		if w.Status == tackfleet.WaveRunning && w.Resumed.Before(began) {
+			began = w.Resumed
 		}
 	}
 	return v.cfg.Wave.NightEnds.After(began)
@@ -166,10 +179,11 @@
 // Fleet returns the state that this VM has applied.
 func (w view) Fleet() *tackfleet.State { return &w.v.state.Fleet }
 
-// Idle reports whether no peer has work in flight on the VM.
+// Idle reports whether no peer has work in flight on the VM and no task may
+// still run there.
 func (w view) Idle(id tackid.VM, fence tackid.Revision) bool {
 	vm, ok := w.v.state.Fleet.VM(id)
-	return ok && w.v.idle(w.now, vm, fence)
+	return ok && !w.v.runsTasks(id) && w.v.idle(w.now, vm, fence)
 }
 
 // Fenced reports whether no peer routes by a revision older than rev.
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -24,6 +24,7 @@
 // runLoop owns the replicated log until ctx ends. It returns an error only
 // when the VM cannot go on.
 func (v *VM) runLoop(ctx context.Context) error {
+	defer close(v.ended)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -42,13 +43,17 @@
 	}
 }
 
-// post hands f to the loop. It reports false where ctx ended first.
+// post hands f to the loop. It reports false where ctx or the loop ended
+// first: a handler of the links that went on waiting for a loop that is gone
+// would keep the process from stopping.
 func (v *VM) post(ctx context.Context, f func()) bool {
 	select {
 	case v.events <- f:
 		return true
 	case <-ctx.Done():
 		return false
+	case <-v.ended:
+		return false
 	}
 }
 
@@ -67,27 +72,39 @@
 	v.node.Tick(now)
 	v.tickDirectory(now)
 	v.tickReport(now)
+	v.tickShare(now)
 	v.tickDuties(now)
 }
 
 // settle carries out what the log asks for until it asks for nothing more,
 // then brings what depends on it up to date.
 func (v *VM) settle() error {
+	if err := v.carryOutAll(); err != nil {
+		return err
+	}
+	now := v.clock.Now()
+	v.publishRoutes(now)
+	v.node.Applied(v.applied.Index)
+	// What was applied is reported at once: the leader answers a command only
+	// when every VM has said so.
+	if err := v.carryOutAll(); err != nil {
+		return err
+	}
+	v.refreshStatus(now)
+	v.answerConfirms(now)
+	return v.snapshotWhenDue()
+}
+
+func (v *VM) carryOutAll() error {
 	for {
 		r, ok := v.node.Ready()
 		if !ok {
-			break
+			return nil
 		}
 		if err := v.carryOut(r); err != nil {
 			return err
 		}
 	}
-	now := v.clock.Now()
-	v.publishRoutes(now)
-	v.node.Applied(v.applied.Index)
-	v.refreshStatus(now)
-	v.answerConfirms(now)
-	return v.snapshotWhenDue()
 }
 
 func (v *VM) carryOut(r tackreplica.Ready) error {
@@ -100,7 +117,9 @@
 		return err
 	}
 	for _, m := range r.Messages {
-		v.send(m.To, kindReplica, m)
+		to := m.To
+		m.From, m.To = "", "" // the link tells both
+		v.send(to, kindReplica, m)
 	}
 	for _, e := range r.Committed {
 		if err := v.apply(e); err != nil {
@@ -200,10 +219,11 @@
 	for _, m := range members {
 		plain = append(plain, m.Member)
 	}
-	v.links.SetPeers(linkPeers(plain, v.cfg.VM.ID))
+	v.links.SetPeers(v.linkPeers(plain))
 	v.directoryMu.Lock()
 	v.directory.SetPeers(peerIDs(plain, v.cfg.VM.ID))
 	v.directoryMu.Unlock()
+	v.sharer.SetPeers(v.clock.Now(), neighbours(plain))
 }
 
 func (v *VM) snapshotWhenDue() error {
@@ -246,7 +266,7 @@
 	if !v.decode(from, body, &m) {
 		return
 	}
-	m.From = from
+	m.From, m.To = from, v.cfg.VM.ID
 	v.post(context.Background(), func() { v.node.Step(v.clock.Now(), m) })
 }
 
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -5,6 +5,7 @@
 package tackvm
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -15,6 +16,7 @@
 	"auburntack/core/tackmember"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackroute"
+	"auburntack/core/tackshare"
 	"auburntack/core/tackstate"
 	"auburntack/core/tackwave"
 	"auburntack/io/tackdisk"
@@ -50,8 +52,11 @@
 
 		// events are run one at a time by the loop, which alone touches node.
 		events chan func()
+		// ended is closed once the loop takes no more events.
+		ended  chan struct{}
 		node   *tackreplica.Node
 		failed atomic.Pointer[StoppedError]
+		broken chan struct{} // closed once failed is set
 
 		// mu guards state and applied. Only the loop writes them.
 		mu      sync.RWMutex
@@ -69,6 +74,9 @@
 		waiting waiters
 		duties  duties
 
+		sharer tackshare.Sharer
+		shared tackclock.Time
+
 		snapshotAt tackid.Revision
 		routedBy   routeInputs
 	}
@@ -100,6 +108,8 @@
 		log:      logger.WithField("vm", string(cfg.VM.ID)),
 		registry: metrics.NewRegistry(),
 		events:   make(chan func(), eventQueue),
+		ended:    make(chan struct{}),
+		broken:   make(chan struct{}),
 	}
 	v.meter.clock = clock
 	v.waiting.next = rand.Uint64() >> 1
@@ -114,6 +124,7 @@
 	v.duties.planner = &tackwave.Planner{}
 	v.publishRoutes(clock.Now())
 	v.caller = v.newCaller(logger)
+	v.startSharing(clock.Now(), v.configuredMembers())
 	return v, nil
 }
 
@@ -169,19 +180,21 @@
 	return nil
 }
 
+// configuredMembers returns the members that the settings name. They have no
+// addresses: those are each VM's own settings, and the log holds one only for
+// a member that was added later. With the addresses in it, every VM would go
+// by those in the settings of whichever VM led first.
 func (v *VM) configuredMembers() []tackreplica.Member {
 	members := []tackreplica.Member{{
 		Peer:       v.cfg.VM.ID,
 		DataCentre: v.cfg.VM.DataCentre,
 		Voter:      v.cfg.State.Replica,
-		Address:    v.cfg.Listen.Peer,
 	}}
 	for _, p := range v.cfg.Peers {
 		members = append(members, tackreplica.Member{
 			Peer:       p.ID,
 			DataCentre: p.DataCentre,
 			Voter:      p.Replica,
-			Address:    p.Address,
 		})
 	}
 	return members
@@ -191,7 +204,7 @@
 	v.links = tackpeer.New(tackpeer.Config{
 		Self:     v.cfg.VM.ID,
 		Listen:   v.cfg.Listen.Peer,
-		Peers:    linkPeers(v.configuredMembers(), v.cfg.VM.ID),
+		Peers:    v.linkPeers(v.configuredMembers()),
 		Clock:    v.clock,
 		Logger:   logger,
 		Registry: v.registry,
@@ -203,6 +216,7 @@
 	v.links.Handle(kindConfirm, v.onConfirm)
 	v.links.Handle(kindConfirmed, v.onConfirmed)
 	v.links.Handle(kindReport, v.onReport)
+	v.links.Handle(kindShare, v.onShare)
 	v.directory.Configure(v.cfg.VM.ID, v.cfg.VM.DataCentre)
 	v.directory.SetPeers(peerIDs(v.configuredMembers(), v.cfg.VM.ID))
 	if v.cfg.Platform.Address != "" {
@@ -210,12 +224,20 @@
 	}
 }
 
-func linkPeers(members []tackreplica.Member, self tackid.Peer) []tackpeer.Peer {
+// linkPeers returns the members other than this VM with their addresses: the
+// log's for one that was added, the settings' for the others.
+func (v *VM) linkPeers(members []tackreplica.Member) []tackpeer.Peer {
+	configured := make(map[tackid.Peer]string)
+	for _, p := range v.cfg.Peers {
+		configured[p.ID] = p.Address
+	}
 	var peers []tackpeer.Peer
 	for _, m := range members {
-		if m.Peer != self {
-			peers = append(peers, tackpeer.Peer{ID: m.Peer, DataCentre: m.DataCentre, Address: m.Address})
+		if m.Peer == v.cfg.VM.ID {
+			continue
 		}
+		address := cmp.Or(m.Address, configured[m.Peer])
+		peers = append(peers, tackpeer.Peer{ID: m.Peer, DataCentre: m.DataCentre, Address: address})
 	}
 	return peers
 }
