--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -45,9 +45,12 @@
 
 		reports  map[tackid.Peer]heardReport
 		reported tackclock.Time
-		hadIdle  bool
-		stopped  atomic.Bool
-		leaving  leaving
+		// reportedTo is the leader that had a report of this life.
+		reportedTo tackid.Peer
+		unleased   map[tackid.Peer]tackclock.Time
+		hadIdle    bool
+		stopped    atomic.Bool
+		leaving    leaving
 
 		operations operations
 		tasks      tasks
@@ -80,9 +83,14 @@
 // tickDuties has the leader compare what the fleet should be with what is
 // seen and propose the difference.
 func (v *VM) tickDuties(now tackclock.Time) {
-	if now.Sub(v.duties.at) < dutyEvery || !v.node.LeaderLease(now) {
+	if !v.node.LeaderLease(now) {
+		v.duties.unleased = nil
 		return
 	}
+	if now.Sub(v.duties.at) < dutyEvery {
+		return
+	}
+	v.watchLeases(now)
 	v.duties.at = now
 	if v.dutyPending(now) {
 		return
@@ -152,14 +160,14 @@
 }
 
 // nightEnds returns the first moment at the configured time of day that comes
-// after the first of the running waves started, or after now if none runs; it
-// is zero where no time of day is configured. Counting from now alone would
-// give a wave that overruns another whole day.
+// after the first of the running waves was started or resumed, or after now if
+// none runs; it is zero where no time of day is configured. Counting from now
+// alone would give a wave that overruns another whole day.
 func (v *VM) nightEnds(now tackclock.Time) tackclock.Time {
 	began := now
 	for _, w := range v.state.Fleet.Waves() {
-		if w.Status == tackfleet.WaveRunning && w.Started.Before(began) {
-			began = w.Started
+		if w.Status == tackfleet.WaveRunning && w.Resumed.Before(began) {
+			began = w.Resumed
 		}
 	}
 	return v.cfg.Wave.NightEnds.After(began)
