Say unknown where an earlier run of the key is known

Cause: while there was no leader, a repeat of a key whose first run was cut with its VM was refused as did_not_run by a VM that had the key's record. Ruled out: a second run; the tally shows one.

--- a/io/tackhttp/keyed.go
+++ b/io/tackhttp/keyed.go
@@ -32,11 +32,9 @@
 	}
 	id := tackledger.ID{Service: c.service.name, Team: c.team, Key: c.key}
 	print := tackledger.Print(c.r.Method, c.r.RequestURI, c.body)
-	if l, ok := c.h.cfg.Ledger.(Lookuper); ok {
-		claim := l.Lookup(id, print)
-		if claim.Kind == tackledger.Recorded || claim.Kind == tackledger.Mismatch {
-			return c.repeat(claim)
-		}
+	known := c.lookup(id, print)
+	if known.Kind == tackledger.Recorded || known.Kind == tackledger.Mismatch {
+		return c.repeat(known)
 	}
 	if f := c.enter(); f != nil {
 		return f
@@ -44,6 +42,11 @@
 	defer c.leave()
 	claim, f := c.claim(id, print)
 	if f != nil {
+		// The caller must not be told that the work did not run when it is
+		// known here that an earlier request with the key may have run it.
+		if known := c.lookup(id, print); known.Kind == tackledger.Running || known.Kind == tackledger.Unknown {
+			return c.repeat(known)
+		}
 		return f
 	}
 	if claim.Kind != tackledger.Mine {
@@ -52,6 +55,14 @@
 	return c.runOnce(id)
 }
 
+// lookup returns what this VM knows of the key, Mine where that is nothing.
+func (c *call) lookup(id tackledger.ID, print tackledger.Fingerprint) tackledger.Claim {
+	if l, ok := c.h.cfg.Ledger.(Lookuper); ok {
+		return l.Lookup(id, print)
+	}
+	return tackledger.Claim{Kind: tackledger.Mine}
+}
+
 // claim asks for the key.
 func (c *call) claim(id tackledger.ID, print tackledger.Fingerprint) (tackledger.Claim, *failure) {
 	left := c.left()
