Have the stand-in of the shutdown test say that it closes

Cause: the stand-in closed each connection after its answer without saying so; a request that waited for a connection could take that one, was sent and got no answer, which is rightly told as unknown. Ruled out: the stop; the request was neither cut nor refused by it. What the test asserts is unchanged.

--- a/io/tackhttp/callers_test.go
+++ b/io/tackhttp/callers_test.go
@@ -287,7 +287,9 @@
 	backend := newScript(t, func(s *script, n int, c net.Conn, r *bufio.Reader) {
 		s.take(r)
 		<-release
-		io.WriteString(c, ok)
+		// It closes the connection, and says so: otherwise a request that
+		// waits for one may take this one and rightly gets no answer.
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
 	})
 	h := newEntry(t, Config{}, backend.address)
 	server := NewServer(h.Handler)
