--- a/io/tackvm/tasks.go
+++ b/io/tackvm/tasks.go
@@ -11,6 +11,8 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackplace"
 	"auburntack/io/tackplatform"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -25,6 +27,13 @@
 	usageCalls = 16
 )
 
+var orderCounters = [...]string{
+	tackplace.OutcomeUnknown: "task_orders_unknown",
+	tackplace.OutcomeDone:    "task_orders_done",
+	tackplace.OutcomeRefused: "task_orders_refused",
+	tackplace.OutcomeNotSent: "task_orders_not_sent",
+}
+
 // tasks are what the leader asks of workers about their tasks. The placer
 // belongs to the loop.
 type tasks struct {
@@ -80,6 +89,7 @@
 func (v *VM) carryOutOrders(orders []tackplace.Order) {
 	for _, o := range orders {
 		if !v.duties.tasks.beginOrder() {
+			v.countOrder(tackplace.OutcomeNotSent)
 			v.duties.tasks.answer(o, tackplace.OutcomeNotSent, "too many calls under way")
 			continue
 		}
@@ -91,12 +101,17 @@
 	err := v.sendOrder(o)
 	v.duties.tasks.endOrder()
 	outcome, reason := outcomeOf(err)
+	v.countOrder(outcome)
 	v.duties.tasks.answer(o, outcome, reason)
 	if err != nil {
 		v.log.WithField("worker", o.Worker).WithField("task", o.Task).WithError(err).Debug("order not carried out")
 	}
 }
 
+func (v *VM) countOrder(outcome tackplace.Outcome) {
+	metrics.GetOrRegisterCounter(orderCounters[outcome], v.registry).Inc(1)
+}
+
 func (v *VM) sendOrder(o tackplace.Order) error {
 	ctx := context.Background()
 	switch o.Verb {
