--- a/io/tackmeasure/cluster.go
+++ b/io/tackmeasure/cluster.go
@@ -22,6 +22,7 @@
 type cluster struct {
 	daemons    []*tackstandin.Daemon
 	announcers *Announcers
+	platform   platform
 	vms        int
 	serial     atomic.Int64
 }
@@ -36,16 +37,22 @@
 			Replica:    i < replicas,
 		})
 	}
-	daemons, err := tackstandin.NewCluster(binary, folder, "", places)
+	c := &cluster{}
+	if err := c.platform.start(); err != nil {
+		return nil, err
+	}
+	var err error
+	more := fmt.Sprintf("[platform]\naddress = %s\n", c.platform.address)
+	c.daemons, err = tackstandin.NewCluster(binary, folder, more, places)
 	if err != nil {
+		c.stop()
 		return nil, err
 	}
-	c := &cluster{daemons: daemons}
 	if err := c.startDaemons(); err != nil {
 		c.stop()
 		return nil, err
 	}
-	c.announcers = NewAnnouncers(daemons)
+	c.announcers = NewAnnouncers(c.daemons)
 	return c, c.prepare(ctx)
 }
 
@@ -73,6 +80,7 @@
 			d.Kill()
 		}
 	}
+	c.platform.stop()
 }
 
 // prepare makes the pools with a service each and the teams' quotas.
--- a/io/tackmeasure/fits.go
+++ b/io/tackmeasure/fits.go
@@ -12,6 +12,7 @@
 	{"peer B/s", peerBytes},
 	{"messages/s", messages},
 	{"operator B/s", operatorBytes},
+	{"platform B/s", platformBytes},
 	{"CPU ms/s", cpu},
 	{"memory MB", memory},
 }
--- a/io/tackmeasure/measure.go
+++ b/io/tackmeasure/measure.go
@@ -99,7 +99,7 @@
 	r := &run{Plan: p}
 	r.steady.Columns = []string{
 		"phase", "daemons", "VMs", "role", "number", "peer B/s", "most", "messages/s",
-		"operator B/s", "CPU ms/s", "most", "memory MB, most",
+		"operator B/s", "platform B/s", "CPU ms/s", "most", "memory MB, most",
 	}
 	r.minute.Columns = []string{"worst minute", "took s", "what was counted"}
 	for _, n := range p.Daemons {
@@ -206,6 +206,9 @@
 		if ok && still {
 			u := use(first, last)
 			u.Role = roleOf(d)
+			if u.Role != RoleLeader {
+				u.Platform = 0
+			}
 			uses = append(uses, u)
 		}
 	}
@@ -218,7 +221,7 @@
 		if !d.Running() {
 			continue
 		}
-		r, err := read(d, c.announcers)
+		r, err := c.read(d)
 		if err != nil {
 			return nil, err
 		}
@@ -243,7 +246,7 @@
 			continue
 		}
 		r.steady.Add(phase, len(c.daemons), c.vms, role, len(of),
-			mean(of, peerBytes), most(of, peerBytes), mean(of, messages), mean(of, operatorBytes),
+			mean(of, peerBytes), most(of, peerBytes), mean(of, messages), mean(of, operatorBytes), mean(of, platformBytes),
 			mean(of, cpu), most(of, cpu), most(of, memory))
 	}
 }
@@ -251,6 +254,7 @@
 func peerBytes(u Use) float64     { return u.Sent + u.Received }
 func messages(u Use) float64      { return u.Messages }
 func operatorBytes(u Use) float64 { return u.Operator }
+func platformBytes(u Use) float64 { return u.Platform }
 func cpu(u Use) float64           { return u.CPU }
 func memory(u Use) float64        { return u.Memory }
 
--- a/io/tackmeasure/sample.go
+++ b/io/tackmeasure/sample.go
@@ -21,6 +21,7 @@
 		received int64
 		messages int64
 		operator int64
+		platform int64
 		cpuMS    int64
 		memory   int64
 	}
@@ -34,6 +35,8 @@
 		Received float64
 		Messages float64
 		Operator float64
+		// Platform is bytes a second between the leader and the platform.
+		Platform float64
 		// CPU is milliseconds of processor time a second, Memory the
 		// resident memory at the end in MB of a million bytes.
 		CPU    float64
@@ -62,7 +65,7 @@
 	return nil
 }
 
-func read(d *tackstandin.Daemon, a *Announcers) (reading, error) {
+func (c *cluster) read(d *tackstandin.Daemon) (reading, error) {
 	var counters map[string]struct {
 		Count int64 `json:"count"`
 	}
@@ -79,7 +82,8 @@
 		sent:     counters["peer_sent_bytes"].Count,
 		received: counters["peer_received_bytes"].Count,
 		messages: counters["peer_sent_messages"].Count + counters["peer_received_messages"].Count,
-		operator: a.Bytes(d),
+		operator: c.announcers.Bytes(d),
+		platform: c.platform.bytes.Load(),
 		cpuMS:    cpu,
 		memory:   memory,
 	}, nil
@@ -89,7 +93,7 @@
 // restarted between them began again at zero.
 func use(from, to reading) Use {
 	if from.pid != to.pid {
-		from = reading{at: from.at, operator: from.operator}
+		from = reading{at: from.at, operator: from.operator, platform: from.platform}
 	}
 	seconds := to.at.Sub(from.at).Seconds()
 	each := func(n int64) float64 { return float64(n) / seconds }
@@ -98,6 +102,7 @@
 		Received: each(to.received - from.received),
 		Messages: each(to.messages - from.messages),
 		Operator: each(to.operator - from.operator),
+		Platform: each(to.platform - from.platform),
 		CPU:      each(to.cpuMS - from.cpuMS),
 		Memory:   float64(to.memory) * 1024 / 1e6,
 	}
--- a/io/tackmeasure/worst.go
+++ b/io/tackmeasure/worst.go
@@ -81,7 +81,7 @@
 		return err
 	}
 	ready := time.Since(began)
-	after, err := read(d, c.announcers)
+	after, err := c.read(d)
 	if err != nil {
 		return err
 	}
