--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -253,6 +253,7 @@
 func (v *VM) refreshStatus(now tackclock.Time) {
 	s := v.node.Status(now)
 	v.status.Store(&s)
+	v.updateGauges(&s)
 }
 
 func (v *VM) send(to tackid.Peer, kind tackpeer.Kind, body any) {
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -45,6 +45,7 @@
 		clock    *tackclock.Clock
 		log      *logrus.Entry
 		registry metrics.Registry
+		gauges   gauges
 
 		links    *tackpeer.Links
 		disk     *tackdisk.Disk
@@ -117,6 +118,7 @@
 		ended:    make(chan struct{}),
 		broken:   make(chan struct{}),
 	}
+	v.gauges = newGauges(v.registry)
 	v.meter.clock = clock
 	stored, err := v.openDisk(logger)
 	if err != nil {
