--- a/core/tackstate/state.go
+++ b/core/tackstate/state.go
@@ -4,7 +4,10 @@
 package tackstate
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
+	"io"
 
 	"auburntack/core/tackburn"
 	"auburntack/core/tackfleet"
@@ -17,7 +20,12 @@
 
 // snapshotVersion is raised when an older reader could not make sense of a
 // newer snapshot.
-const snapshotVersion = 1
+const (
+	snapshotVersion = 1
+	// snapshotMax bounds what a snapshot may unpack to, so that a damaged one
+	// cannot take all memory.
+	snapshotMax = 1 << 30
+)
 
 type (
 	// Proposal is the data of a log entry: exactly one of Fleet, Ledger and
@@ -118,14 +126,45 @@
 	if err != nil {
 		return nil, fmt.Errorf("state: snapshot of the service levels: %w", err)
 	}
-	return cbor.Marshal(snapshot{Version: snapshotVersion, Fleet: fleet, Ledger: ledger, Burn: burn})
+	return pack(snapshot{Version: snapshotVersion, Fleet: fleet, Ledger: ledger, Burn: burn})
+}
+
+// pack encodes and deflates a snapshot. A new VM of the system gets the whole
+// of it over a link on which control may take only so many bytes a second, and
+// names that repeat in every VM's record are most of it.
+func pack(s snapshot) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("state: pack snapshot: %w", err)
+	}
+	if err := cbor.NewEncoder(w).Encode(s); err != nil {
+		return nil, fmt.Errorf("state: pack snapshot: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("state: pack snapshot: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(data []byte) (snapshot, error) {
+	var s snapshot
+	r := flate.NewReader(bytes.NewReader(data))
+	plain, err := io.ReadAll(io.LimitReader(r, snapshotMax))
+	if err != nil {
+		return s, fmt.Errorf("state: unpack snapshot: %w", err)
+	}
+	if err := cbor.Unmarshal(plain, &s); err != nil {
+		return s, fmt.Errorf("state: read snapshot: %w", err)
+	}
+	return s, nil
 }
 
 // Restore replaces the state by what a snapshot holds.
 func (s *State) Restore(data []byte) error {
-	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
-		return fmt.Errorf("state: read snapshot: %w", err)
+	snap, err := unpack(data)
+	if err != nil {
+		return err
 	}
 	if snap.Version > snapshotVersion {
 		return fmt.Errorf("state: snapshot has version %d, this program reads up to %d", snap.Version, snapshotVersion)
