--- a/io/tackvm/duties.go
+++ b/io/tackvm/duties.go
@@ -51,6 +51,9 @@
 		hadIdle    bool
 		stopped    atomic.Bool
 		leaving    leaving
+		// known holds the VMs while observations looks at them. It is kept,
+		// since half a megabyte five times a second would else be garbage.
+		known []tackfleet.VM
 
 		operations operations
 		tasks      tasks
@@ -138,7 +141,12 @@
 func (v *VM) observations(now tackclock.Time) []tackfleet.Change {
 	v.directoryMu.Lock()
 	defer v.directoryMu.Unlock()
-	seen := v.directory.Observations(now, v.state.Fleet.VMs())
+	known := v.duties.known[:0]
+	for vm := range v.state.Fleet.EachVM() {
+		known = append(known, *vm)
+	}
+	v.duties.known = known
+	seen := v.directory.Observations(now, known)
 	if len(seen) == 0 {
 		return nil
 	}
