--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,24 +75,42 @@
 func NewCluster(binary, folder, more string, places []Place) ([]*Daemon, error) {
 	var daemons []*Daemon
 	for i, p := range places {
-		ports, err := FreePorts(3)
+		d, err := newDaemon(binary, folder, i+1, p)
 		if err != nil {
 			return nil, err
 		}
-		daemons = append(daemons, &Daemon{
-			ID:         fmt.Sprintf("%s-%d", p.DataCentre, i+1),
-			DataCentre: p.DataCentre,
-			Replica:    p.Replica,
-			Caller:     ports[0],
-			Operator:   ports[1],
-			Peer:       ports[2],
-			binary:     binary,
-			folder:     folder,
-		})
+		daemons = append(daemons, d)
 	}
 	return daemons, configure(daemons, more, nil)
 }
 
+// Joining returns a further daemon, whose settings name all of the cluster
+// while theirs do not name it.
+func Joining(cluster []*Daemon, more string, p Place) (*Daemon, error) {
+	d, err := newDaemon(cluster[0].binary, cluster[0].folder, len(cluster)+1, p)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.configure(append(slices.Clone(cluster), d), more, nil)
+}
+
+func newDaemon(binary, folder string, number int, p Place) (*Daemon, error) {
+	ports, err := FreePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	return &Daemon{
+		ID:         fmt.Sprintf("%s-%d", p.DataCentre, number),
+		DataCentre: p.DataCentre,
+		Replica:    p.Replica,
+		Caller:     ports[0],
+		Operator:   ports[1],
+		Peer:       ports[2],
+		binary:     binary,
+		folder:     folder,
+	}, nil
+}
+
 // Rewire writes the settings anew, so that every daemon reaches the others by
 // wires that can be cut. Call it before the daemons are started.
 func Rewire(daemons []*Daemon, more string) (*Wires, error) {
@@ -104,14 +123,21 @@
 
 func configure(daemons []*Daemon, more string, wires *Wires) error {
 	for _, d := range daemons {
-		d.config = filepath.Join(d.folder, d.ID+".ini")
-		if err := os.WriteFile(d.config, []byte(d.settings(daemons, wires)+more), 0o644); err != nil {
-			return fmt.Errorf("standin: %w", err)
+		if err := d.configure(daemons, more, wires); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (d *Daemon) configure(all []*Daemon, more string, wires *Wires) error {
+	d.config = filepath.Join(d.folder, d.ID+".ini")
+	if err := os.WriteFile(d.config, []byte(d.settings(all, wires)+more), 0o644); err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	return nil
+}
+
 // FreePorts returns n loopback addresses that nothing listens on.
 func FreePorts(n int) ([]string, error) {
 	var ports []string
