--- a/io/tackcli/tool.go
+++ b/io/tackcli/tool.go
@@ -135,6 +135,8 @@
   create task T for TEAM on pool P cores N memory_mb N
        [class C] [minutes N] [idempotent yes|no]
   cancel task T
+  add peer P address A data_centre D [replica yes|no]
+  remove peer P
 
 If the answer is lost, the command is sent again with the same id through the next entry,
 so that it takes effect once.`,
