Count as not run only what no request of a key ran

Ruled out: a dispatch behind the refusal; the tally shows one execution. Conclusion: the callers' own counting was at fault.

--- a/io/tackstandin/callers.go
+++ b/io/tackstandin/callers.go
@@ -50,10 +50,9 @@
 		// Broken got no whole answer, Mixed one that was not theirs.
 		Broken int
 		Mixed  int
-		// DidNotRun names the bodies of the refused requests, without those
-		// that repeat a key, whose first request may have run, and
-		// OutcomeUnknown those of the unknown ones. A repeated key that is
-		// unknown stands there twice.
+		// DidNotRun names the bodies of which every request was refused: a key
+		// may be refused at first and run when it is repeated. OutcomeUnknown
+		// names those that are unknown, a repeated key twice.
 		DidNotRun      []string
 		OutcomeUnknown []string
 		// Notes tells the first problems in words.
@@ -117,21 +116,25 @@
 		}
 		body := fmt.Sprintf("%s-%d-%d", c.Service, n, i)
 		keyed := i%len(methods) == len(methods)-1
-		c.request(methods[i%len(methods)], body, keyed, false)
+		refused := c.request(methods[i%len(methods)], body, keyed)
 		if keyed {
-			c.request(methods[i%len(methods)], body, keyed, true)
+			refused = c.request(methods[i%len(methods)], body, keyed) && refused
+		}
+		if refused {
+			c.addNotRun(body)
 		}
 	}
 }
 
-func (c *Callers) request(method, body string, keyed, again bool) {
+// request sends one request and reports whether it was refused.
+func (c *Callers) request(method, body string, keyed bool) bool {
 	entry, err := c.Balancer.Pick()
 	if err != nil {
-		return
+		return true
 	}
 	r, err := http.NewRequest(method, "http://"+entry+"/"+c.Service+"/"+body, strings.NewReader(body))
 	if err != nil {
-		return
+		return true
 	}
 	if keyed {
 		r.Header.Set("Idempotency-Key", body)
@@ -140,43 +143,49 @@
 	answer, err := c.client.Do(r)
 	if err != nil {
 		c.add(func(k *CallerCounts) { k.Broken++ }, "%s %s: %v", method, body, err)
-		return
+		return false
 	}
 	defer answer.Body.Close()
 	got, err := io.ReadAll(answer.Body)
 	if err != nil {
 		c.add(func(k *CallerCounts) { k.Broken++ }, "%s %s: %v", method, body, err)
-		return
+		return false
 	}
-	c.judge(answer, got, body, again, time.Since(began))
+	return c.judge(answer, got, body, time.Since(began))
 }
 
-func (c *Callers) judge(answer *http.Response, got []byte, body string, again bool, took time.Duration) {
+// judge counts the answer and reports whether it is a refusal.
+func (c *Callers) judge(answer *http.Response, got []byte, body string, took time.Duration) bool {
 	outcome := answer.Header.Get("Auburntack-Outcome")
 	if outcome == "answered" && answer.StatusCode == http.StatusOK {
 		var whole Answer
 		if json.Unmarshal(bytes.TrimSpace(got), &whole) != nil || whole.Body != body {
 			c.add(func(k *CallerCounts) { k.Mixed++ }, "%s: another's answer %q", body, got)
-			return
+			return false
 		}
 		c.mu.Lock()
 		c.counts.Sent++
 		c.counts.Answered++
 		c.took = append(c.took, took)
 		c.mu.Unlock()
-		return
+		return false
 	}
+	refused := outcome == "did_not_run"
 	c.add(func(k *CallerCounts) {
-		if outcome == "did_not_run" {
+		if refused {
 			k.Refused++
-			if !again {
-				k.DidNotRun = append(k.DidNotRun, body)
-			}
 		} else {
 			k.Unknown++
 			k.OutcomeUnknown = append(k.OutcomeUnknown, body)
 		}
 	}, "%s: status %d, outcome %q: %s", body, answer.StatusCode, outcome, got)
+	return refused
+}
+
+func (c *Callers) addNotRun(body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.DidNotRun = append(c.counts.DidNotRun, body)
 }
 
 func (c *Callers) add(count func(*CallerCounts), format string, args ...any) {
