--- a/core/tackplace/answer.go
+++ b/core/tackplace/answer.go
@@ -93,6 +93,7 @@
 	l.until = t.now
 	l.gone = true
 	if l.row.State != tackfleet.TaskRunning {
+		l.dropped = true
 		delete(t.leases, l.task)
 	}
 }
--- a/core/tackplace/lease.go
+++ b/core/tackplace/lease.go
@@ -44,6 +44,8 @@
 		// that came before it would be answered, and the task then run.
 		startable tackclock.Time
 		gone      bool // the try is over
+		// dropped says that the lease of a cancelled task is over.
+		dropped bool
 		// again has the start sent once more under the same token.
 		again  bool
 		resent bool
@@ -76,6 +78,8 @@
 	if !t.v.Pending {
 		clear(t.promised)
 	}
+	t.before, t.live = t.live, make([]*lease, 0, len(t.live)+1)
+	last := t.before
 	for row := range t.f.EachTask() {
 		switch row.State {
 		case tackfleet.TaskRunning:
@@ -89,16 +93,28 @@
 			delete(t.promised, row.ID)
 		}
 	}
-	for id, l := range t.leases {
-		if l.seen != t.count {
-			delete(t.leases, id)
+	for _, l := range last {
+		if l.seen != t.count && t.leases[l.task] == l {
+			delete(t.leases, l.task)
 		}
 	}
 }
 
+// leaseOf returns the lease that the task had at the last decision, or nil.
+// It is called in the order of the tasks, so both lists are gone through once.
+func (t *tick) leaseOf(id tackid.Task) *lease {
+	for len(t.before) > 0 && t.before[0].task < id {
+		t.before = t.before[1:]
+	}
+	if len(t.before) == 0 || t.before[0].task != id || t.before[0].dropped {
+		return nil
+	}
+	return t.before[0]
+}
+
 // follow keeps the lease of a running task.
 func (t *tick) follow(row *tackfleet.Task) {
-	l := t.leases[row.ID]
+	l := t.leaseOf(row.ID)
 	if l == nil || l.token != row.Token {
 		l = t.newLease(row)
 		t.leases[row.ID] = l
@@ -138,7 +154,7 @@
 // until it is told. Without this its room would be given away twice, and a
 // drained VM rebooted under it.
 func (t *tick) followCancelled(row *tackfleet.Task) {
-	l := t.leases[row.ID]
+	l := t.leaseOf(row.ID)
 	if l != nil && l.token == row.Token {
 		l.row = row
 		l.seen = t.count
--- a/core/tackplace/placer.go
+++ b/core/tackplace/placer.go
@@ -25,6 +25,7 @@
 		base  tackid.Revision
 
 		leases   map[tackid.Task]*lease
+		live     []*lease // those of the last decision, by task
 		promised map[tackid.Task]promise
 		claims   map[tackid.Task]claim
 		standing map[tackid.VM]*standing
@@ -60,7 +61,7 @@
 		workers map[tackid.VM]*worker
 		sorted  []*worker // by id
 		pools   map[tackid.Pool]*pool
-		live    []*lease            // by task
+		before  []*lease            // those of the last decision that are not met yet
 		held    map[tackid.Team]int // declared cores against the quota
 		changes []tackfleet.TaskChange
 		// ending are the tasks whose change this tick proposes.
--- a/core/tacktable/table.go
+++ b/core/tacktable/table.go
@@ -15,6 +15,7 @@
 type Table[K cmp.Ordered, V any] struct {
 	rows map[K]*V
 	keys []K
+	list []*V // in the order of keys, so that ranging takes no look-ups
 }
 
 // Get returns the row of k, or nil. The row may be changed in place.
@@ -29,6 +30,9 @@
 	}
 	if i, found := slices.BinarySearch(t.keys, k); !found {
 		t.keys = slices.Insert(t.keys, i, k)
+		t.list = slices.Insert(t.list, i, &v)
+	} else {
+		t.list[i] = &v
 	}
 	t.rows[k] = &v
 	return &v
@@ -41,6 +45,7 @@
 		return
 	}
 	t.keys = slices.Delete(t.keys, i, i+1)
+	t.list = slices.Delete(t.list, i, i+1)
 	delete(t.rows, k)
 }
 
@@ -53,8 +58,8 @@
 // deleted meanwhile.
 func (t *Table[K, V]) All() iter.Seq2[K, *V] {
 	return func(yield func(K, *V) bool) {
-		for _, k := range t.keys {
-			if !yield(k, t.rows[k]) {
+		for i, k := range t.keys {
+			if !yield(k, t.list[i]) {
 				return
 			}
 		}
@@ -64,8 +69,8 @@
 // Values returns a copy of every row in the order of their keys.
 func (t *Table[K, V]) Values() []V {
 	values := make([]V, 0, len(t.keys))
-	for _, k := range t.keys {
-		values = append(values, *t.rows[k])
+	for _, row := range t.list {
+		values = append(values, *row)
 	}
 	return values
 }
