--- a/core/tackplace/model_test.go
+++ b/core/tackplace/model_test.go
@@ -24,7 +24,7 @@
 		}
 		made := 0
 		vm := func() tackid.VM { return tackid.VM(fmt.Sprintf("w-%04d", rapid.IntRange(0, 3).Draw(t, "vm"))) }
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"create": func(t *rapid.T) {
 				class := tackid.Class(rapid.IntRange(0, 2).Draw(t, "class"))
 				w.create(fmt.Sprint("task-", made), fmt.Sprint("t-", made%3), rapid.IntRange(1, 3).Draw(t, "cores"),
@@ -48,6 +48,10 @@
 			"undrain": func(*rapid.T) { w.do(tackcommand.Command{UndrainVM: &tackcommand.UndrainVM{VM: vm()}}) },
 			"leader":  func(*rapid.T) { w.replaceLeader() },
 			"":        func(t *rapid.T) { assertSound(t, w) },
-		})
+		}
+		// Some faults need a longer history than one round makes.
+		for range 4 {
+			t.Repeat(actions)
+		}
 	})
 }
