--- a/internal/tackdocs/links_test.go
+++ b/internal/tackdocs/links_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strings"
 	"testing"
 	"unicode"
@@ -16,26 +15,17 @@
 	fenced  = regexp.MustCompile("(?ms)^```.*?^```$")
 )
 
-// awaited are the operators' pages that are still being written beside these.
-// A page is taken off when it is there.
-var awaited = []string{"disks.md", "waves.md", "burn.md", "overload.md", "peers.md"}
-
 func TestLinksLeadSomewhere(t *testing.T) {
 	for _, page := range pages(t) {
 		text := fenced.ReplaceAllString(read(t, page), "")
 		for _, m := range link.FindAllStringSubmatch(text, -1) {
-			if !strings.Contains(m[1], "://") && !isAwaited(m[1]) {
+			if !strings.Contains(m[1], "://") {
 				assertTarget(t, page, m[1])
 			}
 		}
 	}
 }
 
-func isAwaited(target string) bool {
-	folder, page := filepath.Split(target)
-	return strings.HasSuffix(folder, "operating/") && slices.Contains(awaited, page)
-}
-
 // assertTarget checks that the file of a link is there, and its heading.
 func assertTarget(t *testing.T, page, target string) {
 	t.Helper()
