Announce in the stand-ins by one loop

Backend servers and workers each had the same loop and the same way through the operators' ports. go test ./cmd/auburntackd -run 'TestPlannedStop|TestTasks' passes.

--- a/io/tackstandin/backend.go
+++ b/io/tackstandin/backend.go
@@ -5,7 +5,6 @@
 package tackstandin
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,11 +15,6 @@
 	"time"
 )
 
-const (
-	announceAtMost = time.Second
-	callLimit      = 2 * time.Second
-)
-
 type (
 	// BackendServer answers requests on a loopback port and announces itself
 	// to the operators' ports. Set the fields, then call Start.
@@ -80,15 +74,8 @@
 		Incarnation   int    `json:"incarnation"`
 		State         string `json:"state"`
 	}
-
-	announceReply struct {
-		Accepted     bool  `json:"accepted"`
-		NextWithinMS int64 `json:"next_within_ms"`
-	}
 )
 
-var client = &http.Client{Timeout: callLimit}
-
 // Start listens and announces as the next incarnation, unless it does so
 // already.
 func (b *BackendServer) Start() error {
@@ -111,7 +98,10 @@
 		defer b.done.Done()
 		s.Serve(port)
 	}(b.server)
-	go b.announceUntil(b.stop)
+	go func(stop <-chan struct{}) {
+		defer b.done.Done()
+		announceUntil(stop, b.Announce)
+	}(b.stop)
 	return nil
 }
 
@@ -183,40 +173,7 @@
 	}
 	b.mu.Unlock()
 	body, _ := json.Marshal(a)
-	for _, operator := range b.Operators {
-		if next, ok := post(operator, body); ok {
-			return next
-		}
-	}
-	return announceAtMost / 4
-}
-
-func post(operator string, body []byte) (time.Duration, bool) {
-	r, err := client.Post("http://"+operator+"/announce", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return 0, false
-	}
-	defer r.Body.Close()
-	var reply announceReply
-	if json.NewDecoder(r.Body).Decode(&reply) != nil || !reply.Accepted {
-		return 0, false
-	}
-	return time.Duration(reply.NextWithinMS) * time.Millisecond, true
-}
-
-func (b *BackendServer) announceUntil(stop <-chan struct{}) {
-	defer b.done.Done()
-	for {
-		next := b.Announce() / 2
-		if next <= 0 {
-			next = announceAtMost / 4
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(next):
-		}
-	}
+	return announceTo(b.Operators, body)
 }
 
 // ServeHTTP runs one request and answers with an Answer.
--- a/io/tackstandin/worker.go
+++ b/io/tackstandin/worker.go
@@ -111,7 +111,10 @@
 	}
 	w.stop = make(chan struct{})
 	w.done.Add(1)
-	go w.announceUntil(w.stop)
+	go func(stop <-chan struct{}) {
+		defer w.done.Done()
+		announceUntil(stop, w.announce)
+	}(w.stop)
 	return nil
 }
 
@@ -137,21 +140,6 @@
 	w.done.Wait()
 }
 
-func (w *Worker) announceUntil(stop <-chan struct{}) {
-	defer w.done.Done()
-	for {
-		next := w.announce() / 2
-		if next <= 0 {
-			next = announceAtMost / 4
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(next):
-		}
-	}
-}
-
 func (w *Worker) announce() time.Duration {
 	w.mu.Lock()
 	body, _ := json.Marshal(workerAnnouncement{
@@ -159,12 +147,7 @@
 		Cores: w.Cores, MemoryMB: w.MemoryMB, Incarnation: w.incarnation, State: "serving",
 	})
 	w.mu.Unlock()
-	for _, operator := range w.Operators {
-		if next, ok := post(operator, body); ok {
-			return next
-		}
-	}
-	return announceAtMost / 4
+	return announceTo(w.Operators, body)
 }
 
 // settle ends the tasks that are done and those whose lease ran out.
