--- a/io/tackstandin/backend.go
+++ b/io/tackstandin/backend.go
@@ -5,7 +5,6 @@
 package tackstandin
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,11 +15,6 @@
 	"time"
 )
 
-const (
-	announceAtMost = time.Second
-	callLimit      = 2 * time.Second
-)
-
 type (
 	// BackendServer answers requests on a loopback port and announces itself
 	// to the operators' ports. Set the fields, then call Start.
@@ -50,16 +44,6 @@
 		served      atomic.Int64
 	}
 
-	// Tally counts executions by request and by idempotency key.
-	Tally struct {
-		mu       sync.Mutex
-		requests map[string]int
-		keys     map[string]int
-		bodies   map[string]int
-		cut      int
-		overload int
-	}
-
 	// Answer is what a BackendServer answers with, in JSON.
 	Answer struct {
 		BackendServer string `json:"backend_server"`
@@ -80,15 +64,8 @@
 		Incarnation   int    `json:"incarnation"`
 		State         string `json:"state"`
 	}
-
-	announceReply struct {
-		Accepted     bool  `json:"accepted"`
-		NextWithinMS int64 `json:"next_within_ms"`
-	}
 )
 
-var client = &http.Client{Timeout: callLimit}
-
 // Start listens and announces as the next incarnation, unless it does so
 // already.
 func (b *BackendServer) Start() error {
@@ -111,7 +88,10 @@
 		defer b.done.Done()
 		s.Serve(port)
 	}(b.server)
-	go b.announceUntil(b.stop)
+	go func(stop <-chan struct{}) {
+		defer b.done.Done()
+		announceUntil(stop, b.Announce)
+	}(b.stop)
 	return nil
 }
 
@@ -183,40 +163,7 @@
 	}
 	b.mu.Unlock()
 	body, _ := json.Marshal(a)
-	for _, operator := range b.Operators {
-		if next, ok := post(operator, body); ok {
-			return next
-		}
-	}
-	return announceAtMost / 4
-}
-
-func post(operator string, body []byte) (time.Duration, bool) {
-	r, err := client.Post("http://"+operator+"/announce", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return 0, false
-	}
-	defer r.Body.Close()
-	var reply announceReply
-	if json.NewDecoder(r.Body).Decode(&reply) != nil || !reply.Accepted {
-		return 0, false
-	}
-	return time.Duration(reply.NextWithinMS) * time.Millisecond, true
-}
-
-func (b *BackendServer) announceUntil(stop <-chan struct{}) {
-	defer b.done.Done()
-	for {
-		next := b.Announce() / 2
-		if next <= 0 {
-			next = announceAtMost / 4
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(next):
-		}
-	}
+	return announceTo(b.Operators, body)
 }
 
 // ServeHTTP runs one request and answers with an Answer.
@@ -236,82 +183,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(Answer{BackendServer: b.Name, RequestID: id, Path: r.URL.Path, Body: string(body)})
 }
-
-func (t *Tally) add(id, key, body string, overloaded bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.requests == nil {
-		t.requests = make(map[string]int)
-		t.keys = make(map[string]int)
-		t.bodies = make(map[string]int)
-	}
-	t.requests[id]++
-	if key != "" {
-		t.keys[key]++
-	}
-	if body != "" {
-		t.bodies[body]++
-	}
-	if overloaded {
-		t.overload++
-	}
-}
-
-func (t *Tally) addCut(n int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.cut += n
-}
-
-// Executions returns how many requests were run.
-func (t *Tally) Executions() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, c := range t.requests {
-		n += c
-	}
-	return n
-}
-
-// OfKey returns how often work with the idempotency key was run.
-func (t *Tally) OfKey(key string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.keys[key]
-}
-
-// OfBody returns how often a request with the body was run.
-func (t *Tally) OfBody(body string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.bodies[body]
-}
-
-// DoubledKeys returns how many idempotency keys were run more than once.
-func (t *Tally) DoubledKeys() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, c := range t.keys {
-		if c > 1 {
-			n++
-		}
-	}
-	return n
-}
-
-// Cut returns how many requests were cut by a stop.
-func (t *Tally) Cut() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.cut
-}
-
-// Overload returns how many requests came beyond the slots of a backend
-// server.
-func (t *Tally) Overload() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.overload
-}
