Never hand out a port twice, and end what a failed start left

Three daemons of a test whose start failed were still running an hour later, as their clean-up was registered only after the start. After: an address is handed out once in a process; clean-up is registered first.

--- a/cmd/auburntackd/path_test.go
+++ b/cmd/auburntackd/path_test.go
@@ -84,6 +84,14 @@
 
 func (s *site) startDaemons(t testing.TB) {
 	t.Helper()
+	t.Cleanup(func() {
+		for _, d := range s.daemons {
+			d.Kill()
+			if t.Failed() {
+				t.Logf("%s:\n%s", d.ID, d.Logs())
+			}
+		}
+	})
 	var started sync.WaitGroup
 	for _, d := range s.daemons {
 		started.Add(1)
@@ -98,14 +106,6 @@
 	if t.Failed() {
 		t.FailNow()
 	}
-	t.Cleanup(func() {
-		for _, d := range s.daemons {
-			d.Kill()
-			if t.Failed() {
-				t.Logf("%s:\n%s", d.ID, d.Logs())
-			}
-		}
-	})
 }
 
 func (s *site) startServers(t testing.TB, n int) {
--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -27,6 +27,12 @@
 	lastPort  = 30000
 )
 
+// handedOut holds the addresses that FreePorts has returned.
+var handedOut = struct {
+	sync.Mutex
+	ports map[string]bool
+}{ports: make(map[string]bool)}
+
 type (
 	// Daemon is one auburntackd of a cluster of real processes.
 	Daemon struct {
@@ -138,19 +144,27 @@
 	return nil
 }
 
-// FreePorts returns n loopback addresses that nothing listens on.
+// FreePorts returns n loopback addresses that nothing listens on and that no
+// earlier call in this process returned: their owners may not listen yet, or
+// be about to start again.
 func FreePorts(n int) ([]string, error) {
+	handedOut.Lock()
+	defer handedOut.Unlock()
 	var ports []string
 	for range 1000 {
 		if len(ports) == n {
 			return ports, nil
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if handedOut.ports[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		defer l.Close()
+		l.Close()
+		handedOut.ports[address] = true
 		ports = append(ports, address)
 	}
 	return nil, fmt.Errorf("standin: no %d free ports from %d to %d", n, firstPort, lastPort)
@@ -247,8 +261,11 @@
 	return d.Wait()
 }
 
-// Kill ends the process at once.
+// Kill ends the process at once, if it runs.
 func (d *Daemon) Kill() {
+	if !d.Running() {
+		return
+	}
 	d.Signal(syscall.SIGKILL)
 	d.Wait()
 }
