Look the key up before any refusal of a keyed request

Where no place is free, as where no record can be made, the refusing VM may hold the key's record and now answers by it. Before: only the second case looked.

--- a/io/tackhttp/keyed.go
+++ b/io/tackhttp/keyed.go
@@ -37,17 +37,12 @@
 		return c.repeat(known)
 	}
 	if f := c.enter(); f != nil {
-		return f
+		return c.refuseKeyed(id, print, f)
 	}
 	defer c.leave()
 	claim, f := c.claim(id, print)
 	if f != nil {
-		// The caller must not be told that the work did not run when it is
-		// known here that an earlier request with the key may have run it.
-		if known := c.lookup(id, print); known.Kind == tackledger.Running || known.Kind == tackledger.Unknown {
-			return c.repeat(known)
-		}
-		return f
+		return c.refuseKeyed(id, print, f)
 	}
 	if claim.Kind != tackledger.Mine {
 		return c.repeat(claim)
@@ -55,6 +50,17 @@
 	return c.runOnce(id)
 }
 
+// refuseKeyed returns the refusal f, unless it is known here that an earlier
+// request with the key may have run the work: the caller must not be told then
+// that it did not run. What other VMs know is not asked; f speaks of this
+// request.
+func (c *call) refuseKeyed(id tackledger.ID, print tackledger.Fingerprint, f *failure) *failure {
+	if known := c.lookup(id, print); known.Kind != tackledger.Mine {
+		return c.repeat(known)
+	}
+	return f
+}
+
 // lookup returns what this VM knows of the key, Mine where that is nothing.
 func (c *call) lookup(id tackledger.ID, print tackledger.Fingerprint) tackledger.Claim {
 	if l, ok := c.h.cfg.Ledger.(Lookuper); ok {
