Let the leader work out the members after a change

Cause: found by the proof's reading: the VM that an operator asked worked out the new members from its own list; where that lagged, a command that should have changed nothing could take back another operator's addition. Before: by reading only, not reproduced. Conclusion: the command travels, not its result.

--- a/io/tackvm/command.go
+++ b/io/tackvm/command.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"slices"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackcommand"
@@ -76,8 +77,7 @@
 
 // changeMembers adds or removes a VM of the system.
 func (v *VM) changeMembers(ctx context.Context, c tackcommand.Command) (tackoperator.Done, error) {
-	members := membersAfter(v.status.Load(), c)
-	answer, err := v.askLeader(ctx, confirm{Members: members})
+	answer, err := v.askLeader(ctx, confirm{Change: &c})
 	if err != nil {
 		return tackoperator.Done{}, asOperatorError(err)
 	}
@@ -87,26 +87,25 @@
 	return v.doneAt(ctx, answer.Index)
 }
 
-func membersAfter(s *tackreplica.Status, c tackcommand.Command) []tackreplica.Member {
-	var members []tackreplica.Member
-	for _, m := range s.Members {
-		if c.RemovePeer != nil && c.RemovePeer.Peer == m.Peer {
-			continue
-		}
-		if c.AddPeer != nil && c.AddPeer.Peer == m.Peer {
-			continue
-		}
-		members = append(members, m.Member)
+// membersAfter returns the members once the command has been carried out.
+func membersAfter(members []tackreplica.Member, c *tackcommand.Command) []tackreplica.Member {
+	if r := c.RemovePeer; r != nil {
+		return without(members, r.Peer)
+	}
+	a := c.AddPeer
+	if a == nil {
+		return members
 	}
-	if a := c.AddPeer; a != nil {
-		members = append(members, tackreplica.Member{
-			Peer:       a.Peer,
-			DataCentre: a.DataCentre,
-			Voter:      a.Replica,
-			Address:    a.Address,
-		})
+	added := tackreplica.Member{Peer: a.Peer, DataCentre: a.DataCentre, Voter: a.Replica, Address: a.Address}
+	if slices.Contains(members, added) {
+		return members
 	}
-	return members
+	return append(without(members, a.Peer), added)
+}
+
+func without(members []tackreplica.Member, p tackid.Peer) []tackreplica.Member {
+	kept := slices.Clone(members)
+	return slices.DeleteFunc(kept, func(m tackreplica.Member) bool { return m.Peer == p })
 }
 
 // Ask answers a query by the newest that this VM can be sure of.
--- a/io/tackvm/confirm.go
+++ b/io/tackvm/confirm.go
@@ -116,8 +116,8 @@
 func (v *VM) answerConfirm(now tackclock.Time, a askedConfirm) bool {
 	answer := confirmed{Serial: a.Serial, Index: a.Index}
 	switch {
-	case len(a.Members) > 0:
-		answer.Index, answer.Refused = v.changeTo(now, a.Members)
+	case a.Change != nil:
+		answer.Index, answer.Refused = v.changeTo(now, membersAfter(v.node.Members(), a.Change))
 	case a.Index == 0:
 		answer.Index = v.status.Load().Commit
 		answer.Standings = standings(now, v.status.Load())
--- a/io/tackvm/fence.go
+++ b/io/tackvm/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
@@ -129,7 +130,7 @@
 		return true
 	}
 	r, heard := v.duties.reports[m.Peer]
-	if heard && r.Applied >= fence && contains(r.Idle, vm.ID) {
+	if heard && r.Applied >= fence && slices.Contains(r.Idle, vm.ID) {
 		return true
 	}
 	since, unleased := v.duties.unleased[m.Peer]
@@ -154,15 +155,6 @@
 	}
 }
 
-func contains(vms []tackid.VM, vm tackid.VM) bool {
-	for _, x := range vms {
-		if x == vm {
-			return true
-		}
-	}
-	return false
-}
-
 // stoppedAsPlanned reports whether the member said that it was stopping with
 // nothing left, and has not lived since. A later life holds leases again before
 // it takes callers; going by the word of the former one would cut its work.
--- a/io/tackvm/message.go
+++ b/io/tackvm/message.go
@@ -2,8 +2,8 @@
 
 import (
 	"auburntack/core/tackclock"
+	"auburntack/core/tackcommand"
 	"auburntack/core/tackid"
-	"auburntack/core/tackreplica"
 	"auburntack/io/tackpeer"
 )
 
@@ -36,9 +36,10 @@
 	confirm struct {
 		Serial uint64          `cbor:"1,keyasint"`
 		Index  tackid.Revision `cbor:"2,keyasint,omitempty"`
-		// Members, if there are any, asks instead to make them the members
-		// of the system.
-		Members []tackreplica.Member `cbor:"3,keyasint,omitempty"`
+		// Change, if it is not nil, asks instead to add or remove a member.
+		// The leader works out the new members: the sender may not know of a
+		// change that was made just before.
+		Change *tackcommand.Command `cbor:"3,keyasint,omitempty"`
 	}
 
 	// confirmed answers a confirm. Missing names the peers that have no lease
