Keep the fleet's newest revision apart from what routes were made from

Cause: routeInputs held the revision twice, once as what the routes were made from and once as the newest, so that comparing it with itself told of changes; a reader had to work out which was which. Before and after: routes are made anew at the same moments; tests of io/tackvm and three process tests (wave, cut, members) pass, vet and staticcheck clean. Conclusion: state that says what it is.

--- a/io/tackvm/fence.go
+++ b/io/tackvm/fence.go
@@ -62,10 +62,10 @@
 // lock on the state is held.
 func (v *VM) refreshLeaving() {
 	l := &v.duties.leaving
-	if l.made && l.fleet == v.routedBy.fleet {
+	if l.made && l.fleet == v.fleetAt {
 		return
 	}
-	l.made, l.fleet, l.vms = true, v.routedBy.fleet, nil
+	l.made, l.fleet, l.vms = true, v.fleetAt, nil
 	for vm := range v.state.Fleet.EachVM() {
 		if awaitsIdle(vm) {
 			l.vms = append(l.vms, vm.ID)
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -171,7 +171,7 @@
 	}
 	v.applied = tackreplica.Entry{Index: snap.Index, Term: snap.Term, Time: snap.Time}
 	v.snapshotAt = snap.Index
-	v.routedBy.fleet = snap.Index
+	v.fleetAt = snap.Index
 	return nil
 }
 
@@ -191,7 +191,7 @@
 		v.takeMembers()
 	}
 	if p.Fleet != nil {
-		v.routedBy.fleet = e.Index
+		v.fleetAt = e.Index
 		v.logChange(p, out)
 	}
 	if p.Origin == v.cfg.VM.ID {
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -15,7 +15,6 @@
 // routeInputs tells what the published routes were made from, so that they
 // are made anew only when something changed.
 type routeInputs struct {
-	revision  tackid.Revision
 	fleet     tackid.Revision
 	directory uint64
 	leased    bool
@@ -31,8 +30,7 @@
 	version := v.directory.Version()
 	v.directoryMu.Unlock()
 	next := routeInputs{
-		revision:  v.routedBy.fleet,
-		fleet:     v.routedBy.fleet,
+		fleet:     v.fleetAt,
 		directory: version,
 		leased:    leased,
 		made:      true,
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -85,7 +85,10 @@
 		shared tackclock.Time
 
 		snapshotAt tackid.Revision
-		routedBy   routeInputs
+		// fleetAt is the newest revision that changed the fleet, routedBy what
+		// the published routes were made from.
+		fleetAt  tackid.Revision
+		routedBy routeInputs
 	}
 
 	// StoppedError says that the VM cannot go on and what to do about it.
