--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -168,7 +168,7 @@
 func (d *Dispatcher) lose(now tackclock.Time, w *worker, reason string) {
 	for _, r := range w.runs {
 		d.free(r)
-		d.requeue(r)
+		d.requeue(now, r)
 	}
 	delete(d.workers, w.id)
 	d.over[w.id] = now
@@ -205,12 +205,12 @@
 }
 
 // requeue makes the item of a run that is over wait again.
-func (d *Dispatcher) requeue(r *run) {
+func (d *Dispatcher) requeue(now tackclock.Time, r *run) {
 	s := r.step
 	if s.job.closed || s.job.Done(r.item) {
 		return
 	}
-	s.wait(r.item.Index, r.checkpoint)
+	s.wait(now, r.item.Index, r.checkpoint)
 	d.pool(s.job.Service).open(s)
 }
 
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -45,6 +45,7 @@
 	waitingItem struct {
 		index      int32
 		checkpoint string
+		since      tackclock.Time
 	}
 
 	// rank orders the steps of a pool; lower goes first.
@@ -70,8 +71,8 @@
 }
 
 // wait puts an item back. It is taken first, since it has waited longest.
-func (s *openStep) wait(index int32, checkpoint string) {
-	s.waiting = append(s.waiting, waitingItem{index: index, checkpoint: checkpoint})
+func (s *openStep) wait(now tackclock.Time, index int32, checkpoint string) {
+	s.waiting = append(s.waiting, waitingItem{index: index, checkpoint: checkpoint, since: now})
 }
 
 func (s *openStep) dropWaiting(index int32) {
@@ -101,7 +102,7 @@
 func (d *Dispatcher) openDue(now tackclock.Time, o *openJob) {
 	for o.opened < o.Occurrences() && o.Due(int32(o.opened)) <= now {
 		o.opened++
-		d.openReady(o, int32(o.opened-1))
+		d.openReady(now, o, int32(o.opened-1))
 	}
 	if o.opened < o.Occurrences() {
 		d.timed[o.ID] = o
@@ -111,7 +112,7 @@
 }
 
 // openReady opens the steps of an occurrence that wait for nothing any more.
-func (d *Dispatcher) openReady(o *openJob, occurrence int32) {
+func (d *Dispatcher) openReady(now tackclock.Time, o *openJob, occurrence int32) {
 	for number := range o.Steps {
 		key := stepKey{job: o.ID, occurrence: occurrence, step: int32(number)}
 		if o.steps[key] != nil || o.StepDone(occurrence, int32(number)) || !o.Ready(occurrence, int32(number)) {
@@ -121,7 +122,7 @@
 		s.rank = s.makeRank()
 		for i := s.Count - 1; i >= 0; i-- {
 			if !o.Done(s.item(int32(i))) {
-				s.wait(int32(i), "")
+				s.wait(now, int32(i), "")
 			}
 		}
 		o.steps[key] = s
@@ -158,7 +159,7 @@
 
 // Taken takes in that the log holds an end. Steps that waited for it open, and
 // an item that failed waits for its next attempt.
-func (d *Dispatcher) Taken(e tackjob.End) {
+func (d *Dispatcher) Taken(now tackclock.Time, e tackjob.End) {
 	o := d.jobs[e.Item.Job]
 	if o == nil {
 		return
@@ -177,14 +178,14 @@
 	if e.Failed {
 		if d.running[e.Item] == nil {
 			s.dropWaiting(e.Item.Index)
-			s.wait(e.Item.Index, "")
+			s.wait(now, e.Item.Index, "")
 			d.pool(o.Service).open(s)
 		}
 		return
 	}
 	s.dropWaiting(e.Item.Index)
 	if o.StepDone(e.Item.Occurrence, e.Item.Step) {
-		d.openReady(o, e.Item.Occurrence)
+		d.openReady(now, o, e.Item.Occurrence)
 	}
 }
 
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -11,6 +11,9 @@
 	// awayFromData is how long an item waits for a worker on the rack of its
 	// data before it starts on another.
 	awayFromData = 400 * tackclock.Millisecond
+	// spreadPatience is how long an item that lasts waits for a worker with
+	// few of its step. The platform allows three seconds with room free.
+	spreadPatience = 1500 * tackclock.Millisecond
 )
 
 // start fills the worker's room with items that wait: first of jobs that can
@@ -52,7 +55,7 @@
 func (d *Dispatcher) startItems(now tackclock.Time, w *worker, s *openStep, sequence uint64, o *Orders) {
 	takes := s.Takes()
 	for len(s.waiting) > 0 && len(o.Start) < startsInAnswer && w.room().Fits(takes) {
-		if s.MaxPerWorker > 0 && w.steps[s.key()] >= s.MaxPerWorker {
+		if w.steps[s.key()] >= d.mostHere(now, w, s) {
 			return
 		}
 		next := s.waiting[len(s.waiting)-1]
@@ -68,6 +71,22 @@
 	}
 }
 
+// mostHere is how many items of the step the worker may run. Items that last
+// are spread evenly: a worker that is lost, or taken down for its upkeep, then
+// takes few of a step with it. One that has waited for a while starts anywhere.
+func (d *Dispatcher) mostHere(now tackclock.Time, w *worker, s *openStep) int {
+	most := s.Count
+	if s.MaxPerWorker > 0 {
+		most = s.MaxPerWorker
+	}
+	next := s.waiting[len(s.waiting)-1]
+	if !s.LongRunning || now.Sub(next.since) > spreadPatience {
+		return most
+	}
+	workers := max(len(d.pools[w.service].workers), 1)
+	return min(most, (s.Count+workers-1)/workers)
+}
+
 // stop has a run ended with the worker's next heartbeat.
 func (r *run) stop(reason string) {
 	r.stopping = true
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -20,6 +20,10 @@
 	callAgainAfter = tackclock.Second
 )
 
+// atWork is the percentage that a worker lists for an item that lasts and
+// serves.
+const atWork = 100
+
 // upkeepState is what the leader knows of one VM of a wave.
 type upkeepState struct {
 	drainedFrom tackclock.Time
@@ -149,10 +153,10 @@
 		return d.Sure(now)
 	}
 	hurry := now.Sub(st.drainedFrom) > drainLimit || now > w.Due().Add(-spareTime)
+	if !life.draining && !d.evacuate(life) {
+		return false
+	}
 	for _, r := range life.runs {
-		if r.step.LongRunning && !life.draining && !d.canMiss(r) {
-			return false
-		}
 		if !r.step.LongRunning && !hurry {
 			return false
 		}
@@ -160,24 +164,65 @@
 	return true
 }
 
-// canMiss reports whether the run's step bears that one more item is away.
-func (d *Dispatcher) canMiss(r *run) bool {
-	if r.step.MayMiss == 0 {
-		return true
+// evacuate reports whether the items that last on a worker can be missed all at
+// once. Where too many of one step are there it has one of them stopped, to
+// start elsewhere; the next follows when that one is at work again.
+func (d *Dispatcher) evacuate(w *worker) bool {
+	possible := true
+	for key, here := range w.steps {
+		s := d.stepOf(key)
+		if s == nil || !s.LongRunning || s.MayMiss == 0 {
+			continue
+		}
+		away := d.awayElsewhere(s, w)
+		if away+here <= s.MayMiss {
+			continue
+		}
+		possible = false
+		if away == 0 && s.MayMiss > 0 {
+			w.stopOne(s)
+		}
+	}
+	return possible
+}
+
+func (d *Dispatcher) stepOf(key stepKey) *openStep {
+	o := d.jobs[key.job]
+	if o == nil {
+		return nil
+	}
+	return o.steps[key]
+}
+
+// stopOne has one item of the step stopped, unless one already is.
+func (w *worker) stopOne(s *openStep) {
+	var chosen *run
+	for _, r := range w.runs {
+		if r.step != s {
+			continue
+		}
+		if r.stopping {
+			return
+		}
+		if chosen == nil || r.item.Index < chosen.item.Index {
+			chosen = r
+		}
+	}
+	if chosen != nil {
+		chosen.stop("moved before upkeep")
 	}
-	return d.away(r) < r.step.MayMiss
 }
 
-// away counts the other items of the run's step that are not at work.
-func (d *Dispatcher) away(r *run) int {
+// awayElsewhere counts the step's items that are not at work on another worker
+// than w, and not on w either.
+func (d *Dispatcher) awayElsewhere(s *openStep, w *worker) int {
 	n := 0
-	for i := range r.step.Count {
-		item := r.step.item(int32(i))
-		if item == r.item {
+	for i := range s.Count {
+		r := d.running[s.item(int32(i))]
+		if r != nil && r.worker == w {
 			continue
 		}
-		other := d.running[item]
-		if other == nil || other.percent < 100 || other.stopping || other.worker.leaving {
+		if r == nil || r.percent < atWork || r.stopping || r.worker.leaving {
 			n++
 		}
 	}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -145,7 +145,7 @@
 	counts := e.How == EndDone || e.How == EndFailed
 	if !counts || o.Steps[e.Item.Step].LongRunning {
 		if r != nil {
-			d.requeue(r)
+			d.requeue(now, r)
 		}
 		return tackjob.End{}, false
 	}
@@ -203,7 +203,7 @@
 	for _, run := range w.runs {
 		if !listed[run.item] && run.sentIn < r.Sequence {
 			d.free(run)
-			d.requeue(run)
+			d.requeue(now, run)
 		}
 	}
 }
--- a/core/tackjob/job.go
+++ b/core/tackjob/job.go
@@ -52,7 +52,9 @@
 	// Step is a set of like items.
 	Step struct {
 		Count int `cbor:"1,keyasint"`
-		Room
+		// Room has a key of its own: its fields' keys are those of the step's
+		// first ones, and would be lost without notice.
+		Room `cbor:"2,keyasint"`
 		// Estimate is the caller's rough guess of an item's run time.
 		Estimate tackclock.Duration `cbor:"4,keyasint,omitempty"`
 		// After are the steps that must be done before this one starts.
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -164,11 +164,22 @@
 	}
 	a := c.putValid(ctx, catalog)
 	c.log.WithFields(logrus.Fields{
-		"version": uint64(catalog.Version), "queues": len(catalog.Queues), "outcome": a.Verdict.String(), "reason": a.Reason,
+		"version": uint64(catalog.Version), "queues": len(catalog.Queues), "advised": advised(catalog), "outcome": a.Verdict.String(), "reason": a.Reason,
 	}).Info("catalog decided")
 	return a
 }
 
+// advised counts the queues whose steps only some workers may run.
+func advised(catalog *tackcatalog.Catalog) int {
+	n := 0
+	for i := range catalog.Queues {
+		if catalog.Queues[i].Advised {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Control) putValid(ctx context.Context, catalog *tackcatalog.Catalog) tackwork.Answer {
 	p := c.propose(ctx, tackwork.Change{Catalog: catalog})
 	if p.fate == committed && p.outcome.Conflict {
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -135,7 +135,7 @@
 		c.dispatch.Rebind()
 	}
 	for _, e := range change.Ends {
-		c.dispatch.Taken(e)
+		c.dispatch.Taken(now, e)
 	}
 }
 
