Stop what runs of a job that is closed

Ruled out: runs adopted from an earlier leader (those were stopped). Dispatch stopped only runs that it did not know. Conclusion: closing a job marks its runs, each heartbeat orders the stop until the end is listed.

--- /dev/null
+++ b/core/tackdispatch/dispatch_test.go
@@ -0,0 +1,146 @@
+package tackdispatch
+
+import (
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackwork"
+)
+
+func assertPhase(t *testing.T, w *world, id tackjob.ID, want tackjob.Phase) {
+	t.Helper()
+	if got := w.phase(id); got != want {
+		t.Errorf("job %s is %v, want %v", id, got, want)
+	}
+}
+
+func assertRuns(t *testing.T, w *world, id tackjob.ID, want int) {
+	t.Helper()
+	if got := w.runsOf(id); got != want {
+		t.Errorf("%d items of job %s run, want %d", got, id, want)
+	}
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(30, 2, 500), batch(4, 1, 300, 0))
+	w.run(4 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Symptom: items of a cancelled job ran on for as long as their workers lived.
+// Sequence: items that last were running and listed; the job was cancelled and
+// the cancel acknowledged; heartbeats went on, without a stop. Cause: only runs
+// that dispatch did not know were ever stopped.
+func TestCancelStopsWhatRuns(t *testing.T) {
+	w := newWorld(t, 4)
+	w.submit(job(1), lasting(4, 1))
+	w.submit(job(2), batch(20, 1, 20*tackclock.Second))
+	w.run(3 * tackclock.Second)
+	assertRuns(t, w, job(1), 4)
+	assertRuns(t, w, job(2), 20)
+	w.apply(tackwork.Change{Cancel: job(1)})
+	w.apply(tackwork.Change{Cancel: job(2)})
+	w.run(3 * tackclock.Second)
+	assertRuns(t, w, job(1), 0)
+	assertRuns(t, w, job(2), 0)
+}
+
+// Symptom: an item that failed too often leaves its siblings running.
+func TestFailedJobStopsWhatRuns(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(20, 1, 20*tackclock.Second))
+	w.run(tackclock.Second)
+	for range testQueue.Attempts {
+		w.apply(tackwork.Change{Ends: []tackjob.End{{Item: tackjob.Item{Job: job(1)}, Failed: true}}})
+	}
+	assertPhase(t, w, job(1), tackjob.Failed)
+	w.run(3 * tackclock.Second)
+	assertRuns(t, w, job(1), 0)
+}
+
+// Symptom: an item would run twice. Sequence: a leader starts items; their
+// worker is cut off; another VM leads and hears nothing of them. Cause if it
+// goes wrong: the new leader does not wait for the lease that the old one gave.
+func TestNewLeaderWaitsForLeases(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(6, 4, 30*tackclock.Second))
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 6)
+	w.workers[0].cut = true
+	w.newLeader()
+	w.submit(job(2), batch(1, 1, 500))
+	w.run(2 * tackclock.Second)
+	// A job that this leader accepted itself need not wait.
+	assertPhase(t, w, job(2), tackjob.Complete)
+	if w.started[tackjob.Item{Job: job(1)}] != 1 {
+		t.Error("an item was started again within the lease")
+	}
+	w.addWorker("m-9", 9)
+	w.run(6 * tackclock.Second)
+	assertRuns(t, w, job(1), 6)
+}
+
+// Symptom: work that a crashed worker lost waits for a whole lease. Its VM's
+// next life proves that the former one is over.
+func TestNextLifeFreesTheFormerAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(4, 2, 10*tackclock.Second))
+	w.run(tackclock.Second)
+	w.workers[0].dead = true
+	w.addWorker("m-0", 0)
+	w.run(500)
+	assertRuns(t, w, job(1), 4)
+}
+
+// Symptom: an item is lost. Sequence: an answer with starts gets lost on its
+// way; the worker's next heartbeat lists nothing.
+func TestLostAnswerIsMadeGood(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(4, 2, 500))
+	w.beat(w.workers[0], true)
+	w.run(3 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Symptom: ends are forgotten by their worker and gone with the leader.
+// Sequence: items end while the log commits nothing; another VM leads.
+func TestEndsAreKeptUntilTheLogHasThem(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(4, 2, 500))
+	w.run(300)
+	w.held = true
+	w.run(tackclock.Second)
+	if len(w.workers[0].ended) != 4 {
+		t.Fatalf("%d ends are kept, want 4", len(w.workers[0].ended))
+	}
+	w.newLeader()
+	w.held = false
+	w.run(tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+func TestDrainingWorkerGetsNothingNew(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(200)
+	w.workers[0].draining = true
+	w.beat(w.workers[0], false)
+	w.submit(job(1), batch(12, 2, 500))
+	w.run(400)
+	if n := len(w.workers[0].runs); n != 0 {
+		t.Errorf("%d items started on a worker that drains", n)
+	}
+}
+
+func TestItemsThatLastAreSpread(t *testing.T) {
+	w := newWorld(t, 5)
+	w.run(100)
+	w.submit(job(1), lasting(5, 1))
+	w.run(tackclock.Second)
+	for _, m := range w.workers {
+		if len(m.runs) != 1 {
+			t.Errorf("%s runs %d of 5 items over 5 workers", m.id, len(m.runs))
+		}
+	}
+}
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -154,6 +154,11 @@
 	for _, s := range o.steps {
 		s.waiting = nil
 		d.pool(o.Service).closeStep(s)
+		for i := range s.Count {
+			if r := d.running[s.item(int32(i))]; r != nil {
+				r.stop("job closed")
+			}
+		}
 	}
 }
 
--- /dev/null
+++ b/core/tackdispatch/world_test.go
@@ -0,0 +1,370 @@
+package tackdispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackreplica"
+	"auburntack/core/tackwork"
+)
+
+const (
+	worldStop    = 400 * tackclock.Millisecond // how long a stop takes on a worker
+	worldStartup = 300 * tackclock.Millisecond // until an item that lasts is at work
+	worldSave    = tackclock.Second            // between two checkpoints
+	beatEvery    = 1500 * tackclock.Millisecond
+	beatAfterEnd = 50 * tackclock.Millisecond
+)
+
+type (
+	// world is a model of workers, and of a log that commits at once unless
+	// held, around a real Dispatcher. It checks what must always hold from the
+	// workers' side.
+	world struct {
+		t       failer
+		now     tackclock.Time
+		state   tackwork.State
+		index   tackid.Revision
+		term    tackreplica.Term
+		d       *Dispatcher
+		workers []*modelWorker
+		lives   int
+		held    bool // the log commits nothing
+		waiting []heldEnds
+		started map[tackjob.Item]int
+		// noted are items whose end a worker was allowed to forget.
+		noted map[tackjob.Item]bool
+		// actual is how long an item runs; nil is its estimate.
+		actual func(tackjob.Item, *tackjob.Step) tackclock.Duration
+	}
+
+	failer interface {
+		Helper()
+		Fatalf(format string, args ...any)
+	}
+
+	heldEnds struct {
+		worker WorkerID
+		ends   []tackjob.End
+	}
+
+	modelWorker struct {
+		id       WorkerID
+		vm       tackid.VM
+		service  tackid.Service
+		rack     string
+		capacity tackjob.Room
+		sequence uint64
+		runs     map[tackjob.Item]*modelRun
+		ended    []Ended
+		number   uint64
+		lease    tackclock.Time
+		beatAt   tackclock.Time
+		highest  map[tackjob.Item]RunNumber // ended or stopped here
+		draining bool
+		cut      bool // heartbeats do not arrive
+		dead     bool
+		hung     bool // items stand still
+		slow     int  // items take so many times as long; 0 is 1
+	}
+
+	modelRun struct {
+		number RunNumber
+		step   *tackjob.Step
+		began  tackclock.Time
+		endsAt tackclock.Time
+		stopAt tackclock.Time // zero if no stop was ordered
+		pace   int
+	}
+)
+
+var testQueue = tackcatalog.Queue{
+	QueueKey: tackcatalog.QueueKey{Host: "a.example", Prefix: "/q/"}, Service: "names-api",
+	Timeout: 3000, Objective: 3600, Stretch: 1.6, Attempts: 3,
+}
+
+func newWorld(t failer, workers int) *world {
+	w := &world{t: t, now: 1_000_000, started: make(map[tackjob.Item]int), noted: make(map[tackjob.Item]bool)}
+	w.apply(tackwork.Change{Catalog: &tackcatalog.Catalog{
+		Version: 1, Queues: []tackcatalog.Queue{testQueue}, Services: []tackcatalog.Service{{Name: "names-api", Guards: true}},
+	}})
+	w.newLeader()
+	for i := range workers {
+		w.addWorker(tackid.VM(fmt.Sprintf("m-%d", i)), i/4)
+	}
+	return w
+}
+
+func (w *world) addWorker(vm tackid.VM, rack int) *modelWorker {
+	w.lives++
+	m := &modelWorker{
+		id: WorkerID(fmt.Sprintf("i-%d", w.lives)), vm: vm, service: "names-api", rack: fmt.Sprintf("r-%d", rack),
+		capacity: tackjob.Room{MilliCores: 16000, MemoryMB: 32768},
+		runs:     make(map[tackjob.Item]*modelRun), highest: make(map[tackjob.Item]RunNumber), beatAt: w.now,
+	}
+	w.workers = append(w.workers, m)
+	return m
+}
+
+func (w *world) apply(c tackwork.Change) tackwork.Outcome {
+	w.index++
+	_, out, err := w.state.Apply(tackreplica.Entry{Index: w.index, Term: w.term, Time: w.now, Data: c.Encode()})
+	if err != nil {
+		w.t.Fatalf("apply: %v", err)
+	}
+	if w.d == nil {
+		return out
+	}
+	switch {
+	case c.Submit != nil && out.Job != nil:
+		w.d.Accepted(w.now, out.Job)
+	case c.Cancel != "":
+		w.d.Closed(c.Cancel)
+	}
+	for _, e := range c.Ends {
+		w.d.Taken(w.now, e)
+	}
+	return out
+}
+
+// newLeader has another VM lead, which knows nothing but the log.
+func (w *world) newLeader() {
+	w.term++
+	w.waiting = nil
+	w.d = New(Config{})
+	w.d.Reset(w.now, w.term, &w.state.Jobs)
+}
+
+func (w *world) submit(id tackjob.ID, steps ...tackjob.Step) {
+	spec := &tackjob.Spec{ID: id, Queue: testQueue.QueueKey, Text: "x", Steps: steps}
+	if err := spec.Validate(); err != nil {
+		w.t.Fatalf("job: %v", err)
+	}
+	w.apply(tackwork.Change{Submit: spec})
+}
+
+func (w *world) phase(id tackjob.ID) tackjob.Phase {
+	return w.state.Jobs.Get(id).Phase
+}
+
+// release commits what was held up.
+func (w *world) release() {
+	w.held = false
+	for _, h := range w.waiting {
+		w.apply(tackwork.Change{Ends: h.ends})
+		w.d.EndsNoted(h.worker, h.ends)
+	}
+	w.waiting = nil
+}
+
+// run moves time on by d in steps of 25 ms.
+func (w *world) run(d tackclock.Duration) {
+	for until := w.now.Add(d); w.now < until; {
+		w.step()
+	}
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(25)
+	w.d.Tick(w.now)
+	for _, m := range w.workers {
+		w.work(m)
+		if !m.dead && w.now >= m.beatAt {
+			w.beat(m, false)
+		}
+	}
+	w.check()
+}
+
+// work ends what is through, stopped, or without a lease.
+func (w *world) work(m *modelWorker) {
+	if m.dead {
+		return
+	}
+	for _, item := range sorted(m.runs) {
+		r := m.runs[item]
+		switch {
+		case w.now >= m.lease:
+			w.end(m, item, EndLapsed)
+		case r.stopAt != 0 && w.now >= r.stopAt:
+			w.end(m, item, EndStopped)
+		case !r.step.LongRunning && !m.hung && w.now >= r.endsAt:
+			w.end(m, item, EndDone)
+		}
+	}
+}
+
+func sorted(runs map[tackjob.Item]*modelRun) []tackjob.Item {
+	items := make([]tackjob.Item, 0, len(runs))
+	for item := range runs {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b tackjob.Item) int {
+		return slices.Compare([]string{a.String()}, []string{b.String()})
+	})
+	return items
+}
+
+func (w *world) end(m *modelWorker, item tackjob.Item, how How) {
+	r := m.runs[item]
+	delete(m.runs, item)
+	m.number++
+	m.highest[item] = max(m.highest[item], r.number)
+	m.ended = append(m.ended, Ended{Number: m.number, Item: item, Run: r.number, How: how})
+	m.beatAt = min(m.beatAt, w.now.Add(beatAfterEnd))
+}
+
+func (m *modelWorker) report(w *world) *Report {
+	m.sequence++
+	r := &Report{
+		Worker: m.id, VM: m.vm, Service: m.service, Labels: []string{"a", m.rack}, Capacity: m.capacity,
+		Sequence: m.sequence, Draining: m.draining, Ended: slices.Clone(m.ended),
+	}
+	for _, item := range sorted(m.runs) {
+		r.Running = append(r.Running, Running{Item: item, Run: m.runs[item].number, Percent: m.percent(w, item)})
+	}
+	return r
+}
+
+func (m *modelWorker) percent(w *world, item tackjob.Item) int {
+	r := m.runs[item]
+	if r.step.LongRunning {
+		if w.now.Sub(r.began) >= worldStartup {
+			return 100
+		}
+		return 0
+	}
+	return int(min(99, 100*w.now.Sub(r.began)/max(1, r.endsAt.Sub(r.began))))
+}
+
+// beat sends a heartbeat; lost says that its answer does not arrive.
+func (w *world) beat(m *modelWorker, lost bool) {
+	sent := w.now
+	m.beatAt = w.now.Add(beatEvery)
+	if m.cut || m.dead {
+		return
+	}
+	o, finished := w.d.Heartbeat(w.now, m.report(w))
+	if len(finished) > 0 {
+		w.waiting = append(w.waiting, heldEnds{worker: m.id, ends: finished})
+		if !w.held {
+			w.release()
+		}
+	}
+	if lost || o.Hold == 0 {
+		return
+	}
+	w.obey(m, sent, &o)
+}
+
+// obey is what a worker does with an answer.
+func (w *world) obey(m *modelWorker, sent tackclock.Time, o *Orders) {
+	m.lease = max(m.lease, sent.Add(o.Hold))
+	m.beatAt = w.now.Add(o.Retry)
+	for _, e := range m.ended {
+		if e.Number <= o.Noted && (e.How == EndDone) {
+			w.noted[e.Item] = true
+		}
+	}
+	m.ended = slices.DeleteFunc(m.ended, func(e Ended) bool { return e.Number <= o.Noted })
+	for _, s := range o.Stop {
+		m.highest[s.Item] = max(m.highest[s.Item], s.Run)
+		if r := m.runs[s.Item]; r != nil && r.number == s.Run && r.stopAt == 0 {
+			r.stopAt = w.now.Add(worldStop)
+		}
+	}
+	for _, p := range o.Pace {
+		if r := m.runs[p.Item]; r != nil && r.number == p.Run {
+			r.pace = p.Percent
+		}
+	}
+	for _, s := range o.Start {
+		w.begin(m, s)
+	}
+}
+
+func (w *world) begin(m *modelWorker, s Start) {
+	w.t.Helper()
+	j := w.state.Jobs.Get(s.Item.Job)
+	if j == nil || !j.Has(s.Item) {
+		w.t.Fatalf("start of %v, which nobody handed in", s.Item)
+	}
+	if s.Run <= m.highest[s.Item] {
+		w.t.Fatalf("run %d of %v is not above %d", s.Run, s.Item, m.highest[s.Item])
+	}
+	if w.noted[s.Item] && !j.Steps[s.Item.Step].LongRunning {
+		w.t.Fatalf("%v starts after its end was noted", s.Item)
+	}
+	step := &j.Steps[s.Item.Step]
+	for _, a := range step.After {
+		if !j.StepDone(s.Item.Occurrence, int32(a)) {
+			w.t.Fatalf("%v starts before step %d is done", s.Item, a)
+		}
+	}
+	takes := step.Estimate
+	if w.actual != nil {
+		takes = w.actual(s.Item, step)
+	}
+	w.started[s.Item]++
+	m.runs[s.Item] = &modelRun{
+		number: s.Run, step: step, began: w.now, pace: 100, endsAt: w.now.Add(takes * tackclock.Duration(max(1, m.slow))),
+	}
+}
+
+// check is what must hold at any moment.
+func (w *world) check() {
+	w.t.Helper()
+	on := make(map[tackjob.Item]WorkerID)
+	for _, m := range w.workers {
+		if m.dead {
+			continue
+		}
+		var used tackjob.Room
+		for item, r := range m.runs {
+			if other, twice := on[item]; twice {
+				w.t.Fatalf("%v runs on %s and %s", item, other, m.id)
+			}
+			on[item] = m.id
+			used = used.Plus(r.step.Takes())
+		}
+		if !m.capacity.Fits(used) {
+			w.t.Fatalf("%s takes %+v of %+v", m.id, used, m.capacity)
+		}
+	}
+}
+
+// runsOf counts the items of a job that run on workers that are up.
+func (w *world) runsOf(id tackjob.ID) int {
+	n := 0
+	for _, m := range w.workers {
+		for item := range m.runs {
+			if item.Job == id && !m.dead {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func job(n int) tackjob.ID {
+	return tackjob.ID(fmt.Sprintf("%016x", n))
+}
+
+func batch(count int, cores float64, estimate tackclock.Duration, after ...int) tackjob.Step {
+	return tackjob.Step{
+		Count: count, Room: tackjob.Room{MilliCores: int(1000 * cores), MemoryMB: 1000}, Estimate: estimate, After: after,
+	}
+}
+
+func lasting(count, mayMiss int) tackjob.Step {
+	s := batch(count, 1.5, 500)
+	s.LongRunning, s.MayMiss = true, mayMiss
+	return s
+}
+
+var _ = testing.Short
