Count items on a silent worker as away

Ruled out by the log lines of each decision, which are new here: two calls at once, a stale percentage of a live worker. After: the test passes. Conclusion: after 1.6 s of silence a worker's list is not relied on.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -59,6 +59,9 @@
 		timed   map[tackjob.ID]*openJob
 		cordon  map[tackid.VM]bool
 		upkeeps map[tackid.VM]*upkeepState
+
+		events     []Event
+		eventsLeft int
 	}
 
 	// run is one start of an item.
@@ -77,7 +80,6 @@
 		tail       int
 		pace       int
 		stopping   bool
-		reason     string
 	}
 )
 
@@ -178,7 +180,7 @@
 	if p := d.pools[w.service]; p != nil {
 		p.remove(w)
 	}
-	w.lostWhy = reason
+	d.noteWorker(now, EventLost, w, reason)
 }
 
 // Leave takes in that a worker has said goodbye. It runs nothing any more.
--- /dev/null
+++ b/core/tackdispatch/event.go
@@ -0,0 +1,89 @@
+package tackdispatch
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+)
+
+const (
+	// EventJoined is the first heartbeat of a worker's life.
+	EventJoined EventKind = iota
+	// EventLost is the end of one.
+	EventLost
+	// EventDraining says that a worker takes nothing new.
+	EventDraining
+	// EventStarted is an order to start.
+	EventStarted
+	// EventStopped is the decision to stop a run.
+	EventStopped
+	// EventEnded is an end that a worker listed.
+	EventEnded
+	// EventAdopted is a run of an earlier leader that was taken over.
+	EventAdopted
+	// EventStrange is a run that is stopped because it is owed no more, or
+	// runs elsewhere.
+	EventStrange
+	// EventNotStarted is an order that did not arrive.
+	EventNotStarted
+	// EventUpkeep is the decision to take a VM down.
+	EventUpkeep
+)
+
+// maxEvents bounds what is kept between two looks at the events.
+const maxEvents = 4096
+
+type (
+	// EventKind says what was decided or learnt.
+	EventKind uint8
+
+	// Event is one decision, or one change of what dispatch believes, with
+	// what decided it. Age is how old the input is that decided it.
+	Event struct {
+		Kind   EventKind
+		At     tackclock.Time
+		Worker WorkerID
+		VM     tackid.VM
+		Item   tackjob.Item
+		Run    RunNumber
+		Reason string
+		Age    tackclock.Duration
+	}
+)
+
+var eventNames = [...]string{
+	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
+	"run adopted", "run not owed", "order lost", "upkeep chosen",
+}
+
+// String names the event in logs.
+func (k EventKind) String() string {
+	return eventNames[k]
+}
+
+// Events returns what happened since the last call, and how many events were
+// left out because nobody took them.
+func (d *Dispatcher) Events() (events []Event, left int) {
+	events, left = d.events, d.eventsLeft
+	d.events, d.eventsLeft = nil, 0
+	return events, left
+}
+
+func (d *Dispatcher) note(e Event) {
+	if len(d.events) >= maxEvents {
+		d.eventsLeft++
+		return
+	}
+	d.events = append(d.events, e)
+}
+
+func (d *Dispatcher) noteRun(now tackclock.Time, k EventKind, r *run, reason string) {
+	d.note(Event{
+		Kind: k, At: now, Worker: r.worker.id, VM: r.worker.vm, Item: r.item, Run: r.number, Reason: reason,
+		Age: now.Sub(r.worker.heardAt),
+	})
+}
+
+func (d *Dispatcher) noteWorker(now tackclock.Time, k EventKind, w *worker, reason string) {
+	d.note(Event{Kind: k, At: now, Worker: w.id, VM: w.vm, Reason: reason, Age: now.Sub(w.heardAt)})
+}
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -143,7 +143,7 @@
 
 // Closed takes in that a job is not owed any more. What runs of it is stopped
 // with the next heartbeats of its workers.
-func (d *Dispatcher) Closed(id tackjob.ID) {
+func (d *Dispatcher) Closed(now tackclock.Time, id tackjob.ID) {
 	o := d.jobs[id]
 	if o == nil {
 		return
@@ -156,7 +156,7 @@
 		d.pool(o.Service).closeStep(s)
 		for i := range s.Count {
 			if r := d.running[s.item(int32(i))]; r != nil {
-				r.stop("job closed")
+				d.stop(now, r, "job closed")
 			}
 		}
 	}
@@ -170,7 +170,7 @@
 		return
 	}
 	if o.Phase != tackjob.Open {
-		d.Closed(o.ID)
+		d.Closed(now, o.ID)
 		return
 	}
 	s := o.steps[stepKey{job: e.Item.Job, occurrence: e.Item.Occurrence, step: e.Item.Step}]
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -65,6 +65,7 @@
 			started: now, movedAt: now, sentIn: sequence, checkpoint: next.checkpoint, pace: 100,
 		}
 		d.place(r)
+		d.noteRun(now, EventStarted, r, "")
 		o.Start = append(o.Start, Start{
 			Item: r.item, Run: r.number, Text: s.job.Text, Checkpoint: next.checkpoint,
 		})
@@ -87,8 +88,11 @@
 	return min(most, (s.Count+workers-1)/workers)
 }
 
-// stop has a run ended with the worker's next heartbeat.
-func (r *run) stop(reason string) {
+// stop has a run ended with its worker's next heartbeat.
+func (d *Dispatcher) stop(now tackclock.Time, r *run, reason string) {
+	if r.stopping {
+		return
+	}
 	r.stopping = true
-	r.reason = reason
+	d.noteRun(now, EventStopped, r, reason)
 }
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -20,6 +20,15 @@
 	callAgainAfter = tackclock.Second
 )
 
+// silentAfter is after which silence what a worker listed last is not relied on
+// any more: four of the heartbeats that even a busy one sends.
+const silentAfter = 1600 * tackclock.Millisecond
+
+// silent reports whether the worker may be gone, though its lease runs on.
+func (w *worker) silent(now tackclock.Time) bool {
+	return now.Sub(w.heardAt) > silentAfter
+}
+
 // atWork is the percentage that a worker lists for an item that lasts and
 // serves.
 const atWork = 100
@@ -52,6 +61,7 @@
 		if now >= st.callFrom && d.mayTakeDown(now, vm, st, w) {
 			if life := d.lives[vm]; life != nil {
 				life.leaving = true
+				d.noteWorker(now, EventUpkeep, life, "")
 			}
 			next = append(next, vm)
 		}
@@ -153,7 +163,7 @@
 		return d.Sure(now)
 	}
 	hurry := now.Sub(st.drainedFrom) > drainLimit || now > w.Due().Add(-spareTime)
-	if !life.draining && !d.evacuate(life) {
+	if !life.draining && !d.evacuate(now, life) {
 		return false
 	}
 	for _, r := range life.runs {
@@ -167,20 +177,20 @@
 // evacuate reports whether the items that last on a worker can be missed all at
 // once. Where too many of one step are there it has one of them stopped, to
 // start elsewhere; the next follows when that one is at work again.
-func (d *Dispatcher) evacuate(w *worker) bool {
+func (d *Dispatcher) evacuate(now tackclock.Time, w *worker) bool {
 	possible := true
 	for key, here := range w.steps {
 		s := d.stepOf(key)
 		if s == nil || !s.LongRunning || s.MayMiss == 0 {
 			continue
 		}
-		away := d.awayElsewhere(s, w)
+		away := d.awayElsewhere(now, s, w)
 		if away+here <= s.MayMiss {
 			continue
 		}
 		possible = false
 		if away == 0 && s.MayMiss > 0 {
-			w.stopOne(s)
+			d.stopOne(now, w, s)
 		}
 	}
 	return possible
@@ -195,7 +205,7 @@
 }
 
 // stopOne has one item of the step stopped, unless one already is.
-func (w *worker) stopOne(s *openStep) {
+func (d *Dispatcher) stopOne(now tackclock.Time, w *worker, s *openStep) {
 	var chosen *run
 	for _, r := range w.runs {
 		if r.step != s {
@@ -209,20 +219,20 @@
 		}
 	}
 	if chosen != nil {
-		chosen.stop("moved before upkeep")
+		d.stop(now, chosen, "moved before upkeep")
 	}
 }
 
 // awayElsewhere counts the step's items that are not at work on another worker
 // than w, and not on w either.
-func (d *Dispatcher) awayElsewhere(s *openStep, w *worker) int {
+func (d *Dispatcher) awayElsewhere(now tackclock.Time, s *openStep, w *worker) int {
 	n := 0
 	for i := range s.Count {
 		r := d.running[s.item(int32(i))]
 		if r != nil && r.worker == w {
 			continue
 		}
-		if r == nil || r.percent < atWork || r.stopping || r.worker.leaving {
+		if r == nil || r.percent < atWork || r.stopping || r.worker.leaving || r.worker.silent(now) {
 			n++
 		}
 	}
--- /dev/null
+++ b/core/tackdispatch/upkeep_test.go
@@ -0,0 +1,90 @@
+package tackdispatch
+
+import (
+	"slices"
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackupkeep"
+)
+
+func newWave(w *world, atOnce int, vms ...tackid.VM) *tackupkeep.Wave {
+	return &tackupkeep.Wave{Number: 1, VMs: vms, AtOnce: atOnce, Within: 30 * tackclock.Second, Accepted: w.now}
+}
+
+// takeDown carries out what the dispatcher chooses, and returns the VMs.
+func (w *world) takeDown(wave *tackupkeep.Wave) []tackid.VM {
+	chosen := w.d.NextUpkeep(w.now, wave)
+	for _, vm := range chosen {
+		for _, m := range w.workers {
+			if m.vm == vm {
+				m.dead = true
+			}
+		}
+		w.d.UpkeepCalled(w.now, vm, true, false)
+		wave.Begin(vm)
+	}
+	return chosen
+}
+
+func assertDown(t *testing.T, got []tackid.VM, want ...tackid.VM) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("taken down %v, want %v", got, want)
+	}
+}
+
+func TestUpkeepKeepsToWhatMayBeDown(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(200)
+	wave := newWave(w, 2, "m-0", "m-1", "m-2")
+	assertDown(t, w.takeDown(wave), "m-0", "m-1")
+	w.run(tackclock.Second)
+	assertDown(t, w.takeDown(wave))
+	w.addWorker("m-0", 0)
+	w.run(200)
+	assertDown(t, w.takeDown(wave), "m-2")
+}
+
+func TestUpkeepSparesItemsThatLast(t *testing.T) {
+	t.Run("one VM at a time where one may be away", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.run(100)
+		w.submit(job(1), lasting(4, 1))
+		w.run(2 * tackclock.Second)
+		if got := w.takeDown(newWave(w, 4, "m-0", "m-1")); len(got) != 1 {
+			t.Errorf("taken down %v, want one", got)
+		}
+	})
+	t.Run("moves items first where a VM has too many", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.run(100)
+		w.submit(job(1), lasting(3, 1))
+		w.run(2 * tackclock.Second)
+		w.addWorker("m-9", 1)
+		w.run(200)
+		wave := newWave(w, 1, "m-0")
+		assertDown(t, w.takeDown(wave))
+		for range 40 {
+			w.run(200)
+			if len(w.takeDown(wave)) > 0 {
+				return
+			}
+		}
+		t.Error("the VM is never free")
+	})
+	// Symptom: more items of a step were away than may be. Sequence: a worker
+	// crashed and fell silent; before its lease was over, another VM with an
+	// item of the same step was taken down. Cause: what a silent worker listed
+	// last was taken for true.
+	t.Run("counts a silent worker's items as away", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.run(100)
+		w.submit(job(1), lasting(4, 1))
+		w.run(2 * tackclock.Second)
+		w.workers[3].dead = true
+		w.run(3 * tackclock.Second)
+		assertDown(t, w.takeDown(newWave(w, 1, "m-0")))
+	})
+}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -23,7 +23,7 @@
 	leaseUntil tackclock.Time
 	draining   bool
 	leaving    bool // a call that ends it is under way
-	lostWhy    string
+	heardAt    tackclock.Time
 	runs       map[tackjob.Item]*run
 	steps      map[stepKey]int
 	ends       ends
@@ -87,7 +87,11 @@
 		return nil
 	}
 	w.sequence = r.Sequence
-	w.draining = w.draining || r.Draining
+	w.heardAt = now
+	if r.Draining && !w.draining {
+		w.draining = true
+		d.noteWorker(now, EventDraining, w, "")
+	}
 	w.capacity, w.labels = r.Capacity, r.Labels
 	return w
 }
@@ -105,6 +109,8 @@
 		runs: make(map[tackjob.Item]*run), steps: make(map[stepKey]int),
 		ends: ends{pending: make(map[uint64]tackjob.Item)},
 	}
+	w.heardAt = now
+	d.noteWorker(now, EventJoined, w, string(w.service))
 	d.workers[w.id] = w
 	if w.vm != "" {
 		d.lives[w.vm] = w
@@ -131,6 +137,7 @@
 
 // takeEnd frees what the run took and says whether the log must hold its end.
 func (d *Dispatcher) takeEnd(now tackclock.Time, w *worker, e *Ended) (tackjob.End, bool) {
+	d.note(Event{Kind: EventEnded, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run, Reason: e.How.String()})
 	r := w.runs[e.Item]
 	if r != nil && r.number == e.Run {
 		d.free(r)
@@ -202,6 +209,7 @@
 	// listed was never started: the answer was lost or came too late.
 	for _, run := range w.runs {
 		if !listed[run.item] && run.sentIn < r.Sequence {
+			d.noteRun(now, EventNotStarted, run, "not listed")
 			d.free(run)
 			d.requeue(now, run)
 		}
@@ -231,12 +239,14 @@
 	}
 	if s == nil || !o.Has(row.Item) || o.Done(row.Item) || d.running[row.Item] != nil || w.runs[row.Item] != nil {
 		w.stops = append(w.stops, Stop{Item: row.Item, Run: row.Run})
+		d.note(Event{Kind: EventStrange, At: now, Worker: w.id, VM: w.vm, Item: row.Item, Run: row.Run})
 		w.strange = w.strange.Plus(d.takesOf(s))
 		return nil
 	}
 	s.dropWaiting(row.Item.Index)
 	r := &run{item: row.Item, number: row.Run, worker: w, step: s, takes: s.Takes(), started: now, pace: 100}
 	d.place(r)
+	d.noteRun(now, EventAdopted, r, "")
 	return r
 }
 
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -124,7 +124,7 @@
 	case c.Submit != nil && out.Job != nil:
 		w.d.Accepted(w.now, out.Job)
 	case c.Cancel != "":
-		w.d.Closed(c.Cancel)
+		w.d.Closed(w.now, c.Cancel)
 	}
 	for _, e := range c.Ends {
 		w.d.Taken(w.now, e)
--- /dev/null
+++ b/io/tackcontrol/events.go
@@ -0,0 +1,44 @@
+package tackcontrol
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"auburntack/core/tackdispatch"
+)
+
+// eventLines is how many lines one tick of 25 ms may write: 1,600 a second.
+// The largest site ends some 1,300 items a second.
+const eventLines = 40
+
+// logEvents writes a line for each decision of dispatch. What exceeds the
+// bound is counted, not written: logs must not slow what they tell of.
+func (c *Control) logEvents(events []tackdispatch.Event, left int) {
+	for i := range events {
+		if i == eventLines {
+			left += len(events) - i
+			break
+		}
+		c.logEvent(&events[i])
+	}
+	if left > 0 {
+		c.log.WithField("left_out", left).Warn("log lines left out")
+	}
+}
+
+func (c *Control) logEvent(e *tackdispatch.Event) {
+	fields := logrus.Fields{"term": uint64(c.status.Load().Term), "worker": string(e.Worker)}
+	if e.VM != "" {
+		fields["worker_vm"] = string(e.VM)
+	}
+	if e.Item.Job != "" {
+		fields["item"] = e.Item.String()
+		fields["run"] = uint64(e.Run)
+	}
+	if e.Reason != "" {
+		fields["reason"] = e.Reason
+	}
+	if e.Age > 0 {
+		fields["age_ms"] = int64(e.Age)
+	}
+	c.log.WithFields(fields).Info(e.Kind.String())
+}
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -70,10 +70,12 @@
 	c.node.Tick(now)
 	c.tendMembers(now)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if _, leads := c.leads(now); leads && c.dispatched != 0 {
 		c.dispatch.Tick(now)
 	}
+	events, left := c.dispatch.Events()
+	c.mu.Unlock()
+	c.logEvents(events, left)
 }
 
 // settle carries out what the log asks for until it asks for nothing more.
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -130,7 +130,7 @@
 	case change.Submit != nil && out.Job != nil:
 		c.dispatch.Accepted(now, out.Job)
 	case change.Cancel != "":
-		c.dispatch.Closed(change.Cancel)
+		c.dispatch.Closed(now, change.Cancel)
 	case change.Catalog != nil:
 		c.dispatch.Rebind()
 	}
