Move VMs between the pools as their queues take turns

Cause: worst parts were refusals (a queue in its turn asks four times its mean, more than its own pool's cores) while the pools of the other queues were idle, and the price of VMs in pools.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -29,6 +29,7 @@
 	if wait+chain <= allowed {
 		return 0, true
 	}
+	d.pool(q.Service).refuse(now, spec)
 	return max(wait+chain-allowed, shortestComeBack), false
 }
 
@@ -43,13 +44,17 @@
 	if cores == 0 {
 		return 0
 	}
+	return tackclock.Duration(d.backlogWork(q.Service) / cores)
+}
+
+// refuse remembers what was asked for and refused.
+func (p *pool) refuse(now tackclock.Time, spec *tackjob.Spec) {
 	var work int64
-	for _, o := range d.jobs {
-		if o.Service == q.Service && !o.LongRunning() && o.Repeats == 0 {
-			work += o.workLeft()
-		}
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		work += int64(s.Count) * int64(s.MilliCores) * int64(s.Estimate)
 	}
-	return tackclock.Duration(work / cores)
+	p.refused = append(p.refused, refusal{at: now, work: work})
 }
 
 // workLeft is the job's work that is not done, in milliseconds of thousandths
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -60,6 +60,10 @@
 		cordon  map[tackid.VM]bool
 		upkeeps map[tackid.VM]*upkeepState
 
+		// standby are VMs that send no heartbeats, moves those on their way.
+		standby map[tackid.VM]Machine
+		moves   map[tackid.VM]*moving
+
 		events     []Event
 		eventsLeft int
 	}
@@ -132,6 +136,8 @@
 	d.timed = make(map[tackjob.ID]*openJob)
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
+	d.standby = make(map[tackid.VM]Machine)
+	d.moves = make(map[tackid.VM]*moving)
 	if jobs == nil {
 		return
 	}
@@ -169,7 +175,7 @@
 // know that it does not run any more.
 func (d *Dispatcher) lose(now tackclock.Time, w *worker, reason string) {
 	for _, r := range w.runs {
-		d.free(r)
+		d.free(now, r)
 		d.requeue(now, r)
 	}
 	delete(d.workers, w.id)
@@ -192,9 +198,10 @@
 }
 
 // free takes a run off its worker.
-func (d *Dispatcher) free(r *run) {
+func (d *Dispatcher) free(now tackclock.Time, r *run) {
 	w := r.worker
 	delete(w.runs, r.item)
+	w.idleFrom = now
 	w.used = w.used.Minus(r.takes)
 	w.steps[r.step.key()]--
 	if w.steps[r.step.key()] <= 0 {
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -28,6 +28,8 @@
 	EventNotStarted
 	// EventUpkeep is the decision to take a VM down.
 	EventUpkeep
+	// EventMove is the decision to send a VM to another pool.
+	EventMove
 )
 
 // maxEvents bounds what is kept between two looks at the events.
@@ -53,7 +55,7 @@
 
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
-	"run adopted", "run not owed", "order lost", "upkeep chosen",
+	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen",
 }
 
 // String names the event in logs.
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -14,6 +14,8 @@
 	// steps are sorted by rank. Those with nothing waiting are dropped when
 	// they are next passed.
 	steps []*openStep
+	// refused is the work that was refused lately.
+	refused []refusal
 }
 
 func (p *pool) add(w *worker) {
--- /dev/null
+++ b/core/tackdispatch/pools.go
@@ -0,0 +1,185 @@
+package tackdispatch
+
+import (
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackpool"
+)
+
+const (
+	// moveLimit is after which time a VM that was sent to another pool and has
+	// not reported from there is not waited for any more.
+	moveLimit = 5 * tackclock.Second
+	// refusedMemory is how long refused work counts as asked for.
+	refusedMemory = 1500 * tackclock.Millisecond
+)
+
+type (
+	// Machine is a worker's VM as the platform lists it.
+	Machine struct {
+		VM       tackid.VM
+		Service  tackid.Service
+		Capacity tackjob.Room
+		// Up says that it is neither moving nor down.
+		Up bool
+	}
+
+	// moving is a VM on its way to another pool.
+	moving struct {
+		to    tackid.Service
+		room  tackjob.Room
+		since tackclock.Time
+		life  WorkerID // the life that the move ended
+	}
+
+	// refusal is work that was refused, and when.
+	refusal struct {
+		at   tackclock.Time
+		work int64
+	}
+)
+
+// Inventory takes in the platform's list of VMs. Those of a standby pool send
+// no heartbeats, so this is the only way to know of them.
+func (d *Dispatcher) Inventory(machines []Machine) {
+	d.standby = make(map[tackid.VM]Machine)
+	for _, m := range machines {
+		if d.lives[m.VM] == nil && m.Up {
+			d.standby[m.VM] = m
+		}
+	}
+}
+
+// Pools returns what the planner of moves goes by.
+func (d *Dispatcher) Pools(now tackclock.Time, c *tackcatalog.Catalog) []tackpool.Pool {
+	var pools []tackpool.Pool
+	for _, s := range c.Services {
+		p := tackpool.Pool{Service: s.Name, Standby: s.Standby}
+		if s.Standby {
+			p.VMs = d.parked(s.Name)
+		} else {
+			d.fillPool(now, &p)
+		}
+		for vm, m := range d.moves {
+			if now.Sub(m.since) > moveLimit {
+				d.giveUpMove(vm, m)
+			} else if m.to == s.Name {
+				p.Coming += m.room.MilliCores
+			}
+		}
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// giveUpMove forgets a move that nobody knows to have happened. Without it the
+// VM would get no work for good.
+func (d *Dispatcher) giveUpMove(vm tackid.VM, m *moving) {
+	delete(d.moves, vm)
+	if w := d.lives[vm]; w != nil && w.id == m.life {
+		w.leaving = false
+	}
+}
+
+func (d *Dispatcher) parked(service tackid.Service) []tackpool.VM {
+	var vms []tackpool.VM
+	for vm, m := range d.standby {
+		if m.Service == service && d.moves[vm] == nil && d.lives[vm] == nil {
+			vms = append(vms, tackpool.VM{Name: vm, MilliCores: m.Capacity.MilliCores, Fixed: d.inUpkeep(vm)})
+		}
+	}
+	return vms
+}
+
+func (d *Dispatcher) fillPool(now tackclock.Time, out *tackpool.Pool) {
+	p := d.pools[out.Service]
+	if p == nil {
+		return
+	}
+	for _, w := range p.workers {
+		if w.draining || w.silent(now) {
+			continue
+		}
+		vm := tackpool.VM{Name: w.vm, MilliCores: w.capacity.MilliCores}
+		if len(w.runs) == 0 && w.strange == (tackjob.Room{}) {
+			vm.Idle = max(1, now.Sub(w.idleFrom))
+		}
+		vm.Fixed = w.vm == "" || w.leaving || d.inUpkeep(w.vm) || len(w.runs) > 0
+		out.VMs = append(out.VMs, vm)
+	}
+	out.Backlog = d.backlogWork(out.Service) + p.refusedWork(now)
+}
+
+// inUpkeep reports whether a wave has taken hold of the VM.
+func (d *Dispatcher) inUpkeep(vm tackid.VM) bool {
+	st := d.upkeeps[vm]
+	return st != nil && (st.calledAt != 0 || d.cordon[vm])
+}
+
+// refusedWork is what was refused lately.
+func (p *pool) refusedWork(now tackclock.Time) int64 {
+	var sum int64
+	kept := p.refused[:0]
+	for _, r := range p.refused {
+		if now.Sub(r.at) <= refusedMemory {
+			kept = append(kept, r)
+			sum += r.work
+		}
+	}
+	p.refused = kept
+	return sum
+}
+
+// Moving takes in that a VM is about to be sent to another pool. It gets
+// nothing new.
+func (d *Dispatcher) Moving(now tackclock.Time, m tackpool.Move) {
+	next := &moving{to: m.To, since: now}
+	if w := d.lives[m.VM]; w != nil {
+		w.leaving = true
+		next.life, next.room = w.id, w.capacity
+		d.noteWorker(now, EventMove, w, "to "+string(m.To))
+	} else {
+		next.room = d.standby[m.VM].Capacity
+		d.note(Event{Kind: EventMove, At: now, VM: m.VM, Reason: "to " + string(m.To)})
+	}
+	d.moves[m.VM] = next
+}
+
+// Moved takes in what became of a move: done says that the VM is on its way,
+// refused that it surely stays.
+func (d *Dispatcher) Moved(now tackclock.Time, vm tackid.VM, done, refused bool) {
+	m := d.moves[vm]
+	if m == nil {
+		return
+	}
+	w := d.lives[vm]
+	here := w != nil && w.id == m.life
+	switch {
+	case done:
+		if here {
+			d.lose(now, w, "moved to another pool")
+		}
+		parked := d.standby[vm]
+		parked.VM, parked.Service, parked.Capacity = vm, m.to, m.room
+		d.standby[vm] = parked
+	case refused:
+		if here {
+			w.leaving = false
+		}
+		delete(d.moves, vm)
+	}
+}
+
+// backlogWork is the service's accepted work that is not done, in milliseconds
+// of thousandths of a core, by the estimates. Work that lasts is none.
+func (d *Dispatcher) backlogWork(service tackid.Service) int64 {
+	var work int64
+	for _, o := range d.jobs {
+		if o.Service == service && !o.LongRunning() && o.Repeats == 0 {
+			work += o.workLeft()
+		}
+	}
+	return work
+}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -19,11 +19,14 @@
 // start fills the worker's room with items that wait: first of jobs that can
 // still be in time, by their deadlines, then of those that are late.
 func (d *Dispatcher) start(now tackclock.Time, w *worker, sequence uint64, o *Orders) {
-	if w.draining || d.cordon[w.vm] {
+	if w.draining || w.leaving || d.cordon[w.vm] {
 		return
 	}
 	p := d.pools[w.service]
 	p.tidy()
+	if len(w.runs) == 0 && p.othersSuffice(w) {
+		return
+	}
 	for _, late := range []bool{false, true} {
 		for _, s := range p.steps {
 			if s.late(now) != late || !d.mayStart(now, w, s) {
@@ -37,6 +40,29 @@
 	}
 }
 
+// othersSuffice reports whether the pool's workers that run something anyway
+// have room for all that waits. A worker that stays empty can be moved to
+// another pool, or go to the standby pool.
+func (p *pool) othersSuffice(w *worker) bool {
+	var waiting, room int
+	for _, s := range p.steps {
+		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" {
+			return false
+		}
+		waiting += len(s.waiting) * s.MilliCores
+	}
+	for _, o := range p.workers {
+		if o != w && len(o.runs) > 0 && !o.draining && !o.leaving {
+			room += o.room().MilliCores
+		}
+	}
+	return waiting*packFactor <= room
+}
+
+// packFactor is how many times the work that waits must fit the room of the
+// workers that run something: an item that waits costs its caller time.
+const packFactor = 3
+
 // late reports whether the step's job cannot be in time any more.
 func (s *openStep) late(now tackclock.Time) bool {
 	return !s.LongRunning && now.Add(s.Estimate) > s.job.deadline
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -24,6 +24,7 @@
 	draining   bool
 	leaving    bool // a call that ends it is under way
 	heardAt    tackclock.Time
+	idleFrom   tackclock.Time // when its last run ended
 	runs       map[tackjob.Item]*run
 	steps      map[stepKey]int
 	ends       ends
@@ -109,7 +110,11 @@
 		runs: make(map[tackjob.Item]*run), steps: make(map[stepKey]int),
 		ends: ends{pending: make(map[uint64]tackjob.Item)},
 	}
-	w.heardAt = now
+	w.heardAt, w.idleFrom = now, now
+	delete(d.standby, w.vm)
+	if m := d.moves[w.vm]; m != nil && m.life != w.id {
+		delete(d.moves, w.vm)
+	}
 	d.noteWorker(now, EventJoined, w, string(w.service))
 	d.workers[w.id] = w
 	if w.vm != "" {
@@ -140,7 +145,7 @@
 	d.note(Event{Kind: EventEnded, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run, Reason: e.How.String()})
 	r := w.runs[e.Item]
 	if r != nil && r.number == e.Run {
-		d.free(r)
+		d.free(now, r)
 		r.checkpoint = e.Checkpoint
 	} else {
 		r = nil
@@ -210,7 +215,7 @@
 	for _, run := range w.runs {
 		if !listed[run.item] && run.sentIn < r.Sequence {
 			d.noteRun(now, EventNotStarted, run, "not listed")
-			d.free(run)
+			d.free(now, run)
 			d.requeue(now, run)
 		}
 	}
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackupkeep"
 	"auburntack/core/tackwork"
@@ -27,6 +28,8 @@
 	// *CloudError.
 	Cloud interface {
 		Upkeep(ctx context.Context, o Order, vm tackid.VM, wave tackupkeep.Number) error
+		Move(ctx context.Context, o Order, vm tackid.VM, to tackid.Service) error
+		Machines(ctx context.Context) ([]tackdispatch.Machine, error)
 	}
 
 	// Order is on whose behalf a VM is ordered about. Fence rises from leader
@@ -46,6 +49,8 @@
 	upkeep struct {
 		from  tackclock.Time // no orders before
 		calls map[tackid.VM]bool
+		// lookAt is when the platform's list of VMs is read next.
+		lookAt tackclock.Time
 	}
 )
 
@@ -91,6 +96,7 @@
 func (c *Control) serveUpkeep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, upkeepEvery)
+		c.lookAtMachines(ctx)
 		c.upkeepRound(ctx)
 	}
 	return ctx.Err()
@@ -116,6 +122,7 @@
 			go c.callUpkeep(ctx, order, w.Number, vm)
 		}
 	}
+	c.moveRound(ctx, now, order)
 }
 
 func (c *Control) callUpkeep(ctx context.Context, order Order, wave tackupkeep.Number, vm tackid.VM) {
