--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -18,8 +18,6 @@
 	// driftDivisor is the share of a lease by which a worker's clock may be
 	// slow: one part in fifty by the platform's contract.
 	driftDivisor = 50
-	// answerLimit is after which time a worker drops an answer.
-	answerLimit = tackclock.Second
 	// leaseSlack covers the rounding of both clocks to milliseconds and late
 	// timers on the worker.
 	leaseSlack = 100 * tackclock.Millisecond
@@ -95,9 +93,11 @@
 }
 
 const (
-	// defaultHold outlasts the loss of a leader: two seconds until another
-	// leads, one and a half until the next heartbeat, one for a retry.
-	defaultHold      = 5 * tackclock.Second
+	// defaultHold outlasts the loss of a leader: a second until another leads,
+	// one until a worker gives up its call to the former one, and one for a
+	// second try. All that is longer is time for which the work of a worker
+	// that fell silent, and of an earlier leader, waits.
+	defaultHold      = 3500 * tackclock.Millisecond
 	defaultRetry     = 150 * tackclock.Millisecond
 	defaultRetryBusy = 400 * tackclock.Millisecond
 )
@@ -126,7 +126,9 @@
 // so until then only items of jobs that this leader itself accepted start.
 func (d *Dispatcher) Reset(now tackclock.Time, term tackreplica.Term, jobs *tackjob.Table) {
 	d.term, d.runs = term, 0
-	d.sure = d.leaseEnd(now).Add(answerLimit)
+	// A worker counts its lease from when it sent the heartbeat, which was
+	// before the earlier leader's own lease ended.
+	d.sure = d.leaseEnd(now)
 	d.workers = make(map[WorkerID]*worker)
 	d.lives = make(map[tackid.VM]*worker)
 	d.over = make(map[WorkerID]tackclock.Time)
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -184,12 +184,12 @@
 		if s == nil || !s.LongRunning || s.MayMiss == 0 {
 			continue
 		}
-		away := d.awayElsewhere(now, s, w)
-		if away+here <= s.MayMiss {
+		away, elsewhere := d.away(now, s, w)
+		if elsewhere+here <= s.MayMiss {
 			continue
 		}
 		possible = false
-		if away == 0 && s.MayMiss > 0 {
+		if away < s.MayMiss {
 			d.stopOne(now, w, s)
 		}
 	}
@@ -223,20 +223,21 @@
 	}
 }
 
-// awayElsewhere counts the step's items that are not at work on another worker
-// than w, and not on w either.
-func (d *Dispatcher) awayElsewhere(now tackclock.Time, s *openStep, w *worker) int {
-	n := 0
+// away counts the step's items that are not at work, and those among them that
+// are not on w.
+func (d *Dispatcher) away(now tackclock.Time, s *openStep, w *worker) (all, elsewhere int) {
 	for i := range s.Count {
 		r := d.running[s.item(int32(i))]
-		if r != nil && r.worker == w {
+		working := r != nil && r.percent >= atWork && !r.stopping && !r.worker.leaving && !r.worker.silent(now)
+		if working {
 			continue
 		}
-		if r == nil || r.percent < atWork || r.stopping || r.worker.leaving || r.worker.silent(now) {
-			n++
+		all++
+		if r == nil || r.worker != w {
+			elsewhere++
 		}
 	}
-	return n
+	return all, elsewhere
 }
 
 // UpkeepCalled takes in what became of a call: done says that the VM is going
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -6,6 +6,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
 	"auburntack/core/tackupkeep"
 )
 
@@ -74,6 +75,27 @@
 		}
 		t.Error("the VM is never free")
 	})
+	// Symptom: an item was stopped while another of its step was not at work yet.
+	// Sequence: the other had just been ordered on the very VM that is emptied.
+	// Cause: only items on other VMs were counted as away.
+	t.Run("waits for an item that begins on the same VM", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.run(100)
+		w.submit(job(1), lasting(2, 1))
+		w.run(tackclock.Second)
+		m := w.workers[0]
+		failed := tackjob.Item{Job: job(1), Index: 1}
+		w.end(m, failed, EndFailed)
+		w.run(75)
+		if len(m.runs) != 2 || m.percent(w, failed) == atWork {
+			t.Fatalf("%d items run, want 2 of which one has just begun", len(m.runs))
+		}
+		w.takeDown(newWave(w, 1, "m-0"))
+		w.beat(m, false)
+		if m.runs[tackjob.Item{Job: job(1)}].stopAt != 0 {
+			t.Error("an item is stopped while the other is not at work")
+		}
+	})
 	// Symptom: more items of a step were away than may be. Sequence: a worker
 	// crashed and fell silent; before its lease was over, another VM with an
 	// item of the same step was taken down. Cause: what a silent worker listed
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -22,6 +22,12 @@
 
 const (
 	kindReplica tackpeer.Kind = "replica"
+	// Without a leader nothing is accepted and no item starts, so a lost one is
+	// replaced within about a second. The times leave room for a disk that
+	// takes 25 times its 6 ms a sync, and for a machine six times as slow.
+	logHeartbeat = 120 * tackclock.Millisecond
+	logLease     = 600 * tackclock.Millisecond
+	logElection  = 700 * tackclock.Millisecond
 	// eventQueue bounds what waits for the loop.
 	eventQueue = 4096
 )
@@ -140,6 +146,7 @@
 	}
 	c.node = tackreplica.New(tackreplica.Config{
 		Self: c.cfg.Self, Members: c.firstMembers(), Seed: rand.Uint64(),
+		Heartbeat: logHeartbeat, Lease: logLease, Election: logElection,
 	}, stored, c.clock.Now())
 	c.refreshStatus(c.clock.Now())
 	return nil
