--- a/core/tackclock/clock.go
+++ b/core/tackclock/clock.go
@@ -34,10 +34,13 @@
 	// Duration is a span of time in milliseconds.
 	Duration int64
 
-	// Clock tells the time. Its zero value follows the machine's monotonic
-	// clock from the wall time at which the process started, so a step of the
-	// wall clock neither shortens nor lengthens a lease. After Set it stands
-	// still and is moved by Set and Advance only, which is what tests use.
+	// Clock tells the time. Its zero value follows a clock of the machine that
+	// never steps from the wall time at which the process started, so a step of
+	// the wall clock neither shortens nor lengthens a lease. Time for which the
+	// machine was suspended counts, where the system tells it: a leader that
+	// wakes would otherwise go on by a lease that others saw run out. After Set
+	// it stands still and is moved by Set and Advance only, which is what tests
+	// use.
 	Clock struct {
 		manual atomic.Pointer[atomic.Int64]
 	}
@@ -48,7 +51,7 @@
 	if m := c.manual.Load(); m != nil {
 		return Time(m.Load())
 	}
-	return Time(started.Add(time.Since(started)).UnixMilli())
+	return Time(started.Add(sinceStart()).UnixMilli())
 }
 
 // Set stops the clock at t.
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -14,6 +14,9 @@
 	moveLimit = 5 * tackclock.Second
 	// refusedMemory is how long refused work counts as asked for.
 	refusedMemory = 1500 * tackclock.Millisecond
+	// unplacedAfter is after which wait an item that lasts has no worker: all
+	// of the pool's workers have sent a heartbeat meanwhile.
+	unplacedAfter = 500 * tackclock.Millisecond
 )
 
 type (
@@ -110,6 +113,20 @@
 		out.VMs = append(out.VMs, vm)
 	}
 	out.Backlog = d.backlogWork(out.Service) + p.refusedWork(now)
+	out.Unplaced = p.unplaced(now)
+}
+
+// unplaced is what items that last and have waited for a while take.
+func (p *pool) unplaced(now tackclock.Time) int {
+	sum := 0
+	for _, s := range p.steps {
+		for _, item := range s.waiting {
+			if s.LongRunning && now.Sub(item.since) > unplacedAfter {
+				sum += max(s.MilliCores, 1)
+			}
+		}
+	}
+	return sum
 }
 
 // inUpkeep reports whether a wave has taken hold of the VM.
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -19,7 +19,7 @@
 // start fills the worker's room with items that wait: first of jobs that can
 // still be in time, by their deadlines, then of those that are late.
 func (d *Dispatcher) start(now tackclock.Time, w *worker, sequence uint64, o *Orders) {
-	if w.draining || w.leaving || d.cordon[w.vm] {
+	if w.draining || w.leaving {
 		return
 	}
 	p := d.pools[w.service]
@@ -32,6 +32,9 @@
 			if s.late(now) != late || !d.mayStart(now, w, s) {
 				continue
 			}
+			if d.cordon[w.vm] && !s.waitsTooLong(now) {
+				continue
+			}
 			d.startItems(now, w, s, sequence, o)
 			if len(o.Start) >= startsInAnswer {
 				return
@@ -63,6 +66,22 @@
 // workers that run something: an item that waits costs its caller time.
 const packFactor = 3
 
+// waitsTooLong reports whether items that last must start on any worker, also
+// one that is being emptied. If every worker of a small pool is, they would
+// wait for each other for good: the items for a worker, the workers for the
+// items to be at work elsewhere.
+func (s *openStep) waitsTooLong(now tackclock.Time) bool {
+	if !s.LongRunning {
+		return false
+	}
+	for _, item := range s.waiting {
+		if now.Sub(item.since) > spreadPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // late reports whether the step's job cannot be in time any more.
 func (s *openStep) late(now tackclock.Time) bool {
 	return !s.LongRunning && now.Add(s.Estimate) > s.job.deadline
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -75,6 +75,23 @@
 		}
 		t.Error("the VM is never free")
 	})
+	// Symptom: an item that lasts was never started again. Sequence: it was
+	// stopped to empty its VM; the pool's only other VM was being emptied too.
+	// Cause: both VMs took nothing new until the item was at work.
+	t.Run("starts items again where all VMs are emptied", func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.run(100)
+		w.submit(job(1), lasting(6, 1))
+		w.run(2 * tackclock.Second)
+		wave := newWave(w, 2, "m-0", "m-1")
+		for range 30 {
+			w.d.NextUpkeep(w.now, wave)
+			w.run(150)
+		}
+		w.d.NextUpkeep(w.now, newWave(w, 2))
+		w.run(2 * tackclock.Second)
+		assertRuns(t, w, job(1), 6)
+	})
 	// Symptom: an item was stopped while another of its step was not at work yet.
 	// Sequence: the other had just been ordered on the very VM that is emptied.
 	// Cause: only items on other VMs were counted as away.
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -30,7 +30,7 @@
 	parkAfter = 2500 * tackclock.Millisecond
 	// keepShare is the part of a pool's VMs, in percent, that stays however
 	// idle they are, so that the first jobs of a turn start at once.
-	keepShare = 34
+	keepShare = 33
 )
 
 type (
@@ -57,6 +57,9 @@
 		// Backlog is the accepted work that is not done, and what was refused
 		// just now, in milliseconds of thousandths of a core.
 		Backlog int64
+		// Unplaced are thousandths of a core of items that last and find no
+		// worker. They are owed at any time, so VMs come for them at once.
+		Unplaced int
 	}
 
 	// Move sends a VM to a pool.
@@ -70,6 +73,7 @@
 	need struct {
 		service tackid.Service
 		lacks   int
+		urgent  bool
 	}
 )
 
@@ -95,14 +99,29 @@
 	for i := range pools {
 		p := &pools[i]
 		cores := p.cores() + p.Coming
-		if p.Standby || p.Backlog == 0 || cores > 0 && p.Backlog/int64(cores) < int64(behindAfter) {
+		if p.Standby {
 			continue
 		}
-		if lacks := int(p.Backlog/int64(finishWithin)) - cores; lacks > 0 {
-			needs = append(needs, need{service: p.Service, lacks: lacks})
+		n := need{service: p.Service, urgent: p.Unplaced > p.Coming}
+		if n.urgent {
+			n.lacks = p.Unplaced - p.Coming
+		}
+		if p.Backlog > 0 && (cores == 0 || p.Backlog/int64(cores) >= int64(behindAfter)) {
+			n.lacks = max(n.lacks, int(p.Backlog/int64(finishWithin))-cores)
+		}
+		if n.lacks > 0 {
+			needs = append(needs, n)
 		}
 	}
-	slices.SortFunc(needs, func(a, b need) int { return cmp.Compare(b.lacks, a.lacks) })
+	slices.SortFunc(needs, func(a, b need) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.lacks, a.lacks)
+	})
 	return needs
 }
 
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -67,7 +67,10 @@
 func (c *Control) callMove(ctx context.Context, order Order, m tackpool.Move) {
 	ctx, cancel := context.WithTimeout(ctx, cloudLimit)
 	defer cancel()
-	err := c.cfg.Cloud.Move(ctx, order, m.VM, m.To)
+	err := c.stillLeads(order)
+	if err == nil {
+		err = c.cfg.Cloud.Move(ctx, order, m.VM, m.To)
+	}
 	var refused *CloudError
 	isRefused := errors.As(err, &refused)
 	c.log.WithFields(logrus.Fields{
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -128,7 +128,10 @@
 func (c *Control) callUpkeep(ctx context.Context, order Order, wave tackupkeep.Number, vm tackid.VM) {
 	ctx, cancel := context.WithTimeout(ctx, cloudLimit)
 	defer cancel()
-	err := c.cfg.Cloud.Upkeep(ctx, order, vm, wave)
+	err := c.stillLeads(order)
+	if err == nil {
+		err = c.cfg.Cloud.Upkeep(ctx, order, vm, wave)
+	}
 	now := c.clock.Now()
 	c.log.WithFields(logrus.Fields{"vm": string(vm), "wave": int64(wave), "fence": order.Fence}).WithError(err).Info("upkeep ordered")
 	var refused *CloudError
@@ -145,3 +148,13 @@
 	delete(c.upkeep.calls, vm)
 	c.mu.Unlock()
 }
+
+// stillLeads returns a *CloudError if this VM lost its lease since the order was
+// decided, perhaps because it was frozen in between. Another leader may be
+// ordering VMs about by now.
+func (c *Control) stillLeads(o Order) error {
+	if term, leads := c.leads(c.clock.Now()); !leads || uint64(term) != o.Fence {
+		return &CloudError{Reason: "leadership was lost"}
+	}
+	return nil
+}
