Let upkeep of VMs in the standby pool be over by time

After the first nine, one VM went every two seconds: those in the standby pool never report, and counted as down for 20 s. Ruled out by the log: items that last (moved in under a second each), calls refused as busy (3).

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -35,6 +35,8 @@
 		// one without room is.
 		Retry     tackclock.Duration
 		RetryBusy tackclock.Duration
+		// Upkeep is how long a VM is down for its upkeep.
+		Upkeep tackclock.Duration
 	}
 
 	// Dispatcher is one leader's view of the workers and what runs on them.
@@ -98,6 +100,7 @@
 	// second try. All that is longer is time for which the work of a worker
 	// that fell silent, and of an earlier leader, waits.
 	defaultHold      = 3500 * tackclock.Millisecond
+	defaultUpkeep    = 2 * tackclock.Second
 	defaultRetry     = 150 * tackclock.Millisecond
 	defaultRetryBusy = 400 * tackclock.Millisecond
 )
@@ -109,6 +112,9 @@
 	if c.Retry == 0 {
 		c.Retry = defaultRetry
 	}
+	if c.Upkeep == 0 {
+		c.Upkeep = defaultUpkeep
+	}
 	if c.RetryBusy == 0 {
 		c.RetryBusy = defaultRetryBusy
 	}
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -16,6 +16,8 @@
 	// downLimit is after which time a VM that was taken down and has not come
 	// back counts no more against what may be down at once.
 	downLimit = 20 * tackclock.Second
+	// upkeepSlack is added to the platform's time for an upkeep.
+	upkeepSlack = tackclock.Second
 	// callAgainAfter spaces out the calls for one VM.
 	callAgainAfter = tackclock.Second
 )
@@ -81,6 +83,15 @@
 	return again
 }
 
+// downFor is how long a VM counts as down if nobody says that it is back. One
+// in the standby pool never says so; the platform's own time has to do.
+func (d *Dispatcher) downFor(st *upkeepState) tackclock.Duration {
+	if st.life == "" {
+		return d.cfg.Upkeep + upkeepSlack
+	}
+	return downLimit
+}
+
 func (d *Dispatcher) upkeepOf(vm tackid.VM) *upkeepState {
 	st := d.upkeeps[vm]
 	if st == nil {
@@ -101,7 +112,8 @@
 			continue
 		}
 		life := d.lives[vm]
-		if life != nil && life.id != st.life || now.Sub(st.calledAt) > downLimit {
+		back := life != nil && life.id != st.life
+		if back || now.Sub(st.calledAt) > d.downFor(st) {
 			st.calledAt = 0
 			delete(d.cordon, vm)
 			continue
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -48,6 +48,21 @@
 	assertDown(t, w.takeDown(wave), "m-2")
 }
 
+// Symptom: a wave was late. Sequence: most of its VMs were in the standby pool,
+// and their upkeep was ordered first. Cause: they counted as down until a worker
+// on them sent a heartbeat, which one in the standby pool never does.
+func TestUpkeepOfStandbyIsOverByTime(t *testing.T) {
+	w := newWorld(t, 1)
+	w.d.Inventory([]Machine{{VM: "s-1", Service: "spare", Up: true}, {VM: "s-2", Service: "spare", Up: true}})
+	w.run(5 * tackclock.Second)
+	wave := newWave(w, 1, "s-1", "s-2")
+	assertDown(t, w.takeDown(wave), "s-1")
+	w.run(2 * tackclock.Second)
+	assertDown(t, w.takeDown(wave))
+	w.run(1500)
+	assertDown(t, w.takeDown(wave), "s-2")
+}
+
 func TestUpkeepSparesItemsThatLast(t *testing.T) {
 	t.Run("one VM at a time where one may be away", func(t *testing.T) {
 		w := newWorld(t, 4)
