Keep work from workers that fail, hang or slow down; random schedules

Cause: heartbeats say that such a worker is well; a failing one always has room and draws work. A worker is slow if most of its items are four times behind their estimates. Random schedules over the model of workers found that empty workers left work to one that is emptied for upkeep and gets nothing new (TestEmptyWorkers...).

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -159,3 +159,51 @@
 		}
 	}
 }
+
+// Symptom: jobs fail though they could be done. Sequence: one worker fails all
+// that it starts at once, so it always has room and draws the next items. Cause:
+// its heartbeats say that it is well.
+func TestWorkerThatFailsAllGetsNothing(t *testing.T) {
+	w := newWorld(t, 4)
+	w.workers[0].failing = true
+	for n := range 12 {
+		w.submit(job(n), batch(4, 3, 800))
+	}
+	w.run(8 * tackclock.Second)
+	for n := range 12 {
+		assertPhase(t, w, job(n), tackjob.Complete)
+	}
+}
+
+// Symptom: a job is late by as long as a worker hangs. Sequence: items start on a
+// worker on which everything stands still; it goes on sending heartbeats.
+func TestItemThatStandsStillStartsElsewhere(t *testing.T) {
+	w := newWorld(t, 3)
+	w.workers[0].hung = true
+	w.submit(job(1), batch(12, 3, 600))
+	w.run(4 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Symptom: a job waits for a worker that has turned slow, while others idle.
+func TestSlowItemStartsElsewhere(t *testing.T) {
+	w := newWorld(t, 3)
+	w.workers[0].slow = 8
+	w.submit(job(1), batch(12, 3, 1200))
+	w.run(6 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Symptom: a job waits though workers are free. Sequence: a VM with room is
+// being emptied for its upkeep and still runs an item; a job comes.
+// Cause: empty workers left the job to it, and it gets nothing new.
+func TestEmptyWorkersDoNotLeaveWorkToOneThatIsEmptied(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(1, 1, 20*tackclock.Second))
+	w.run(tackclock.Second)
+	w.d.NextUpkeep(w.now, newWave(w, 1, "m-0"))
+	w.addWorker("m-1", 1)
+	w.submit(job(2), batch(1, 1, 300))
+	w.run(1500)
+	assertPhase(t, w, job(2), tackjob.Complete)
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -81,6 +81,8 @@
 		started    tackclock.Time
 		sentIn     uint64 // the heartbeat that was answered with the start
 		listed     bool
+		listedAt   tackclock.Time // when it was first listed, at percent from
+		from       int
 		percent    int
 		movedAt    tackclock.Time // when percent last changed
 		checkpoint string
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -30,6 +30,8 @@
 	EventUpkeep
 	// EventMove is the decision to send a VM to another pool.
 	EventMove
+	// EventSuspected says that a worker gets nothing new for a while.
+	EventSuspected
 )
 
 // maxEvents bounds what is kept between two looks at the events.
@@ -55,7 +57,7 @@
 
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
-	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen",
+	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected",
 }
 
 // String names the event in logs.
--- /dev/null
+++ b/core/tackdispatch/schedule_test.go
@@ -0,0 +1,124 @@
+package tackdispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackwork"
+)
+
+// act does one random thing to the world.
+func (w *world) act(t *rapid.T, jobs *int) {
+	m := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
+	if m.dead {
+		return // its VM has another life, which is in the list as well
+	}
+	switch rapid.SampledFrom([]string{
+		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
+		"hang", "fail", "reset", "upkeep",
+	}).Draw(t, "act") {
+	case "submit":
+		w.submitRandom(t, jobs)
+	case "cancel":
+		if *jobs > 0 {
+			w.apply(tackwork.Change{Cancel: job(rapid.IntRange(1, *jobs).Draw(t, "job"))})
+		}
+	case "crash":
+		m.dead = true
+		w.addWorker(m.vm, 0)
+	case "cut":
+		m.cut = true
+	case "heal":
+		m.cut, m.hung, m.failing = false, false, false
+	case "leave":
+		m.draining = true
+		w.addWorker(tackid.VM(fmt.Sprintf("n-%d", w.lives)), 1)
+	case "leader":
+		w.newLeader()
+	case "hold":
+		w.held = true
+	case "release":
+		w.release()
+	case "lost":
+		w.beat(m, true)
+	case "hang":
+		m.hung = true
+	case "fail":
+		m.failing = true
+	case "reset":
+		w.waiting = nil
+		w.d.Reset(w.now, w.term, &w.state.Jobs)
+	case "upkeep":
+		w.takeDownRandom(m)
+	}
+}
+
+func (w *world) submitRandom(t *rapid.T, jobs *int) {
+	*jobs++
+	count := rapid.IntRange(1, 12).Draw(t, "count")
+	estimate := tackclock.Duration(rapid.IntRange(100, 2000).Draw(t, "estimate"))
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		w.submit(job(*jobs), lasting(count, 1))
+		return
+	}
+	w.submit(job(*jobs), batch(count, 2, estimate), batch(2, 1, estimate, 0))
+}
+
+// takeDownRandom has a wave of one VM go as far as it goes at once.
+func (w *world) takeDownRandom(m *modelWorker) {
+	wave := newWave(w, 1, m.vm)
+	w.run(200)
+	if len(w.takeDown(wave)) > 0 {
+		w.run(2 * tackclock.Second)
+		w.addWorker(m.vm, 0)
+	}
+}
+
+// TestRandomSchedules checks, over random failures, that no item runs twice,
+// no worker is filled beyond its capacity, steps keep their order, nothing
+// starts after its end was noted, and everything accepted comes to its end once
+// the failures stop. The world checks all but the last at every step.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 5)
+		jobs := 0
+		for range rapid.IntRange(1, 25).Draw(t, "acts") {
+			w.act(t, &jobs)
+			w.run(tackclock.Duration(rapid.IntRange(25, 1500).Draw(t, "wait")))
+		}
+		w.release()
+		for _, m := range w.workers {
+			m.cut, m.hung, m.failing = false, false, false
+		}
+		for n := range 4 {
+			w.addWorker(tackid.VM("fresh-"+string(rune('a'+n))), 7)
+		}
+		w.run(60 * tackclock.Second)
+		w.checkEnds(jobs)
+	})
+}
+
+// checkEnds is what must hold a while after the last failure.
+func (w *world) checkEnds(jobs int) {
+	w.t.Helper()
+	for n := 1; n <= jobs; n++ {
+		j := w.state.Jobs.Get(job(n))
+		if j == nil || j.Phase != tackjob.Open {
+			if w.runsOf(job(n)) > 0 {
+				w.t.Fatalf("items of job %d run on, and it is %v", n, j.Phase)
+			}
+			continue
+		}
+		if !j.LongRunning() {
+			w.t.Fatalf("job %d is still open", n)
+		}
+		if got, want := w.runsOf(job(n)), j.Steps[0].Count; got != want {
+			w.t.Fatalf("job %d runs %d items that last, want %d", n, got, want)
+		}
+	}
+}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -19,12 +19,12 @@
 // start fills the worker's room with items that wait: first of jobs that can
 // still be in time, by their deadlines, then of those that are late.
 func (d *Dispatcher) start(now tackclock.Time, w *worker, sequence uint64, o *Orders) {
-	if w.draining || w.leaving {
+	if !w.takesNew(now) {
 		return
 	}
 	p := d.pools[w.service]
 	p.tidy()
-	if len(w.runs) == 0 && p.othersSuffice(w) {
+	if len(w.runs) == 0 && d.othersSuffice(now, p, w) {
 		return
 	}
 	for _, late := range []bool{false, true} {
@@ -43,10 +43,17 @@
 	}
 }
 
+// takesNew reports whether the worker may get new items, but for one that is
+// being emptied for its upkeep.
+func (w *worker) takesNew(now tackclock.Time) bool {
+	return !w.draining && !w.leaving && now >= w.suspicion.until
+}
+
 // othersSuffice reports whether the pool's workers that run something anyway
 // have room for all that waits. A worker that stays empty can be moved to
-// another pool, or go to the standby pool.
-func (p *pool) othersSuffice(w *worker) bool {
+// another pool, or go to the standby pool. Workers that get nothing new don't
+// count, whatever room they have: what waits would be left to them for good.
+func (d *Dispatcher) othersSuffice(now tackclock.Time, p *pool, w *worker) bool {
 	var waiting, room int
 	for _, s := range p.steps {
 		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" {
@@ -55,7 +62,7 @@
 		waiting += len(s.waiting) * s.MilliCores
 	}
 	for _, o := range p.workers {
-		if o != w && len(o.runs) > 0 && !o.draining && !o.leaving {
+		if o != w && len(o.runs) > 0 && o.takesNew(now) && !o.silent(now) && !d.cordon[o.vm] {
 			room += o.room().MilliCores
 		}
 	}
--- /dev/null
+++ b/core/tackdispatch/suspect.go
@@ -0,0 +1,137 @@
+package tackdispatch
+
+import (
+	"auburntack/core/tackclock"
+	"auburntack/core/tackjob"
+)
+
+const (
+	// standsStill is after which time without progress an item hangs, and
+	// standsStillParts the part of its estimate that this is at least. A
+	// worker lists whole percent several times a second.
+	standsStill      = 900 * tackclock.Millisecond
+	standsStillParts = 8
+	// slowParts is how many times an item must be slower than its estimate to
+	// count as slow. Estimates are off by up to a half; workers that turned
+	// slow are four to eight times as slow.
+	slowParts = 4
+	// slowMeans is how many items must be slow at once, and most of those that
+	// can be judged, for their worker to be slow. Some items take several times
+	// their estimate by themselves.
+	slowMeans = 2
+	// slowFrom is how long an item must have run before its speed is judged.
+	slowFrom = 500 * tackclock.Millisecond
+	// suspectFor is how long a worker that was found bad gets nothing new; it
+	// doubles with each time it is found bad again, up to suspectMost.
+	suspectFor  = 2 * tackclock.Second
+	suspectMost = 8 * tackclock.Second
+	// failuresMean is how many jobs must fail on a worker, with none done
+	// between, for the worker to be at fault. A job that can never be done fails
+	// everywhere.
+	failuresMean = 3
+)
+
+// suspicion is what speaks against a worker. Its health says nothing: a worker
+// may fail, hang or slow down all that it runs and still send heartbeats.
+type suspicion struct {
+	until  tackclock.Time
+	lasted tackclock.Duration
+	// failed are the jobs that failed there since the last one was done.
+	failed map[tackjob.ID]bool
+}
+
+// suspect has the worker get nothing new for a while.
+func (d *Dispatcher) suspect(now tackclock.Time, w *worker, reason string) {
+	s := &w.suspicion
+	if now < s.until {
+		return
+	}
+	s.lasted = min(suspectMost, max(suspectFor, 2*s.lasted))
+	s.until = now.Add(s.lasted)
+	d.noteWorker(now, EventSuspected, w, reason)
+}
+
+// takeOutcome takes in how a run ended, which counts for or against its worker.
+func (d *Dispatcher) takeOutcome(now tackclock.Time, w *worker, e *Ended) {
+	s := &w.suspicion
+	switch e.How {
+	case EndDone:
+		s.failed = nil
+		if now >= s.until {
+			s.lasted = 0
+		}
+	case EndFailed:
+		if s.failed == nil {
+			s.failed = make(map[tackjob.ID]bool)
+		}
+		s.failed[e.Item.Job] = true
+		if len(s.failed) >= failuresMean {
+			d.suspect(now, w, "fails what it runs")
+		}
+	}
+}
+
+// inspect looks at a worker's runs for those that hang or are slow, and has
+// them start elsewhere where that is sooner.
+func (d *Dispatcher) inspect(now tackclock.Time, w *worker) {
+	judged := 0
+	var slow []*run
+	for _, r := range w.runs {
+		if r.stopping || !r.listed || r.step.LongRunning || r.step.Fills || r.pace < fullPace {
+			continue
+		}
+		if r.hangs(now) {
+			d.suspect(now, w, "an item stands still")
+			d.stop(now, r, "stands still")
+			continue
+		}
+		if now.Sub(r.listedAt) < r.judgedAfter() {
+			continue
+		}
+		judged++
+		if r.slow(now) {
+			slow = append(slow, r)
+		}
+	}
+	if len(slow) < slowMeans || 2*len(slow) < judged {
+		return
+	}
+	d.suspect(now, w, "most items are slow")
+	for _, r := range slow {
+		if r.soonerElsewhere(now) {
+			d.stop(now, r, "slow here")
+		}
+	}
+}
+
+// judgedAfter is how long a run must have lasted for its speed to be judged.
+func (r *run) judgedAfter() tackclock.Duration {
+	return max(slowFrom, r.step.Estimate/2)
+}
+
+func (r *run) hangs(now tackclock.Time) bool {
+	return now.Sub(r.movedAt) > max(standsStill, r.step.Estimate/standsStillParts)
+}
+
+// slow reports whether the run is far behind its estimate.
+func (r *run) slow(now tackclock.Time) bool {
+	ran := now.Sub(r.listedAt)
+	return ran*tackclock.Duration(100-r.from) > slowParts*r.step.Estimate*tackclock.Duration(max(1, r.percent-r.from))
+}
+
+// soonerElsewhere reports whether the item, stopped and started on a sound
+// worker, would end sooner than here. A stop takes up to a second.
+func (r *run) soonerElsewhere(now tackclock.Time) bool {
+	ran := now.Sub(r.listedAt)
+	done := max(1, r.percent-r.from)
+	left := ran * tackclock.Duration(100-r.percent) / tackclock.Duration(done)
+	again := r.step.Estimate
+	if r.checkpoint != "" {
+		again = r.step.Estimate * tackclock.Duration(100-r.percent) / 100
+	}
+	return left > again*3/2+stopTime
+}
+
+// stopTime is what a stop and a new start take: most of a second on the slower
+// site, and a heartbeat.
+const stopTime = 1200 * tackclock.Millisecond
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -22,6 +22,7 @@
 	// further heartbeat is answered.
 	leaseUntil tackclock.Time
 	draining   bool
+	suspicion  suspicion
 	leaving    bool // a call that ends it is under way
 	heardAt    tackclock.Time
 	idleFrom   tackclock.Time // when its last run ended
@@ -59,6 +60,7 @@
 	}
 	finished := d.takeEnds(now, w, r.Ended)
 	d.takeRunning(now, w, r)
+	d.inspect(now, w)
 	w.leaseUntil = d.leaseEnd(now)
 	o := Orders{Hold: d.cfg.Hold, Fence: uint64(d.term), Stop: w.stops}
 	w.stops = nil
@@ -144,6 +146,7 @@
 // takeEnd frees what the run took and says whether the log must hold its end.
 func (d *Dispatcher) takeEnd(now tackclock.Time, w *worker, e *Ended) (tackjob.End, bool) {
 	d.note(Event{Kind: EventEnded, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run, Reason: e.How.String()})
+	d.takeOutcome(now, w, e)
 	r := w.runs[e.Item]
 	if r != nil && r.number == e.Run {
 		d.free(now, r)
@@ -223,6 +226,9 @@
 }
 
 func (r *run) update(now tackclock.Time, row *Running) {
+	if !r.listed {
+		r.listedAt, r.from = now, row.Percent
+	}
 	if !r.listed || row.Percent != r.percent {
 		r.movedAt = now
 	}
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -70,6 +70,7 @@
 		cut      bool // heartbeats do not arrive
 		dead     bool
 		hung     bool // items stand still
+		failing  bool // items fail soon after they start
 		slow     int  // items take so many times as long; 0 is 1
 	}
 
@@ -193,6 +194,8 @@
 			w.end(m, item, EndLapsed)
 		case r.stopAt != 0 && w.now >= r.stopAt:
 			w.end(m, item, EndStopped)
+		case m.failing && w.now.Sub(r.began) > 100:
+			w.end(m, item, EndFailed)
 		case !r.step.LongRunning && !m.hung && w.now >= r.endsAt:
 			w.end(m, item, EndDone)
 		}
@@ -233,6 +236,9 @@
 
 func (m *modelWorker) percent(w *world, item tackjob.Item) int {
 	r := m.runs[item]
+	if m.hung {
+		return 0
+	}
 	if r.step.LongRunning {
 		if w.now.Sub(r.began) >= worldStartup {
 			return 100
