Start gangs whole, ask the placement advisor, keep items near their data

Ruled out: starting members as room comes (they wait for each other and end alone). Room is kept for all members at once and their starts go out under one number. Before: TestGangStartsWhole and TestAdvisedStepNeedsTicket cannot pass.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -207,3 +207,86 @@
 	w.run(1500)
 	assertPhase(t, w, job(2), tackjob.Complete)
 }
+
+// A gang works only once all its members are there, so they are started
+// together, under one number, where there is room for all.
+func TestGangStartsWhole(t *testing.T) {
+	gang := batch(6, 8, 500)
+	gang.Gang = true
+	t.Run("over several workers", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.run(200)
+		w.submit(job(1), gang)
+		w.run(400)
+		assertRuns(t, w, job(1), 6)
+		numbers := make(map[RunNumber]bool)
+		for _, m := range w.workers {
+			for _, r := range m.runs {
+				numbers[r.number] = true
+			}
+		}
+		if len(numbers) != 1 {
+			t.Errorf("%d run numbers, want one", len(numbers))
+		}
+		w.run(2 * tackclock.Second)
+		assertPhase(t, w, job(1), tackjob.Complete)
+	})
+	t.Run("not in part", func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.run(200)
+		w.submit(job(1), gang)
+		w.run(tackclock.Second)
+		assertRuns(t, w, job(1), 0)
+	})
+	t.Run("again after a member is lost", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.run(200)
+		w.submit(job(1), gang)
+		w.run(300)
+		for _, m := range w.workers {
+			for item := range m.runs {
+				w.end(m, item, EndBroken)
+			}
+		}
+		w.run(4 * tackclock.Second)
+		assertPhase(t, w, job(1), tackjob.Complete)
+	})
+}
+
+// A start on an advised queue needs a ticket of the advisor.
+func TestAdvisedStepNeedsTicket(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(200)
+	w.submit(job(1), batch(2, 1, 300))
+	w.state.Jobs.Get(job(1)).Advised = true
+	w.run(500)
+	assertRuns(t, w, job(1), 0)
+	request, wanted := w.d.AdviceWanted(w.now)
+	if !wanted || len(request.Workers) != 2 {
+		t.Fatalf("advice wanted %v of %v", wanted, request.Workers)
+	}
+	w.d.Advised(w.now, request, []Ticket{{Worker: "i-2", Text: "leave"}}, 3000, true)
+	w.run(250)
+	if n := len(w.workers[0].runs); n != 0 {
+		t.Errorf("%d items run where they may not", n)
+	}
+	w.run(tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Items whose data is on a rack start there if it has room soon.
+func TestItemsStartNearTheirData(t *testing.T) {
+	w := newWorld(t, 8)
+	w.run(200)
+	near := batch(8, 2, 500)
+	near.Affinity = "r-1"
+	w.submit(job(1), near)
+	w.run(350)
+	for i, m := range w.workers {
+		if n := len(m.runs); i < 4 && n > 0 {
+			t.Errorf("%d items run on %s of another rack", n, m.id)
+		}
+	}
+	w.run(2 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -5,6 +5,8 @@
 package tackdispatch
 
 import (
+	"math"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
@@ -21,6 +23,9 @@
 	// leaseSlack covers the rounding of both clocks to milliseconds and late
 	// timers on the worker.
 	leaseSlack = 100 * tackclock.Millisecond
+	// notSent stands for the heartbeat that was answered with a start which
+	// has not been sent yet: no heartbeat is later.
+	notSent = math.MaxUint64
 	// endsInReport is how many ends a worker lists at a time. A list of this
 	// length may leave some out.
 	endsInReport = 500
--- /dev/null
+++ b/core/tackdispatch/gang.go
@@ -0,0 +1,136 @@
+package tackdispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"auburntack/core/tackclock"
+)
+
+const (
+	// rackPatience is how long a gang waits for one rack that holds it whole
+	// before it is spread over several.
+	rackPatience = 800 * tackclock.Millisecond
+	// gangHold is how long a worker's room is kept for a gang's item. Workers
+	// with room send heartbeats several times a second; a member that comes
+	// later than the platform's three seconds would find the others gone.
+	gangHold = 2 * tackclock.Second
+)
+
+// planned is a start that waits for its worker's next heartbeat.
+type planned struct {
+	run   *run
+	until tackclock.Time
+}
+
+// placeGangs finds room for gangs whose turn it is, all members at once. Their
+// starts go out with their workers' next heartbeats.
+func (d *Dispatcher) placeGangs(now tackclock.Time, p *pool) {
+	for _, s := range p.steps {
+		if !s.Gang || len(s.waiting) == 0 || s.running > 0 || s.ending > 0 || !s.job.fresh && !d.Sure(now) {
+			continue
+		}
+		if hosts := d.gangHosts(now, p, s); hosts != nil {
+			d.planGang(now, s, hosts)
+		}
+	}
+}
+
+// gangHosts returns a worker for each waiting item of the gang, or nil if the
+// room does not do. Workers of one rack are taken first.
+func (d *Dispatcher) gangHosts(now tackclock.Time, p *pool, s *openStep) []*worker {
+	racks := make(map[string][]*worker)
+	var all []*worker
+	for _, w := range p.workers {
+		if !w.takesNew(now) || w.silent(now) || d.cordon[w.vm] || !w.has(s.Requires) || !s.ticketed(now, w) {
+			continue
+		}
+		all = append(all, w)
+		racks[w.rack()] = append(racks[w.rack()], w)
+	}
+	for _, name := range sortedRacks(racks, s.Affinity) {
+		if hosts := fillHosts(s, racks[name]); hosts != nil {
+			return hosts
+		}
+	}
+	if s.SameRack && now.Sub(s.waiting[0].since) < rackPatience {
+		return nil
+	}
+	return fillHosts(s, all)
+}
+
+func sortedRacks(racks map[string][]*worker, first string) []string {
+	names := make([]string, 0, len(racks))
+	for name := range racks {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if (a == first) != (b == first) {
+			if a == first {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return names
+}
+
+// fillHosts puts the waiting items on workers in turn, and returns nil if not
+// all of them fit.
+func fillHosts(s *openStep, workers []*worker) []*worker {
+	var hosts []*worker
+	takes := s.Takes()
+	for _, w := range workers {
+		room := w.room()
+		here := w.steps[s.key()]
+		for len(hosts) < len(s.waiting) && room.Fits(takes) && (s.MaxPerWorker == 0 || here < s.MaxPerWorker) {
+			room = room.Minus(takes)
+			here++
+			hosts = append(hosts, w)
+		}
+	}
+	if len(hosts) < len(s.waiting) {
+		return nil
+	}
+	return hosts
+}
+
+// planGang keeps the room. All members of a gang carry one run number and one
+// checkpoint.
+func (d *Dispatcher) planGang(now tackclock.Time, s *openStep, hosts []*worker) {
+	number := d.nextRun()
+	checkpoint := s.waiting[0].checkpoint
+	for i, item := range s.waiting {
+		r := &run{
+			item: s.item(item.index), number: number, worker: hosts[i], step: s, takes: s.Takes(),
+			started: now, movedAt: now, sentIn: notSent, checkpoint: checkpoint, pace: fullPace,
+		}
+		d.place(r)
+		hosts[i].planned = append(hosts[i].planned, planned{run: r, until: now.Add(gangHold)})
+	}
+	s.waiting = s.waiting[:0]
+}
+
+// sendPlanned puts the starts that wait for this worker into its answer. A
+// start that has waited too long is given up.
+func (d *Dispatcher) sendPlanned(now tackclock.Time, w *worker, sequence uint64, o *Orders) {
+	waiting := w.planned
+	w.planned = nil
+	for _, p := range waiting {
+		r := p.run
+		if w.runs[r.item] != r {
+			continue
+		}
+		if now > p.until || r.stopping {
+			d.free(now, r)
+			d.requeue(now, r)
+			continue
+		}
+		r.sentIn, r.started, r.movedAt = sequence, now, now
+		d.noteRun(now, EventStarted, r, "gang")
+		o.Start = append(o.Start, Start{
+			Item: r.item, Run: r.number, Text: r.step.job.Text, Checkpoint: r.checkpoint, Ticket: r.step.ticket(w),
+		})
+	}
+}
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -40,6 +40,7 @@
 		running int
 		ending  int // ends that are not in the log yet
 		pooled  bool
+		advice  advice
 		rank    rank
 	}
 
@@ -195,6 +196,9 @@
 		return
 	}
 	s.dropWaiting(e.Item.Index)
+	if e.Gang {
+		s.waiting = nil // one end stands for all members
+	}
 	if o.StepDone(e.Item.Occurrence, e.Item.Step) {
 		d.openReady(now, o, e.Item.Occurrence)
 	}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -24,6 +24,7 @@
 	}
 	p := d.pools[w.service]
 	p.tidy()
+	d.placeGangs(now, p)
 	if len(w.runs) == 0 && d.othersSuffice(now, p, w) {
 		return
 	}
@@ -56,7 +57,7 @@
 func (d *Dispatcher) othersSuffice(now tackclock.Time, p *pool, w *worker) bool {
 	var waiting, room int
 	for _, s := range p.steps {
-		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" {
+		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" || s.Gang || s.job.Advised || s.Affinity != "" {
 			return false
 		}
 		waiting += len(s.waiting) * s.MilliCores
@@ -98,7 +99,7 @@
 	if !s.job.fresh && !d.Sure(now) {
 		return false
 	}
-	if !w.has(s.Requires) || s.Gang {
+	if s.Gang || !w.has(s.Requires) || !s.ticketed(now, w) {
 		return false
 	}
 	return s.Affinity == "" || w.has(s.Affinity) || now.Sub(s.job.Accepted) > awayFromData
@@ -119,7 +120,7 @@
 		d.place(r)
 		d.noteRun(now, EventStarted, r, "")
 		o.Start = append(o.Start, Start{
-			Item: r.item, Run: r.number, Text: s.job.Text, Checkpoint: next.checkpoint,
+			Item: r.item, Run: r.number, Text: s.job.Text, Checkpoint: next.checkpoint, Ticket: s.ticket(w),
 		})
 	}
 }
--- a/core/tackdispatch/suspect.go
+++ b/core/tackdispatch/suspect.go
@@ -77,7 +77,7 @@
 	judged := 0
 	var slow []*run
 	for _, r := range w.runs {
-		if r.stopping || !r.listed || r.step.LongRunning || r.step.Fills || r.pace < fullPace {
+		if r.stopping || !r.listed || r.step.LongRunning || r.step.Fills || r.step.Gang || r.pace < fullPace {
 			continue
 		}
 		if r.hangs(now) {
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -33,6 +33,17 @@
 	// run for.
 	strange tackjob.Room
 	stops   []Stop
+	// planned are starts of gangs that wait for its next heartbeat.
+	planned []planned
+}
+
+// rack is the worker's rack. Its labels are its kind and its rack, in this
+// order.
+func (w *worker) rack() string {
+	if len(w.labels) == 0 {
+		return ""
+	}
+	return w.labels[len(w.labels)-1]
 }
 
 // ends keeps track of which of a worker's ends may be forgotten.
@@ -70,6 +81,7 @@
 		}
 	}
 	d.start(now, w, r.Sequence, &o)
+	d.sendPlanned(now, w, r.Sequence, &o)
 	o.Pace = d.pace(now, w)
 	o.Noted = w.ends.noted()
 	o.Retry = d.retry(w)
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -55,6 +55,8 @@
 		Handover tackclock.Duration
 		Dispatch tackdispatch.Config
 		Cloud    Cloud
+		// Advisor may be nil.
+		Advisor Advisor
 
 		Clock    *tackclock.Clock
 		Logger   logrus.FieldLogger
--- a/io/tackcontrol/serve.go
+++ b/io/tackcontrol/serve.go
@@ -42,6 +42,9 @@
 	}})
 	supervisor.Add(service{"links", c.links.Serve})
 	supervisor.Add(service{"upkeep", c.serveUpkeep})
+	if c.cfg.Advisor != nil {
+		supervisor.Add(service{"advice", c.serveAdvice})
+	}
 	_ = supervisor.Serve(ctx) // ends with ctx, whose cause says why
 	err := context.Cause(ctx)
 	if closeErr := c.disk.Close(); closeErr != nil {
