--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -65,11 +65,12 @@
 
 	// Control is one control VM.
 	Control struct {
-		cfg   Config
-		clock *tackclock.Clock
-		log   logrus.FieldLogger
-		links *tackpeer.Links
-		disk  *tackdisk.Disk
+		cfg    Config
+		clock  *tackclock.Clock
+		log    logrus.FieldLogger
+		meters *meters
+		links  *tackpeer.Links
+		disk   *tackdisk.Disk
 
 		// events are run by the loop, the only goroutine that touches node,
 		// waiters and members.
@@ -112,7 +113,7 @@
 // New opens the data folder and makes a control VM. Nothing runs until Serve.
 func New(cfg Config) (*Control, error) {
 	c := &Control{
-		cfg: cfg, clock: cfg.Clock, log: cfg.Logger,
+		cfg: cfg, clock: cfg.Clock, log: cfg.Logger, meters: newMeters(cfg.Registry),
 		events:   make(chan func(), eventQueue),
 		ended:    make(chan struct{}),
 		waiters:  make(map[tackid.Revision]waiter),
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -23,7 +23,9 @@
 		return c.notLeader()
 	}
 	a := c.do(ctx, r)
-	c.logAnswer(r, &a, c.clock.Now().Sub(now))
+	took := c.clock.Now().Sub(now)
+	c.meters.answered(r, &a, took)
+	c.logAnswer(r, &a, took)
 	return a
 }
 
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -74,10 +74,21 @@
 		c.dispatch.Tick(now)
 	}
 	events, left := c.dispatch.Events()
+	known := c.state.Jobs.Len()
 	c.mu.Unlock()
+	c.updateGauges(now, known)
 	c.logEvents(events, left)
 }
 
+func (c *Control) updateGauges(now tackclock.Time, jobs int) {
+	leads := int64(0)
+	if _, ok := c.leads(now); ok {
+		leads = 1
+	}
+	c.meters.leads.Update(leads)
+	c.meters.jobs.Update(int64(jobs))
+}
+
 // settle carries out what the log asks for until it asks for nothing more.
 func (c *Control) settle() error {
 	for {
--- /dev/null
+++ b/io/tackcontrol/metrics.go
@@ -0,0 +1,65 @@
+package tackcontrol
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackwork"
+)
+
+// sampleSize is how many recent values a histogram is computed from.
+const sampleSize = 1028
+
+// meters are the metrics of a control VM, as docs/METRICS.md lists them.
+type meters struct {
+	accepted   metrics.Counter
+	refused    metrics.Counter
+	unsure     metrics.Counter
+	heartbeats metrics.Counter
+	starts     metrics.Counter
+	stops      metrics.Counter
+	ends       metrics.Counter
+	moves      metrics.Counter
+	upkeeps    metrics.Counter
+	leads      metrics.Gauge
+	jobs       metrics.Gauge
+	decided    metrics.Histogram
+	committed  metrics.Histogram
+}
+
+func newMeters(r metrics.Registry) *meters {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge(name, r) }
+	sample := func() metrics.Sample { return metrics.NewUniformSample(sampleSize) }
+	return &meters{
+		accepted:   counter("jobs_accepted"),
+		refused:    counter("jobs_refused"),
+		unsure:     counter("job_requests_unsure"),
+		heartbeats: counter("worker_heartbeats"),
+		starts:     counter("runs_ordered"),
+		stops:      counter("runs_stopped"),
+		ends:       counter("run_ends_logged"),
+		moves:      counter("vm_moves"),
+		upkeeps:    counter("vm_upkeeps"),
+		leads:      gauge("control_leads"),
+		jobs:       gauge("jobs_known"),
+		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
+		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
+	}
+}
+
+// answered counts what became of a caller's request.
+func (m *meters) answered(r *tackwork.Request, a *tackwork.Answer, took tackclock.Duration) {
+	m.decided.Update(int64(took))
+	switch {
+	case a.Verdict == tackwork.Refused:
+		m.refused.Inc(1)
+	case a.Verdict == tackwork.Unknown || a.Verdict == tackwork.Unavailable:
+		m.unsure.Inc(1)
+	case a.Verdict == tackwork.Done && r.Operation == tackwork.Submit:
+		m.accepted.Inc(1)
+	}
+}
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -67,6 +67,7 @@
 func (c *Control) callMove(ctx context.Context, order Order, m tackpool.Move) {
 	ctx, cancel := context.WithTimeout(ctx, cloudLimit)
 	defer cancel()
+	c.meters.moves.Inc(1)
 	err := c.stillLeads(order)
 	if err == nil {
 		err = c.cfg.Cloud.Move(ctx, order, m.VM, m.To)
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -50,6 +50,7 @@
 
 // propose appends a change and returns what became of it.
 func (c *Control) propose(ctx context.Context, change tackwork.Change) proposed {
+	began := c.clock.Now()
 	result := make(chan proposed, 1)
 	data := change.Encode()
 	posted := c.post(ctx, func() {
@@ -62,6 +63,7 @@
 	defer timer.Stop()
 	select {
 	case p := <-result:
+		c.meters.committed.Update(int64(c.clock.Now().Sub(began)))
 		return p
 	case <-timer.C:
 	case <-ctx.Done():
@@ -187,6 +189,7 @@
 		return
 	}
 	for id, ends := range byWorker {
+		c.meters.ends.Inc(int64(len(ends)))
 		c.dispatch.EndsNoted(id, ends)
 	}
 }
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -128,6 +128,7 @@
 func (c *Control) callUpkeep(ctx context.Context, order Order, wave tackupkeep.Number, vm tackid.VM) {
 	ctx, cancel := context.WithTimeout(ctx, cloudLimit)
 	defer cancel()
+	c.meters.upkeeps.Inc(1)
 	err := c.stillLeads(order)
 	if err == nil {
 		err = c.cfg.Cloud.Upkeep(ctx, order, vm, wave)
--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -16,6 +16,9 @@
 	}
 	orders, finished := c.dispatch.Heartbeat(now, r)
 	c.queueEnds(r.Worker, finished)
+	c.meters.heartbeats.Inc(1)
+	c.meters.starts.Inc(int64(len(orders.Start)))
+	c.meters.stops.Inc(int64(len(orders.Stop)))
 	// A lease that ran out while this was worked out may be another leader's
 	// by now. What dispatch has noted is corrected by the next heartbeat.
 	if _, leads := c.leads(c.clock.Now()); !leads {
--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -29,9 +29,14 @@
 	// callLimit bounds one call. A commit takes some 15 ms, with a slow disk
 	// a few hundred; a leader that was cut off is given up after this time.
 	callLimit = 600 * time.Millisecond
-	// askLimit bounds all tries for one request. It stays below a quarter of
-	// the 3.6 s in which callers want an answer, so that they can try again.
+	// askLimit bounds all tries for one request of which nothing was sent. It
+	// stays below a quarter of the 3.6 s in which callers want an answer, so
+	// that they can try again.
 	askLimit = 850 * time.Millisecond
+	// sentLimit bounds them once a try may have been carried out. An answer of
+	// the next leader, who knows, is worth more to the caller than "unknown";
+	// an election takes about a second, and callers wait for three.
+	sentLimit = 2200 * time.Millisecond
 	// againAfter is the wait between two rounds over all control VMs.
 	againAfter = 60 * time.Millisecond
 	// comeBack is when callers are asked to come back if no leader is found.
@@ -100,15 +105,16 @@
 // Do asks the leader. If none can be found the verdict is Unavailable, or
 // Unknown if the request may have been carried out.
 func (c *Client) Do(ctx context.Context, r *tackwork.Request) tackwork.Answer {
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	ctx, cancel := context.WithTimeout(ctx, sentLimit)
 	defer cancel()
+	began := time.Now()
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: err.Error()}
 	}
 	sent := false
 	reason := "no control VM is known"
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (sent || time.Since(began) < askLimit) {
 		for _, p := range c.order() {
 			a, err := c.call(ctx, p, data)
 			if err == nil && !a.NotLeader {
@@ -129,7 +135,7 @@
 			if !errors.As(err, &unsent) {
 				sent = true
 			}
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || !sent && time.Since(began) >= askLimit {
 				break
 			}
 		}
