Test control VMs together: jobs, lost folders, a new VM, a minority

Three and four control VMs on loopback addresses of their own, with the entry VMs' client: an accepted job outlives its leader and an emptied folder, a VM at a new address takes over for one that is gone, a minority says at once that it is not sure. Before: no such test.

--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"testing"
 
 	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
@@ -372,5 +371,3 @@
 	s.LongRunning, s.MayMiss = true, mayMiss
 	return s
 }
-
-var _ = testing.Short
--- /dev/null
+++ b/io/tackcontrol/control_test.go
@@ -0,0 +1,348 @@
+package tackcontrol_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackclock"
+	"auburntack/core/tackdispatch"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackupkeep"
+	"auburntack/core/tackwork"
+	"auburntack/io/tackcontrol"
+	"auburntack/io/tackforward"
+)
+
+// eventually is how long the tests wait for something that takes seconds.
+const eventually = 30 * time.Second
+
+type (
+	// cluster is some control VMs on loopback addresses of their own, with an
+	// entry VM's client.
+	cluster struct {
+		t      *testing.T
+		links  int
+		folder string
+		seeds  []tackid.Peer
+		client *tackforward.Client
+		log    *logrus.Logger
+
+		mu      sync.Mutex
+		running map[tackid.Peer]*runningVM
+	}
+
+	runningVM struct {
+		control *tackcontrol.Control
+		stop    func()
+	}
+
+	// noCloud refuses every call.
+	noCloud struct{}
+)
+
+func (noCloud) Upkeep(context.Context, tackcontrol.Order, tackid.VM, tackupkeep.Number) error {
+	return &tackcontrol.CloudError{Reason: "busy"}
+}
+
+func (noCloud) Move(context.Context, tackcontrol.Order, tackid.VM, tackid.Service) error {
+	return &tackcontrol.CloudError{Reason: "busy"}
+}
+
+func (noCloud) Machines(context.Context) ([]tackdispatch.Machine, error) { return nil, nil }
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := probe.Addr().(*net.TCPAddr).Port
+	if err := probe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{
+		t: t, links: port, folder: t.TempDir(), running: make(map[tackid.Peer]*runningVM), log: logrus.New(),
+		seeds: []tackid.Peer{"127.0.0.1", "127.0.0.2", "127.0.0.3"},
+	}
+	c.log.SetOutput(io.Discard)
+	c.client = tackforward.NewClient(port+1, c.seedPeers, new(tackclock.Clock), c.log)
+	t.Cleanup(func() {
+		for p := range c.running {
+			c.stop(p)
+		}
+	})
+	return c
+}
+
+func (c *cluster) seedPeers() []tackid.Peer { return append([]tackid.Peer(nil), c.seeds...) }
+
+func (c *cluster) start(p tackid.Peer, bootstrap bool) {
+	c.t.Helper()
+	control, err := tackcontrol.New(tackcontrol.Config{
+		Self: p, Links: c.links, Inner: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
+		Folder: filepath.Join(c.folder, string(p)), Cloud: noCloud{}, Clock: new(tackclock.Clock), Logger: c.log,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort(string(p), strconv.Itoa(c.links+1)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	server := &http.Server{Handler: tackforward.NewHandler(control, c.log)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() { _ = control.Serve(ctx) })
+	group.Go(func() { c.join(ctx, p, control) })
+	c.running[p] = &runningVM{control: control, stop: func() {
+		cancel()
+		_ = server.Close()
+		group.Wait()
+	}}
+}
+
+// join asks the seeds to take a VM in while it has no leader.
+func (c *cluster) join(ctx context.Context, p tackid.Peer, control *tackcontrol.Control) {
+	for ctx.Err() == nil {
+		if !control.Member() {
+			for _, o := range control.Others() {
+				if known, err := c.client.Join(ctx, o, p, ""); err == nil {
+					control.Meet(known)
+				}
+			}
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *cluster) stop(p tackid.Peer) {
+	c.running[p].stop()
+	delete(c.running, p)
+}
+
+// await fails the test if f does not become true.
+func (c *cluster) await(what string, f func() bool) {
+	c.t.Helper()
+	for until := time.Now().Add(eventually); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.t.Fatalf("never: %s", what)
+}
+
+// leader waits for a VM that leads and returns it.
+func (c *cluster) leader() tackid.Peer {
+	c.t.Helper()
+	var found tackid.Peer
+	c.await("a leader", func() bool {
+		for p, vm := range c.running {
+			if _, sure := vm.control.Catalog(); sure {
+				found = p
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+var catalog = tackcatalog.Catalog{
+	Version: 3, Source: []byte("three"),
+	Queues: []tackcatalog.Queue{{
+		QueueKey: tackcatalog.QueueKey{Host: "a.example", Prefix: "/q/"}, Service: "names-api",
+		Timeout: 3000, Objective: 3600, Stretch: 1.6, Attempts: 2,
+	}},
+	Services: []tackcatalog.Service{{Name: "names-api"}},
+}
+
+func (c *cluster) putCatalog() {
+	c.t.Helper()
+	c.await("a catalog accepted", func() bool {
+		for _, vm := range c.running {
+			if vm.control.PutCatalog(context.Background(), &catalog).Verdict == tackwork.Done {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (c *cluster) ask(op tackwork.Operation, id string) tackwork.Answer {
+	r := &tackwork.Request{Operation: op, Host: "a.example", Path: "/q/" + id}
+	if op == tackwork.Submit {
+		r.Spec = &tackjob.Spec{Steps: []tackjob.Step{{Count: 2, Estimate: 100, Room: tackjob.Room{MilliCores: 500}}}}
+	}
+	return c.client.Do(context.Background(), r)
+}
+
+func (c *cluster) assertAsk(op tackwork.Operation, id string, want tackwork.Verdict) {
+	c.t.Helper()
+	var got tackwork.Answer
+	for range 20 {
+		if got = c.ask(op, id); got.Verdict != tackwork.Unavailable && got.Verdict != tackwork.Unknown {
+			break
+		}
+	}
+	if got.Verdict != want {
+		c.t.Errorf("%v of %q: %v (%s), want %v", op, id, got.Verdict, got.Reason, want)
+	}
+}
+
+const (
+	jobA = "00000000000000aa"
+	jobB = "00000000000000bb"
+)
+
+func newRunning(t *testing.T) *cluster {
+	c := newCluster(t)
+	for _, p := range c.seeds {
+		c.start(p, true)
+	}
+	c.putCatalog()
+	return c
+}
+
+func TestJobThroughTheLog(t *testing.T) {
+	c := newRunning(t)
+	c.assertAsk(tackwork.Lookup, jobA, tackwork.NoJob)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	if a := c.ask(tackwork.Lookup, ""); !a.Queue || a.Pending != 1 {
+		t.Errorf("pending %+v, want one job", a)
+	}
+	w := &worker{id: "i-1", control: c.running[c.leader()].control}
+	c.await("the job complete", func() bool {
+		w.beat()
+		return c.ask(tackwork.Lookup, jobA).Progress == tackwork.Complete
+	})
+	c.assertAsk(tackwork.Submit, jobB, tackwork.Done)
+	c.assertAsk(tackwork.Cancel, jobB, tackwork.Done)
+	if a := c.ask(tackwork.Lookup, jobB); a.Progress != tackwork.Cancelled {
+		t.Errorf("progress %v, want cancelled", a.Progress)
+	}
+}
+
+// Symptom: something acknowledged is gone. Sequence: the leader is lost right
+// after it accepted a job; the two others go on; it comes back with an empty
+// folder, and another is lost.
+func TestAcceptedJobOutlivesLeaderAndFolder(t *testing.T) {
+	c := newRunning(t)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	lost := c.leader()
+	c.stop(lost)
+	c.assertAsk(tackwork.Lookup, jobA, tackwork.Done)
+	c.assertAsk(tackwork.Submit, jobB, tackwork.Done)
+	if err := os.RemoveAll(filepath.Join(c.folder, string(lost))); err != nil {
+		t.Fatal(err)
+	}
+	c.start(lost, false)
+	c.await("the VM with the new folder a member", func() bool { return c.running[lost].control.Member() })
+	c.await("it takes part in decisions", func() bool {
+		second := c.leader()
+		return second != lost && c.votes(lost)
+	})
+	c.stop(c.leader())
+	c.assertAsk(tackwork.Lookup, jobA, tackwork.Done)
+	c.assertAsk(tackwork.Lookup, jobB, tackwork.Done)
+}
+
+// votes reports whether the leader counts p among the voters that are up to
+// date.
+func (c *cluster) votes(p tackid.Peer) bool {
+	for _, m := range c.running[c.leader()].control.Standing() {
+		if m.Peer == p {
+			return m.Voter && m.Eligible
+		}
+	}
+	return false
+}
+
+// Symptom: after a VM is gone for good the next loss stops everything.
+// Sequence: an empty VM at a new address asks to be taken in; a voter is lost
+// for good; then another voter is.
+func TestNewVMTakesOverForOneThatIsGone(t *testing.T) {
+	c := newRunning(t)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	c.start("127.0.0.4", false)
+	c.await("the new VM a member", func() bool { return c.running["127.0.0.4"].control.Member() })
+	c.stop(c.leader())
+	c.await("the new VM a voter", func() bool { return c.votes("127.0.0.4") })
+	c.await("three voters", func() bool {
+		n := 0
+		for _, m := range c.running[c.leader()].control.Standing() {
+			if m.Voter {
+				n++
+			}
+		}
+		return n == 3
+	})
+	c.stop(c.leader())
+	c.assertAsk(tackwork.Lookup, jobA, tackwork.Done)
+}
+
+// A minority answers nothing that could be stale, and says so at once.
+func TestMinorityIsNotSure(t *testing.T) {
+	c := newRunning(t)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	leader := c.leader()
+	for _, p := range c.seeds {
+		if p != leader {
+			c.stop(p)
+		}
+	}
+	c.await("the leader gives up", func() bool {
+		_, sure := c.running[leader].control.Catalog()
+		return !sure
+	})
+	if a := c.ask(tackwork.Lookup, jobA); a.Verdict != tackwork.Unavailable || a.RetryAfter == 0 {
+		t.Errorf("a minority answers %v with %v to come back", a.Verdict, a.RetryAfter)
+	}
+}
+
+// worker runs what it is ordered and ends it at once.
+type worker struct {
+	id       tackdispatch.WorkerID
+	control  *tackcontrol.Control
+	sequence uint64
+	ended    []tackdispatch.Ended
+	number   uint64
+}
+
+func (w *worker) beat() {
+	w.sequence++
+	o, ok := w.control.Heartbeat(&tackdispatch.Report{
+		Worker: w.id, VM: tackid.VM("m-" + string(w.id)), Service: "names-api", Sequence: w.sequence, Ended: w.ended,
+		Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
+	})
+	if !ok {
+		return
+	}
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > o.Noted {
+			kept = append(kept, e)
+		}
+	}
+	w.ended = kept
+	for _, s := range o.Start {
+		w.number++
+		w.ended = append(w.ended, tackdispatch.Ended{Number: w.number, Item: s.Item, Run: s.Run, How: tackdispatch.EndDone})
+	}
+}
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -190,3 +190,9 @@
 	}
 	return slices.DeleteFunc(list, func(p tackid.Peer) bool { return p == c.cfg.Self })
 }
+
+// Standing returns what this VM knows of the members; only the leader knows
+// more than their names.
+func (c *Control) Standing() []tackreplica.MemberStatus {
+	return c.status.Load().Members
+}
