Add a fault soak of real processes

The oracle checks from outside: no item twice, nothing after a noted end, a refusal or a cancel, nothing accepted lost, complete only when done, no configuration older than acknowledged. Not built: clocks that jump and disks that misbehave.

--- /dev/null
+++ b/cmd/tacksoak/main.go
@@ -0,0 +1,85 @@
+// Command tacksoak runs the real programs as processes on this machine, breaks
+// what they run on by a seeded schedule, and checks what was promised.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"auburntack/io/tacksoak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "tacksoak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	cfg := tacksoak.Config{Out: os.Stdout}
+	var seeds, processes int
+	c := &cobra.Command{
+		Use:           "tacksoak --binary FILE",
+		Short:         "Break the system at random and check its promises",
+		Example:       "  tacksoak --binary bin/auburntackd --seed 1 --seeds 50 --for 20s",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg.Entries = max(1, processes-cfg.Controls)
+			return run(c.Context(), cfg, seeds)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&cfg.Binary, "binary", "bin/auburntackd", "the daemon")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "the first seed")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds to play, one after the other")
+	f.DurationVar(&cfg.For, "for", 20*time.Second, "how long things are broken")
+	f.IntVar(&processes, "processes", 6, "processes of the system")
+	f.IntVar(&cfg.Controls, "controls", 3, "control VMs among them")
+	f.IntVar(&cfg.Workers, "workers", 12, "workers")
+	f.Uint8Var(&cfg.Network, "network", 60, "second byte of the loopback addresses")
+	return c
+}
+
+func run(ctx context.Context, cfg tacksoak.Config, seeds int) error {
+	broken := 0
+	for range seeds {
+		folder, err := os.MkdirTemp("", "tacksoak")
+		if err != nil {
+			return err
+		}
+		cfg.Folder = folder
+		result, err := tacksoak.Run(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d faults, %d jobs accepted, %d starts, %d answers checked, %d broken\n",
+			cfg.Seed, result.Faults, result.Accepted, result.Starts, result.Checked, len(result.Broken))
+		for _, b := range result.Broken {
+			fmt.Println("  broken at", b)
+		}
+		if len(result.Broken) > 0 {
+			broken++
+			fmt.Println("  logs in", folder)
+		} else if err := os.RemoveAll(folder); err != nil {
+			return err
+		}
+		cfg.Seed++
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", broken, seeds)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/tacksoak/caller.go
@@ -0,0 +1,182 @@
+package tacksoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"auburntack/core/tackjob"
+)
+
+const (
+	callLimit = 3 * time.Second
+	jobEvery  = 60 * time.Millisecond
+	tries     = 4
+	lookEvery = 400 * time.Millisecond
+	configs   = 700 * time.Millisecond
+	// cancelShare is the share of jobs that are cancelled, in percent.
+	cancelShare = 10
+	jobHost     = "soak.example"
+	jobPrefix   = "/q/"
+)
+
+// caller hands jobs in, asks for them, and cancels some.
+type caller struct {
+	oracle *oracle
+	entry  func() []string
+	client *http.Client
+}
+
+func (c *caller) serve(ctx context.Context) {
+	for ctx.Err() == nil {
+		go c.one(ctx)
+		pause(ctx, jobEvery)
+	}
+}
+
+// one lives through one job: the same id again after a lost answer, perhaps
+// through another VM, as callers do.
+func (c *caller) one(ctx context.Context) {
+	id := tackjob.ID(fmt.Sprintf("%016x", rand.Uint64()))
+	count := 1 + rand.IntN(5)
+	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":1000,"mem_mb":200,"est_ms":300}]}`, 100+rand.IntN(600), count)
+	accepted := false
+	for range tries {
+		c.oracle.handsIn(id, count)
+		status, _ := c.call(ctx, http.MethodPost, id, body)
+		if ctx.Err() != nil {
+			return
+		}
+		c.oracle.answered(id, status)
+		if status == http.StatusOK {
+			accepted = true
+			break
+		}
+		if status == 429 {
+			return
+		}
+		pause(ctx, 300*time.Millisecond)
+	}
+	if !accepted {
+		return
+	}
+	if rand.IntN(100) < cancelShare {
+		pause(ctx, time.Duration(rand.IntN(1000))*time.Millisecond)
+		if status, _ := c.call(ctx, http.MethodDelete, id, ""); status == http.StatusOK {
+			c.oracle.cancelled(id)
+			return
+		}
+	}
+	c.watch(ctx, id)
+}
+
+// watch asks for a job until it is through.
+func (c *caller) watch(ctx context.Context, id tackjob.ID) {
+	for ctx.Err() == nil {
+		status, state := c.call(ctx, http.MethodGet, id, "")
+		if status != 0 {
+			c.oracle.shown(id, status, state)
+		}
+		if state == "complete" || state == "canceled" {
+			return
+		}
+		pause(ctx, lookEvery)
+	}
+}
+
+// call returns the status, 0 for no clear answer, and the state.
+func (c *caller) call(ctx context.Context, method string, id tackjob.ID, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	entries := c.entry()
+	url := "http://" + entries[rand.IntN(len(entries))] + jobPrefix + string(id)
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		panic("tacksoak: " + err.Error())
+	}
+	req.Host = jobHost
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var b struct {
+		State string `json:"state"`
+	}
+	if resp.StatusCode == http.StatusOK && json.Unmarshal(data, &b) != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, b.State
+}
+
+// operator changes the configuration and reads it back.
+type operator struct {
+	oracle  *oracle
+	control func() []string
+	client  *http.Client
+	version uint64
+}
+
+func (o *operator) serve(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.version += 1 + rand.Uint64N(3)
+		o.put(ctx)
+		o.read(ctx)
+		pause(ctx, configs)
+	}
+}
+
+// put sends one version until it is acknowledged, to any VM.
+func (o *operator) put(ctx context.Context) {
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":%q,"prefix":%q,"timeout_ms":3000,"slo_ms":60000,`+
+		`"service":"names-api","attempts":50,"stretch_factor":2}],"services":[{"name":"names-api","rejects_overload":true}]}`,
+		o.version, jobHost, jobPrefix)
+	for ctx.Err() == nil {
+		if status, _ := o.call(ctx, http.MethodPost, "/config/replace", body); status == http.StatusOK {
+			o.oracle.acknowledged(o.version)
+			return
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+}
+
+func (o *operator) read(ctx context.Context) {
+	asked := o.oracle.newest()
+	status, data := o.call(ctx, http.MethodGet, "/config/read", "")
+	var b struct {
+		Version uint64 `json:"version"`
+	}
+	if status == http.StatusOK && json.Unmarshal(data, &b) == nil {
+		o.oracle.read(b.Version, asked)
+	}
+}
+
+func (o *operator) call(ctx context.Context, method, path, body string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	list := o.control()
+	url := "http://" + list[rand.IntN(len(list))] + path
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		panic("tacksoak: " + err.Error())
+	}
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, data
+}
--- /dev/null
+++ b/io/tacksoak/fault.go
@@ -0,0 +1,205 @@
+package tacksoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// fault is one thing that is broken, and mended again by the time it returns.
+type fault struct {
+	name string
+	do   func(ctx context.Context, s *Soak, r *rand.Rand) string
+}
+
+// faults may come at any moment, several at once. A control VM is held by one of
+// them at a time, and no more than one folder is lost at once.
+var faults = []fault{
+	{"kill a VM", killVM},
+	{"pause a VM", pauseVM},
+	{"stop a VM as planned", stopVM},
+	{"lose a folder", loseFolder},
+	{"kill all control VMs", killControl},
+	{"crash a worker", crashWorker},
+	{"break a path", breakPath},
+	{"pause two VMs in series", pauseSeries},
+	{"reload", reload},
+}
+
+// schedule breaks things until ctx ends; what is broken, for how long and when
+// follows from the seed.
+func (s *Soak) schedule(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(300+r.IntN(2500))*time.Millisecond)
+		f := faults[r.IntN(len(faults))]
+		seed := r.Uint64()
+		s.group.Go(func() {
+			what := f.do(ctx, s, rand.New(rand.NewPCG(seed, 0)))
+			s.note("%s: %s", f.name, what)
+		})
+	}
+}
+
+func between(r *rand.Rand, low, high int) time.Duration {
+	return time.Duration(low+r.IntN(high-low)) * time.Millisecond
+}
+
+// hold reserves a VM for one fault; a control VM only while no other is held, so
+// that a majority is left.
+func (s *Soak) hold(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held[n] || n.control && s.controlHeld {
+		return false
+	}
+	s.held[n] = true
+	s.controlHeld = s.controlHeld || n.control
+	return true
+}
+
+func (s *Soak) release(n *node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.held, n)
+	if n.control {
+		s.controlHeld = false
+	}
+}
+
+func (s *Soak) anyNode(r *rand.Rand) *node {
+	return s.fleet.nodes[r.IntN(len(s.fleet.nodes))]
+}
+
+func (s *Soak) restart(n *node) {
+	if err := s.fleet.start(n); err != nil {
+		s.note("start of %s: %v", n.name, err)
+	}
+}
+
+func killVM(ctx context.Context, s *Soak, r *rand.Rand) string {
+	n := s.anyNode(r)
+	if !s.hold(n) {
+		return "not now"
+	}
+	defer s.release(n)
+	n.stop(false)
+	pause(ctx, between(r, 100, 3000))
+	s.restart(n)
+	pause(ctx, settle)
+	return n.name
+}
+
+func pauseVM(ctx context.Context, s *Soak, r *rand.Rand) string {
+	n := s.anyNode(r)
+	if !s.hold(n) {
+		return "not now"
+	}
+	defer s.release(n)
+	n.signal(syscall.SIGSTOP)
+	d := between(r, 200, 4000)
+	pause(ctx, d)
+	n.signal(syscall.SIGCONT)
+	pause(ctx, settle)
+	return fmt.Sprintf("%s for %v", n.name, d)
+}
+
+func pauseSeries(ctx context.Context, s *Soak, r *rand.Rand) string {
+	for range 2 {
+		pauseVM(ctx, s, r)
+	}
+	return "done"
+}
+
+func stopVM(ctx context.Context, s *Soak, r *rand.Rand) string {
+	n := s.anyNode(r)
+	if !s.hold(n) {
+		return "not now"
+	}
+	defer s.release(n)
+	n.stop(true)
+	pause(ctx, between(r, 100, 1500))
+	s.restart(n)
+	pause(ctx, settle)
+	return n.name
+}
+
+// loseFolder holds on until the VM may vote again: another folder must not be
+// lost before.
+func loseFolder(ctx context.Context, s *Soak, r *rand.Rand) string {
+	control := s.fleet.byKind(true)
+	n := control[r.IntN(len(control))]
+	if !s.hold(n) {
+		return "not now"
+	}
+	defer s.release(n)
+	n.stop(false)
+	if err := s.fleet.wipe(n); err != nil {
+		s.note("wipe of %s: %v", n.name, err)
+	}
+	pause(ctx, between(r, 100, 1500))
+	s.restart(n)
+	pause(ctx, 2*settle)
+	return n.name
+}
+
+func killControl(ctx context.Context, s *Soak, r *rand.Rand) string {
+	control := s.fleet.byKind(true)
+	var held []*node
+	s.mu.Lock()
+	if s.controlHeld {
+		s.mu.Unlock()
+		return "not now"
+	}
+	s.controlHeld = true
+	for _, n := range control {
+		if !s.held[n] {
+			s.held[n] = true
+			held = append(held, n)
+		}
+	}
+	s.mu.Unlock()
+	for _, n := range held {
+		n.signal(syscall.SIGKILL)
+	}
+	for _, n := range held {
+		n.stop(false)
+	}
+	pause(ctx, between(r, 100, 2000))
+	for _, n := range held {
+		s.restart(n)
+	}
+	pause(ctx, settle)
+	for _, n := range held {
+		s.release(n)
+	}
+	return "all"
+}
+
+func crashWorker(ctx context.Context, s *Soak, r *rand.Rand) string {
+	w := s.workers[r.IntN(len(s.workers))]
+	select {
+	case w.crash <- between(r, 100, 5000):
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		return "it was down"
+	}
+	return w.vm
+}
+
+func breakPath(ctx context.Context, s *Soak, r *rand.Rand) string {
+	p := s.proxies[r.IntN(len(s.proxies))]
+	mode := []proxyMode{delays, resets, silences, oneWay}[r.IntN(4)]
+	d := between(r, 300, 5000)
+	p.set(mode)
+	pause(ctx, d)
+	p.set(passes)
+	return fmt.Sprintf("mode %d for %v", mode, d)
+}
+
+func reload(_ context.Context, s *Soak, r *rand.Rand) string {
+	n := s.anyNode(r)
+	n.signal(syscall.SIGHUP)
+	return n.name
+}
--- /dev/null
+++ b/io/tacksoak/oracle.go
@@ -0,0 +1,201 @@
+// Package tacksoak runs the real programs as separate processes on loopback
+// addresses, with stand-ins of callers, workers and an operator around them,
+// breaks what they run on from outside by a seeded schedule, and checks the
+// promises while it runs, from what callers and workers see.
+package tacksoak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"auburntack/core/tackdispatch"
+	"auburntack/core/tackjob"
+)
+
+const (
+	// cancelSlack is how long after an acknowledged cancel an item may still
+	// start: its worker may have the order in an answer under way.
+	cancelSlack = 4 * time.Second
+	// maxBroken bounds the broken promises that are kept.
+	maxBroken = 20
+)
+
+type (
+	// oracle knows what was promised and what happened. All stand-ins tell it.
+	oracle struct {
+		mu       sync.Mutex
+		began    time.Time
+		jobs     map[tackjob.ID]*jobFacts
+		running  map[tackjob.Item]tackdispatch.WorkerID
+		broken   []string
+		version  uint64 // the newest configuration that was acknowledged
+		starts   int
+		checked  int
+		accepted int
+	}
+
+	// jobFacts is what is known of a job.
+	jobFacts struct {
+		count     int // items
+		accepted  bool
+		refused   bool // every try was refused
+		unclear   bool // a try got no clear answer
+		cancelled time.Time
+		complete  bool
+		done      map[int32]bool
+		noted     map[int32]bool
+	}
+)
+
+func newOracle() *oracle {
+	return &oracle{
+		began: time.Now(), jobs: make(map[tackjob.ID]*jobFacts), running: make(map[tackjob.Item]tackdispatch.WorkerID),
+	}
+}
+
+func (o *oracle) breaks(format string, args ...any) {
+	if len(o.broken) < maxBroken {
+		at := time.Since(o.began).Seconds()
+		o.broken = append(o.broken, fmt.Sprintf("%.3f s: ", at)+fmt.Sprintf(format, args...))
+	}
+}
+
+// handsIn notes that a job is about to be sent, perhaps again.
+func (o *oracle) handsIn(id tackjob.ID, count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.jobs[id]
+	if f == nil {
+		f = &jobFacts{count: count, done: make(map[int32]bool), noted: make(map[int32]bool)}
+		o.jobs[id] = f
+	}
+	f.refused = false // this try may be accepted
+}
+
+// answered takes in the status of a try to hand a job in.
+func (o *oracle) answered(id tackjob.ID, status int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.jobs[id]
+	switch {
+	case status >= 200 && status < 300:
+		if !f.accepted {
+			o.accepted++
+		}
+		f.accepted, f.refused = true, false
+	case status == 429 || status == 503:
+		f.refused = !f.accepted && !f.unclear
+	default:
+		f.unclear, f.refused = true, false
+	}
+}
+
+func (o *oracle) cancelled(id tackjob.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if f := o.jobs[id]; f.cancelled.IsZero() {
+		f.cancelled = time.Now()
+	}
+}
+
+// begins takes in that a worker starts an item.
+func (o *oracle) begins(w tackdispatch.WorkerID, item tackjob.Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.starts++
+	f := o.jobs[item.Job]
+	switch {
+	case f == nil || int(item.Index) >= f.count:
+		o.breaks("%v starts, which nobody handed in", item)
+		return
+	case f.refused:
+		o.breaks("%v starts, and its job was refused", item)
+	case f.noted[item.Index]:
+		o.breaks("%v starts after its end was noted", item)
+	case !f.cancelled.IsZero() && time.Since(f.cancelled) > cancelSlack:
+		o.breaks("%v starts %v after its job was cancelled", item, time.Since(f.cancelled))
+	}
+	if other, twice := o.running[item]; twice {
+		o.breaks("%v runs on %s and %s", item, other, w)
+	}
+	o.running[item] = w
+}
+
+// ends takes in that a run is over.
+func (o *oracle) ends(w tackdispatch.WorkerID, item tackjob.Item, done bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running[item] == w {
+		delete(o.running, item)
+	}
+	if f := o.jobs[item.Job]; f != nil && done {
+		f.done[item.Index] = true
+	}
+}
+
+// forgets takes in that a worker may forget an end, while its lease held.
+func (o *oracle) forgets(item tackjob.Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if f := o.jobs[item.Job]; f != nil {
+		f.noted[item.Index] = true
+	}
+}
+
+// shown takes in how a job is said to stand. status is that of the answer.
+func (o *oracle) shown(id tackjob.ID, status int, state string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checked++
+	f := o.jobs[id]
+	if status == 410 && f.accepted {
+		o.breaks("job %s is not known, and it was accepted", id)
+	}
+	if state != "complete" {
+		if f.complete && status == 200 {
+			o.breaks("job %s was complete and is %s", id, state)
+		}
+		return
+	}
+	f.complete = true
+	if len(f.done) < f.count {
+		o.breaks("job %s is complete with %d of %d items done", id, len(f.done), f.count)
+	}
+}
+
+// read takes in a configuration that was read; asked is the newest version that
+// had been acknowledged when the read was sent.
+func (o *oracle) read(version, asked uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checked++
+	if version < asked {
+		o.breaks("configuration %d was read after %d was acknowledged", version, asked)
+	}
+}
+
+func (o *oracle) acknowledged(version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version = max(o.version, version)
+}
+
+func (o *oracle) newest() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
+// open returns the jobs that were accepted and have not come to an end.
+func (o *oracle) open() []tackjob.ID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ids []tackjob.ID
+	for id, f := range o.jobs {
+		if f.accepted && !f.complete && f.cancelled.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/io/tacksoak/soak.go
@@ -0,0 +1,205 @@
+package tacksoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// settle is how long a control VM is left alone after it came back: it must
+	// find the others and catch up before the next loss.
+	settle = 4 * time.Second
+	// finish is how long the accepted jobs may take once nothing is broken.
+	finish = 60 * time.Second
+	// begin is how long the system may take to serve the first configuration.
+	begin      = 30 * time.Second
+	proxyFirst = 20000
+)
+
+type (
+	// Config says what is run and for how long. Folder is a directory that the
+	// run may fill; Network is the second byte of the loopback addresses, so that
+	// runs side by side do not meet.
+	Config struct {
+		Binary   string
+		Folder   string
+		Seed     uint64
+		For      time.Duration
+		Controls int
+		Entries  int
+		Workers  int
+		Network  byte
+		Out      io.Writer
+	}
+
+	// Result is what a run counted and the promises that it saw broken.
+	Result struct {
+		Broken                    []string
+		Accepted, Starts, Checked int
+		Faults                    int
+	}
+
+	// Soak is one run.
+	Soak struct {
+		cfg     Config
+		fleet   *fleet
+		oracle  *oracle
+		proxies []*proxy
+		workers []*worker
+		group   sync.WaitGroup
+		noted   atomic.Int64
+
+		mu          sync.Mutex
+		held        map[*node]bool
+		controlHeld bool
+		began       time.Time
+	}
+)
+
+// Run plays one seed. The error says that the run itself could not be made.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	s := &Soak{
+		cfg: cfg, fleet: newFleet(cfg.Binary, cfg.Folder, cfg.Network, cfg.Controls, cfg.Entries),
+		oracle: newOracle(), held: make(map[*node]bool), began: time.Now(),
+	}
+	defer s.fleet.stopAll()
+	for _, n := range s.fleet.nodes {
+		if err := s.fleet.start(n); err != nil {
+			return Result{}, fmt.Errorf("tacksoak: start %s: %w", n.name, err)
+		}
+	}
+	if err := s.addProxies(); err != nil {
+		return Result{}, fmt.Errorf("tacksoak: proxies: %w", err)
+	}
+	defer func() {
+		for _, p := range s.proxies {
+			p.close()
+		}
+	}()
+	err := s.play(ctx)
+	if len(s.oracle.broken) > 0 || err != nil {
+		s.fleet.copyOut(cfg.Out)
+	}
+	return Result{
+		Broken: s.oracle.broken, Accepted: s.oracle.accepted, Starts: s.oracle.starts, Checked: s.oracle.checked,
+		Faults: int(s.noted.Load()),
+	}, err
+}
+
+// note writes what was broken, with the time since the start.
+func (s *Soak) note(format string, args ...any) {
+	s.noted.Add(1)
+	fmt.Fprintf(s.cfg.Out, "%8.3f ", time.Since(s.began).Seconds())
+	fmt.Fprintf(s.cfg.Out, format+"\n", args...)
+}
+
+// addProxies puts a proxy before each control VM's port for workers and before
+// each entry VM's port for callers.
+func (s *Soak) addProxies() error {
+	for i, n := range s.fleet.nodes {
+		port := frontendPort
+		if n.control {
+			port = controlPort
+		}
+		listen := fmt.Sprintf("127.%d.1.1:%d", s.cfg.Network, proxyFirst+i)
+		p, err := newProxy(listen, net.JoinHostPort(n.ip, fmt.Sprint(port)))
+		if err != nil {
+			return err
+		}
+		s.proxies = append(s.proxies, p)
+	}
+	return nil
+}
+
+// paths are the proxies' addresses of one kind of VM.
+func (s *Soak) paths(control bool) func() []string {
+	var list []string
+	for i, n := range s.fleet.nodes {
+		if n.control == control {
+			list = append(list, s.proxies[i].listener.Addr().String())
+		}
+	}
+	return func() []string { return append([]string(nil), list...) }
+}
+
+func (s *Soak) play(ctx context.Context) error {
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}}
+	defer client.CloseIdleConnections()
+	op := &operator{oracle: s.oracle, control: s.paths(true), client: client}
+	if err := s.awaitFirst(ctx, op); err != nil {
+		return err
+	}
+	var lives atomic.Int64
+	var around sync.WaitGroup
+	for i := range s.cfg.Workers {
+		w := &worker{
+			vm: fmt.Sprintf("m-%d", i), oracle: s.oracle, control: s.paths(true), client: client, lives: &lives,
+			crash: make(chan time.Duration),
+		}
+		s.workers = append(s.workers, w)
+		around.Go(func() { w.serve(serving) })
+	}
+	calling, hangUp := context.WithCancel(serving)
+	defer hangUp()
+	c := &caller{oracle: s.oracle, entry: s.paths(false), client: client}
+	around.Go(func() { c.serve(calling) })
+	around.Go(func() { op.serve(serving) })
+	breaking, mend := context.WithTimeout(serving, s.cfg.For)
+	s.schedule(breaking, rand.New(rand.NewPCG(s.cfg.Seed, 1)))
+	mend()
+	s.group.Wait()
+	s.mendAll()
+	hangUp()
+	s.awaitEnds(ctx, &caller{oracle: s.oracle, entry: s.paths(false), client: client})
+	stop()
+	around.Wait()
+	return nil
+}
+
+// awaitFirst waits until the system takes its first configuration.
+func (s *Soak) awaitFirst(ctx context.Context, op *operator) error {
+	ctx, cancel := context.WithTimeout(ctx, begin)
+	defer cancel()
+	op.version = 1
+	op.put(ctx)
+	if s.oracle.newest() == 0 {
+		return fmt.Errorf("tacksoak: no configuration was accepted within %v", begin)
+	}
+	return nil
+}
+
+func (s *Soak) mendAll() {
+	for _, p := range s.proxies {
+		p.set(passes)
+	}
+	for _, n := range s.fleet.nodes {
+		s.restart(n)
+	}
+}
+
+// awaitEnds asks for every accepted job until all are complete.
+func (s *Soak) awaitEnds(ctx context.Context, c *caller) {
+	for until := time.Now().Add(finish); time.Now().Before(until) && ctx.Err() == nil; pause(ctx, lookEvery) {
+		open := s.oracle.open()
+		if len(open) == 0 {
+			return
+		}
+		for _, id := range open {
+			if status, state := c.call(ctx, http.MethodGet, id, ""); status != 0 {
+				s.oracle.shown(id, status, state)
+			}
+		}
+	}
+	for _, id := range s.oracle.open() {
+		s.oracle.breaks("job %s was accepted and has not come to its end", id)
+	}
+}
--- /dev/null
+++ b/io/tacksoak/worker.go
@@ -0,0 +1,309 @@
+package tacksoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburntack/core/tackdispatch"
+	"auburntack/core/tackjob"
+)
+
+const (
+	beatEvery    = 1500 * time.Millisecond
+	beatAfterEnd = 50 * time.Millisecond
+	answerLimit  = time.Second
+	stopTakes    = 300 * time.Millisecond
+	workerTick   = 10 * time.Millisecond
+	milliCores   = 16000
+	memoryMB     = 32768
+)
+
+type (
+	// worker is a stand-in of one worker's VM, life after life. It keeps the
+	// platform's contract: a lease counted from the sending of a heartbeat on
+	// its own clock, ends listed until they may be forgotten.
+	worker struct {
+		vm      string
+		oracle  *oracle
+		control func() []string // addresses of control VMs, by way of proxies
+		client  *http.Client
+		lives   *atomic.Int64
+		crash   chan time.Duration // ends the life; the next begins after a while
+
+		mu sync.Mutex
+		life
+	}
+
+	life struct {
+		id       tackdispatch.WorkerID
+		sequence uint64
+		runs     map[tackjob.Item]*run
+		highest  map[tackjob.Item]uint64
+		ended    []ended
+		number   uint64
+		lease    time.Time
+		leader   string
+		lapsed   time.Time // when a lease last ran out
+	}
+
+	run struct {
+		number uint64
+		endsAt time.Time
+		stopAt time.Time
+	}
+
+	ended struct {
+		number uint64
+		item   tackjob.Item
+		run    uint64
+		how    string
+		at     time.Time
+	}
+
+	answerBody struct {
+		HeartbeatAddr string              `json:"heartbeat_addr"`
+		HoldMS        int64               `json:"hold_ms"`
+		SeenUpto      uint64              `json:"seen_upto"`
+		RetryMS       int64               `json:"retry_ms"`
+		Start         [][]json.RawMessage `json:"start"`
+		Stop          [][]json.RawMessage `json:"stop"`
+	}
+)
+
+// serve lives one life after the other until ctx ends.
+func (w *worker) serve(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		w.life = life{
+			id:   tackdispatch.WorkerID(fmt.Sprintf("i-%d", w.lives.Add(1))),
+			runs: make(map[tackjob.Item]*run), highest: make(map[tackjob.Item]uint64),
+		}
+		w.mu.Unlock()
+		rest := w.live(ctx)
+		w.mu.Lock()
+		for item := range w.runs {
+			w.oracle.ends(w.id, item, false)
+		}
+		w.runs = nil
+		w.mu.Unlock()
+		pause(ctx, rest)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// live works and sends heartbeats until the life ends; it returns how long the
+// VM is down then. Heartbeats go one after the other.
+func (w *worker) live(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	beats := make(chan time.Duration, 1)
+	next := time.Now()
+	beating := false
+	ticker := time.NewTicker(workerTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return 0
+		case rest := <-w.crash:
+			return rest
+		case again := <-beats:
+			beating = false
+			next = time.Now().Add(again)
+		case now := <-ticker.C:
+			if w.work(now) && next.After(now.Add(beatAfterEnd)) {
+				next = now.Add(beatAfterEnd)
+			}
+			if !beating && now.After(next) {
+				beating = true
+				go func() { beats <- w.beat(ctx) }()
+			}
+		}
+	}
+}
+
+// work ends what is through and reports whether anything ended.
+func (w *worker) work(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	some := false
+	for item, r := range w.runs {
+		how := ""
+		switch {
+		case now.After(w.lease):
+			how, w.lapsed = "lapsed", now
+		case !r.stopAt.IsZero() && now.After(r.stopAt):
+			how = "stopped"
+		case now.After(r.endsAt):
+			how = "done"
+		}
+		if how != "" {
+			w.end(item, r, how, now)
+			some = true
+		}
+	}
+	return some
+}
+
+func (w *worker) end(item tackjob.Item, r *run, how string, now time.Time) {
+	delete(w.runs, item)
+	w.number++
+	w.highest[item] = max(w.highest[item], r.number)
+	w.ended = append(w.ended, ended{number: w.number, item: item, run: r.number, how: how, at: now})
+	w.oracle.ends(w.id, item, how == "done")
+}
+
+// report is the heartbeat's body.
+func (w *worker) report() (string, []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	running, over := [][]any{}, [][]any{}
+	for item, r := range w.runs {
+		running = append(running, []any{item.String(), r.number, "", 50})
+	}
+	for _, e := range w.ended {
+		over = append(over, []any{e.number, e.item.String(), e.run, e.how, ""})
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": "names-api", "addr": "127.0.0.1:1", "zone": "z-1", "state": "ready", "machine": w.vm, "seq": w.sequence,
+		"capacity": map[string]int{"cpu": milliCores, "mem_mb": memoryMB}, "labels": []string{"a", "r-1"},
+		"running": running, "ended": over,
+	})
+	if err != nil {
+		panic("tacksoak: report: " + err.Error())
+	}
+	return string(w.id), data
+}
+
+// beat sends one heartbeat and obeys the answer; it returns when to send the
+// next.
+func (w *worker) beat(ctx context.Context) time.Duration {
+	id, body := w.report()
+	for _, address := range w.order() {
+		sent := time.Now()
+		answer, err := w.post(ctx, address, id, body)
+		if err != nil || time.Since(sent) > answerLimit {
+			continue
+		}
+		if answer.HoldMS == 0 {
+			continue
+		}
+		w.obey(id, address, sent, answer)
+		return time.Duration(answer.RetryMS) * time.Millisecond
+	}
+	return beatEvery / 3
+}
+
+// order is whom to ask: the one that answered last, then the others.
+func (w *worker) order() []string {
+	list := w.control()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leader != "" {
+		list = append([]string{w.leader}, list...)
+	}
+	return list
+}
+
+func (w *worker) post(ctx context.Context, address, id string, body []byte) (*answerBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	url := "http://" + address + "/instances/" + id + "/heartbeat"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("answer %d", resp.StatusCode)
+	}
+	var a answerBody
+	return &a, json.Unmarshal(data, &a)
+}
+
+func (w *worker) obey(id, address string, sent time.Time, a *answerBody) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if string(w.id) != id || w.runs == nil {
+		return // the answer is for a life that is over
+	}
+	w.leader = address
+	if until := sent.Add(time.Duration(a.HoldMS) * time.Millisecond); until.After(w.lease) {
+		w.lease = until
+	}
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.number > a.SeenUpto {
+			kept = append(kept, e)
+			continue
+		}
+		if e.how == "done" && !w.lapsed.After(e.at) {
+			w.oracle.forgets(e.item)
+		}
+	}
+	w.ended = kept
+	for _, row := range a.Stop {
+		item, number := readRow(row)
+		w.highest[item] = max(w.highest[item], number)
+		if r := w.runs[item]; r != nil && r.number == number && r.stopAt.IsZero() {
+			r.stopAt = time.Now().Add(stopTakes)
+		}
+	}
+	for _, row := range a.Start {
+		w.begin(row)
+	}
+}
+
+func (w *worker) begin(row []json.RawMessage) {
+	item, number := readRow(row)
+	if number <= w.highest[item] || w.runs[item] != nil {
+		return
+	}
+	takes, err := strconv.Atoi(strings.Trim(string(row[2]), `"`)) // the text says how long
+	if err != nil {
+		takes = 100
+	}
+	w.runs[item] = &run{number: number, endsAt: time.Now().Add(time.Duration(takes) * time.Millisecond)}
+	w.oracle.begins(w.id, item)
+}
+
+// readRow reads item and run of a row.
+func readRow(row []json.RawMessage) (tackjob.Item, uint64) {
+	var name string
+	var number uint64
+	if json.Unmarshal(row[0], &name) != nil || json.Unmarshal(row[1], &number) != nil {
+		panic(fmt.Sprintf("tacksoak: orders that cannot be read: %s", row))
+	}
+	parts := strings.Split(name, ".")
+	index, err := strconv.Atoi(parts[len(parts)-1])
+	if err != nil {
+		panic("tacksoak: item " + name)
+	}
+	return tackjob.Item{Job: tackjob.ID(parts[0]), Index: int32(index)}, number
+}
