Judge cancels without an answer by what is shown; true progress in the soak

A cancel that was sent may take effect; one that nobody sent is now a broken promise, which was not checked before.

--- a/io/tacksoak/caller.go
+++ b/io/tacksoak/caller.go
@@ -67,6 +67,7 @@
 	}
 	if rand.IntN(100) < cancelShare {
 		pause(ctx, time.Duration(rand.IntN(1000))*time.Millisecond)
+		c.oracle.cancels(id)
 		if status, _ := c.call(ctx, http.MethodDelete, id, ""); status == http.StatusOK {
 			c.oracle.cancelled(id)
 			return
--- a/io/tacksoak/oracle.go
+++ b/io/tacksoak/oracle.go
@@ -41,8 +41,10 @@
 		accepted  bool
 		refused   bool // every try was refused
 		unclear   bool // a try got no clear answer
+		asked     bool // a cancel was sent, answered or not
 		cancelled time.Time
 		complete  bool
+		gone      bool // it was shown as cancelled
 		done      map[int32]bool
 		noted     map[int32]bool
 	}
@@ -91,6 +93,14 @@
 	}
 }
 
+// cancels notes that a cancel is about to be sent. It may take effect even if
+// no answer comes.
+func (o *oracle) cancels(id tackjob.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[id].asked = true
+}
+
 func (o *oracle) cancelled(id tackjob.ID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -152,6 +162,12 @@
 	if status == 410 && f.accepted {
 		o.breaks("job %s is not known, and it was accepted", id)
 	}
+	if state == "canceled" {
+		if !f.asked {
+			o.breaks("job %s is cancelled, and nobody asked for it", id)
+		}
+		f.gone = true
+	}
 	if state != "complete" {
 		if f.complete && status == 200 {
 			o.breaks("job %s was complete and is %s", id, state)
@@ -193,7 +209,7 @@
 	defer o.mu.Unlock()
 	var ids []tackjob.ID
 	for id, f := range o.jobs {
-		if f.accepted && !f.complete && f.cancelled.IsZero() {
+		if f.accepted && !f.complete && !f.gone && f.cancelled.IsZero() {
 			ids = append(ids, id)
 		}
 	}
--- a/io/tacksoak/worker.go
+++ b/io/tacksoak/worker.go
@@ -58,6 +58,7 @@
 
 	run struct {
 		number uint64
+		began  time.Time
 		endsAt time.Time
 		stopAt time.Time
 	}
@@ -176,7 +177,8 @@
 	w.sequence++
 	running, over := [][]any{}, [][]any{}
 	for item, r := range w.runs {
-		running = append(running, []any{item.String(), r.number, "", 50})
+		percent := 100 * time.Since(r.began) / r.endsAt.Sub(r.began)
+		running = append(running, []any{item.String(), r.number, "", min(int(percent), 99)})
 	}
 	for _, e := range w.ended {
 		over = append(over, []any{e.number, e.item.String(), e.run, e.how, ""})
@@ -289,7 +291,8 @@
 	if err != nil {
 		takes = 100
 	}
-	w.runs[item] = &run{number: number, endsAt: time.Now().Add(time.Duration(takes) * time.Millisecond)}
+	now := time.Now()
+	w.runs[item] = &run{number: number, began: now, endsAt: now.Add(time.Duration(takes) * time.Millisecond)}
 	w.oracle.begins(w.id, item)
 }
 
