--- a/cmd/tacksoak/soak_test.go
+++ b/cmd/tacksoak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -18,6 +19,7 @@
 	cause string
 }{
 	{1, "the short run"},
+	{112, "a cancel without an answer had taken effect, and the oracle counted the job as owed"},
 }
 
 func TestSoak(t *testing.T) {
@@ -27,7 +29,7 @@
 		t.Fatalf("%v\n%s", err, out)
 	}
 	for _, s := range seeds {
-		t.Run(s.cause, func(t *testing.T) {
+		t.Run(fmt.Sprint(s.seed), func(t *testing.T) {
 			var out bytes.Buffer
 			result, err := tacksoak.Run(t.Context(), tacksoak.Config{
 				Binary: binary, Folder: t.TempDir(), Seed: s.seed, For: 6 * time.Second,
--- a/io/tackcontrol/advice.go
+++ b/io/tackcontrol/advice.go
@@ -8,6 +8,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackdispatch"
+	"auburntack/io/tackloop"
 )
 
 const (
@@ -27,7 +28,7 @@
 // serveAdvice asks the advisor for the steps that need it while this VM leads.
 func (c *Control) serveAdvice(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, adviceEvery)
+		tackloop.Sleep(ctx, adviceEvery)
 		c.askAdvice(ctx)
 	}
 	return ctx.Err()
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -17,6 +17,7 @@
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackdisk"
+	"auburntack/io/tackloop"
 	"auburntack/io/tackpeer"
 )
 
@@ -72,10 +73,8 @@
 		links  *tackpeer.Links
 		disk   *tackdisk.Disk
 
-		// events are run by the loop, the only goroutine that touches node,
-		// waiters and members.
-		events     chan func()
-		ended      chan struct{}
+		// loop is the only goroutine that touches node, waiters and members.
+		loop       *tackloop.Loop
 		node       *tackreplica.Node
 		waiters    map[tackid.Revision]waiter
 		snapshotAt tackid.Revision
@@ -114,8 +113,7 @@
 func New(cfg Config) (*Control, error) {
 	c := &Control{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Logger, meters: newMeters(cfg.Registry),
-		events:   make(chan func(), eventQueue),
-		ended:    make(chan struct{}),
+		loop:     tackloop.New(eventQueue),
 		waiters:  make(map[tackid.Revision]waiter),
 		dispatch: tackdispatch.New(cfg.Dispatch),
 	}
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -201,13 +200,3 @@
 	_, leads := c.leads(c.clock.Now())
 	return catalog, leads && catalog.Version > 0
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -11,59 +10,14 @@
 	"auburntack/core/tackreplica"
 )
 
-const (
-	tickEvery = 25 * time.Millisecond
-	// eventBatch is how many events are taken before one sync makes what they
-	// proposed durable.
-	eventBatch = 256
-	// snapshotEvery is how many entries are applied between two snapshots. At
-	// about 100 entries a second of a kilobyte each, the log in memory stays
-	// below ten megabytes.
-	snapshotEvery = 6000
-)
+// snapshotEvery is how many entries are applied between two snapshots. At
+// about 100 entries a second of a kilobyte each, the log in memory stays below
+// ten megabytes.
+const snapshotEvery = 6000
 
 // runLoop owns the replicated log until ctx ends.
 func (c *Control) runLoop(ctx context.Context) error {
-	defer close(c.ended)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case f := <-c.events:
-			f()
-			c.drainEvents()
-		case <-ticker.C:
-			c.tick(c.clock.Now())
-		}
-		if err := c.settle(); err != nil {
-			return err
-		}
-	}
-}
-
-func (c *Control) drainEvents() {
-	for range eventBatch {
-		select {
-		case f := <-c.events:
-			f()
-		default:
-			return
-		}
-	}
-}
-
-// post hands f to the loop. It reports false where ctx or the loop has ended.
-func (c *Control) post(ctx context.Context, f func()) bool {
-	select {
-	case c.events <- f:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-c.ended:
-		return false
-	}
+	return c.loop.Run(ctx, func() { c.tick(c.clock.Now()) }, c.settle)
 }
 
 func (c *Control) tick(now tackclock.Time) {
@@ -219,5 +173,5 @@
 		return
 	}
 	m.From, m.To = from, c.cfg.Self
-	c.post(context.Background(), func() { c.node.Step(c.clock.Now(), m) })
+	c.loop.Post(context.Background(), func() { c.node.Step(c.clock.Now(), m) })
 }
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -1,6 +1,7 @@
 package tackcontrol
 
 import (
+	"context"
 	"net"
 	"slices"
 	"strconv"
@@ -38,17 +39,17 @@
 
 // Join notes that a control VM asks to become a member.
 func (c *Control) Join(p tackid.Peer, dc tackid.DataCentre) {
-	c.events <- func() {
+	c.loop.Post(context.Background(), func() {
 		if c.members.joining == nil {
 			c.members.joining = make(map[tackid.Peer]tackreplica.Member)
 		}
 		c.members.joining[p] = tackreplica.Member{Peer: p, DataCentre: dc, Address: c.linkAddress(p)}
-	}
+	})
 }
 
 // Meet has the loop link this VM with control VMs that it was told of.
 func (c *Control) Meet(peers []tackid.Peer) {
-	c.events <- func() {
+	c.loop.Post(context.Background(), func() {
 		if c.members.known == nil {
 			c.members.known = make(map[tackid.Peer]bool)
 		}
@@ -62,7 +63,7 @@
 		if changed {
 			c.relink()
 		}
-	}
+	})
 }
 
 // relink links this VM with all members, with the seeds, and with those that
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -53,7 +53,7 @@
 	began := c.clock.Now()
 	result := make(chan proposed, 1)
 	data := change.Encode()
-	posted := c.post(ctx, func() {
+	posted := c.loop.Post(ctx, func() {
 		c.append(data, func(f fate, out tackwork.Outcome) { result <- proposed{fate: f, outcome: out} })
 	})
 	if !posted {
@@ -67,7 +67,7 @@
 		return p
 	case <-timer.C:
 	case <-ctx.Done():
-	case <-c.ended:
+	case <-c.loop.Ended():
 	}
 	return proposed{fate: undecided}
 }
@@ -152,7 +152,7 @@
 		c.ends = append(c.ends, workerEnd{worker: worker, end: e})
 	}
 	if first {
-		go c.post(context.Background(), c.flushEnds)
+		go c.loop.Post(context.Background(), c.flushEnds)
 	}
 }
 
--- a/io/tackcontrol/serve.go
+++ b/io/tackcontrol/serve.go
@@ -9,6 +9,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"auburntack/core/tackreplica"
+	"auburntack/io/tackloop"
 )
 
 const (
@@ -16,18 +17,6 @@
 	handOverLook  = 20 * time.Millisecond
 )
 
-// service gives a function the form that suture supervises.
-type service struct {
-	name  string
-	serve func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
-
-// String names the service in suture's events.
-func (s service) String() string { return s.name }
-
 // Serve runs the VM until ctx ends or it cannot go on. The error is a
 // *StoppedError then.
 func (c *Control) Serve(ctx context.Context) error {
@@ -36,14 +25,14 @@
 	supervisor := suture.New("control", suture.Spec{
 		EventHook: func(e suture.Event) { c.log.WithField("event", e.String()).Warn("part of the process restarted") },
 	})
-	supervisor.Add(service{"log", func(ctx context.Context) error {
+	supervisor.Add(tackloop.Service{Name: "log", Run: func(ctx context.Context) error {
 		cancel(c.guardLoop(ctx))
 		return suture.ErrDoNotRestart
 	}})
-	supervisor.Add(service{"links", c.links.Serve})
-	supervisor.Add(service{"upkeep", c.serveUpkeep})
+	supervisor.Add(tackloop.Service{Name: "links", Run: c.links.Serve})
+	supervisor.Add(tackloop.Service{Name: "upkeep", Run: c.serveUpkeep})
 	if c.cfg.Advisor != nil {
-		supervisor.Add(service{"advice", c.serveAdvice})
+		supervisor.Add(tackloop.Service{Name: "advice", Run: c.serveAdvice})
 	}
 	_ = supervisor.Serve(ctx) // ends with ctx, whose cause says why
 	err := context.Cause(ctx)
@@ -78,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
 	for c.status.Load().Role == tackreplica.Leader && ctx.Err() == nil {
-		c.post(ctx, func() { c.node.Transfer(c.clock.Now(), "") })
-		sleep(ctx, handOverLook)
+		c.loop.Post(ctx, func() { c.node.Transfer(c.clock.Now(), "") })
+		tackloop.Sleep(ctx, handOverLook)
 	}
 }
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -12,6 +12,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackupkeep"
 	"auburntack/core/tackwork"
+	"auburntack/io/tackloop"
 )
 
 const (
@@ -95,7 +96,7 @@
 // serveUpkeep carries out waves while this VM leads, until ctx ends.
 func (c *Control) serveUpkeep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, upkeepEvery)
+		tackloop.Sleep(ctx, upkeepEvery)
 		c.lookAtMachines(ctx)
 		c.upkeepRound(ctx)
 	}
--- a/io/tackvm/command.go
+++ b/io/tackvm/command.go
@@ -14,6 +14,7 @@
 	"auburntack/core/tackquery"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackstate"
+	"auburntack/io/tackloop"
 	"auburntack/io/tackoperator"
 )
 
@@ -138,7 +139,7 @@
 		return false, nil
 	}
 	for v.status.Load().Applied < index {
-		sleep(ctx, readyEvery/25)
+		tackloop.Sleep(ctx, readyEvery/25)
 		if ctx.Err() != nil {
 			return false, nil
 		}
--- a/io/tackvm/confirm.go
+++ b/io/tackvm/confirm.go
@@ -48,7 +48,7 @@
 	defer ticker.Stop()
 	ask.Serial = serial
 	for {
-		v.post(ctx, func() { v.askOnLoop(ask) })
+		v.loop.Post(ctx, func() { v.askOnLoop(ask) })
 		select {
 		case answer := <-answers:
 			return answer, nil
@@ -75,7 +75,7 @@
 	if !v.decode(from, body, &ask) {
 		return
 	}
-	v.post(context.Background(), func() { v.keepAsked(from, ask) })
+	v.loop.Post(context.Background(), func() { v.keepAsked(from, ask) })
 }
 
 func (v *VM) keepAsked(from tackid.Peer, ask confirm) {
--- a/io/tackvm/fence.go
+++ b/io/tackvm/fence.go
@@ -82,7 +82,7 @@
 	if !v.decode(from, body, &r) {
 		return
 	}
-	v.post(context.Background(), func() { v.keepReport(from, r) })
+	v.loop.Post(context.Background(), func() { v.keepReport(from, r) })
 }
 
 func (v *VM) keepReport(from tackid.Peer, r report) {
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
@@ -13,59 +12,10 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-const (
-	// tickEvery is how often the loop moves the log's clock.
-	tickEvery = 25 * time.Millisecond
-	// eventBatch is how many waiting events are taken before one write to
-	// the disk makes them all durable.
-	eventBatch = 256
-)
-
 // runLoop owns the replicated log until ctx ends. It returns an error only
 // when the VM cannot go on.
 func (v *VM) runLoop(ctx context.Context) error {
-	defer close(v.ended)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case f := <-v.events:
-			f()
-			v.drainEvents()
-		case <-ticker.C:
-			v.tick(v.clock.Now())
-		}
-		if err := v.settle(); err != nil {
-			return err
-		}
-	}
-}
-
-// post hands f to the loop. It reports false where ctx or the loop ended
-// first: a handler of the links that went on waiting for a loop that is gone
-// would keep the process from stopping.
-func (v *VM) post(ctx context.Context, f func()) bool {
-	select {
-	case v.events <- f:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-v.ended:
-		return false
-	}
-}
-
-func (v *VM) drainEvents() {
-	for range eventBatch {
-		select {
-		case f := <-v.events:
-			f()
-		default:
-			return
-		}
-	}
+	return v.loop.Run(ctx, func() { v.tick(v.clock.Now()) }, v.settle)
 }
 
 func (v *VM) tick(now tackclock.Time) {
@@ -268,7 +218,7 @@
 		return
 	}
 	m.From, m.To = from, v.cfg.VM.ID
-	v.post(context.Background(), func() { v.node.Step(v.clock.Now(), m) })
+	v.loop.Post(context.Background(), func() { v.node.Step(v.clock.Now(), m) })
 }
 
 // decode reads the body of a peer's message. What cannot be read is dropped
--- a/io/tackvm/propose.go
+++ b/io/tackvm/propose.go
@@ -117,7 +117,7 @@
 // reports whether the proposal may have left this VM or been appended.
 func (v *VM) submit(ctx context.Context, serial uint64, data []byte) bool {
 	left := make(chan bool, 1)
-	ok := v.post(ctx, func() { left <- v.submitOnLoop(serial, data) })
+	ok := v.loop.Post(ctx, func() { left <- v.submitOnLoop(serial, data) })
 	if !ok {
 		return false
 	}
@@ -127,7 +127,7 @@
 	case <-ctx.Done():
 		// The loop has the proposal and may yet append it.
 		return true
-	case <-v.ended:
+	case <-v.loop.Ended():
 		return true
 	}
 }
@@ -160,7 +160,7 @@
 	if !v.decode(from, body, &f) {
 		return
 	}
-	v.post(context.Background(), func() {
+	v.loop.Post(context.Background(), func() {
 		if !v.append(f.Data) {
 			v.send(from, kindReject, reject{Serial: f.Serial})
 		}
--- a/io/tackvm/routes.go
+++ b/io/tackvm/routes.go
@@ -173,5 +173,5 @@
 // wake has the loop look at once at what changed, and send what the
 // directory has to say.
 func (v *VM) wake() {
-	v.post(context.Background(), func() { v.tickDirectory(v.clock.Now()) })
+	v.loop.Post(context.Background(), func() { v.tickDirectory(v.clock.Now()) })
 }
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -10,6 +10,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/io/tackhttp"
+	"auburntack/io/tackloop"
 	"auburntack/io/tackoperator"
 	"auburntack/io/tacksettings"
 
@@ -35,18 +36,6 @@
 	operator net.Listener
 }
 
-// service gives a function the form that suture supervises.
-type service struct {
-	name  string
-	serve func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
-
-// String names the service in suture's events.
-func (s service) String() string { return s.name }
-
 // Run makes a VM and serves until ctx ends, then stops it in order. The error
 // is a *StoppedError where the VM could not start or go on.
 func Run(ctx context.Context, cfg tacksettings.Settings, logger *logrus.Logger) error {
@@ -128,11 +117,11 @@
 		EventHook: v.logEvent,
 		Timeout:   5 * time.Second,
 	})
-	supervisor.Add(service{"log", v.serveLoop})
-	supervisor.Add(service{"links", v.links.Serve})
-	supervisor.Add(service{"caller", serveCallers(caller, ports.caller)})
-	supervisor.Add(service{"operator", serveHTTP(operator, ports.operator)})
-	supervisor.Add(service{"burn", v.serveBurn})
+	supervisor.Add(tackloop.Service{Name: "log", Run: v.serveLoop})
+	supervisor.Add(tackloop.Service{Name: "links", Run: v.links.Serve})
+	supervisor.Add(tackloop.Service{Name: "caller", Run: serveCallers(caller, ports.caller)})
+	supervisor.Add(tackloop.Service{Name: "operator", Run: serveHTTP(operator, ports.operator)})
+	supervisor.Add(tackloop.Service{Name: "burn", Run: v.serveBurn})
 	return supervisor
 }
 
@@ -262,7 +251,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	v.caller.Leave()
-	sleep(ctx, v.cfg.Stop.Linger.Std())
+	tackloop.Sleep(ctx, v.cfg.Stop.Linger.Std())
 	if err := caller.Shutdown(ctx); err != nil {
 		v.fail(&StoppedError{
 			What:   "finish what runs",
@@ -275,18 +264,9 @@
 	v.handOver(ctx)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (v *VM) sayStopped(ctx context.Context) {
 	v.duties.stopped.Store(true)
-	v.post(ctx, func() {
+	v.loop.Post(ctx, func() {
 		for _, m := range v.status.Load().Members {
 			if m.Peer != v.cfg.VM.ID {
 				v.send(m.Peer, kindReport, v.report())
@@ -304,11 +284,11 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit.Std())
 	defer cancel()
 	for v.status.Load().Leader == v.cfg.VM.ID {
-		v.post(ctx, func() { v.node.Transfer(v.clock.Now(), "") })
-		sleep(ctx, readyEvery)
+		v.loop.Post(ctx, func() { v.node.Transfer(v.clock.Now(), "") })
+		tackloop.Sleep(ctx, readyEvery)
 		if ctx.Err() != nil {
 			return
 		}
 	}
-	sleep(ctx, 2*readyEvery)
+	tackloop.Sleep(ctx, 2*readyEvery)
 }
--- a/io/tackvm/share.go
+++ b/io/tackvm/share.go
@@ -52,5 +52,5 @@
 	if !v.decode(from, body, &f) {
 		return
 	}
-	v.post(context.Background(), func() { v.sendShares(v.sharer.Receive(v.clock.Now(), from, f)) })
+	v.loop.Post(context.Background(), func() { v.sendShares(v.sharer.Receive(v.clock.Now(), from, f)) })
 }
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -21,6 +21,7 @@
 	"auburntack/core/tackwave"
 	"auburntack/io/tackdisk"
 	"auburntack/io/tackhttp"
+	"auburntack/io/tackloop"
 	"auburntack/io/tackpeer"
 	"auburntack/io/tackplatform"
 	"auburntack/io/tacksettings"
@@ -53,9 +54,7 @@
 		caller   *tackhttp.Handler
 
 		// events are run one at a time by the loop, which alone touches node.
-		events chan func()
-		// ended is closed once the loop takes no more events.
-		ended  chan struct{}
+		loop   *tackloop.Loop
 		node   *tackreplica.Node
 		failed atomic.Pointer[StoppedError]
 		broken chan struct{} // closed once failed is set
@@ -117,8 +116,7 @@
 		clock:    clock,
 		log:      logger.WithField("vm", string(cfg.VM.ID)),
 		registry: metrics.NewRegistry(),
-		events:   make(chan func(), eventQueue),
-		ended:    make(chan struct{}),
+		loop:     tackloop.New(eventQueue),
 		broken:   make(chan struct{}),
 	}
 	v.gauges = newGauges(v.registry)
--- a/io/tackvm/vm_test.go
+++ b/io/tackvm/vm_test.go
@@ -49,7 +49,7 @@
 func TestPanicInTheLogEndsTheVM(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	v := newVM(t)
-	v.events <- func() { panic("what must not happen") }
+	v.loop.Post(t.Context(), func() { panic("what must not happen") })
 	assertStopped(t, v.Run(context.Background()))
 }
 
@@ -71,7 +71,7 @@
 	defer goleak.VerifyNone(t)
 	v := newVM(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	v.events <- cancel
+	v.loop.Post(t.Context(), cancel)
 	if err := v.Run(ctx); err != nil {
 		t.Fatal(err)
 	}
