--- a/cmd/tacksoak/main.go
+++ b/cmd/tacksoak/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"auburntack/io/tacksoak"
+	"auburntack/platform/tacksoak"
 )
 
 func main() {
--- a/cmd/tacksoak/soak_test.go
+++ b/cmd/tacksoak/soak_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"auburntack/io/tacksoak"
+	"auburntack/platform/tacksoak"
 )
 
 // seeds are played in CI: one that is short, and each that ever broke a promise,
--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -320,3 +320,20 @@
 		assertPhase(t, w, job(1), tackjob.Complete)
 	})
 }
+
+// Where queues share a service, the one with the lower figure goes first.
+func TestPriorityGoesFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(8, 4, 400))
+	w.run(50)
+	w.submit(job(2), batch(4, 4, 400))
+	w.submit(job(3), batch(4, 4, 400))
+	for _, s := range w.d.jobs[job(2)].steps {
+		w.d.pool("names-api").closeStep(s)
+		s.rank.priority = 1
+		w.d.pool("names-api").open(s)
+	}
+	w.run(1300)
+	assertPhase(t, w, job(3), tackjob.Complete)
+	assertPhase(t, w, job(2), tackjob.Open)
+}
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -53,6 +53,7 @@
 	// rank orders the steps of a pool; lower goes first.
 	rank struct {
 		class    int
+		priority int // the queue's, 0 first
 		deadline tackclock.Time
 		id       tackjob.ID
 	}
@@ -82,7 +83,10 @@
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.deadline, o.deadline), cmp.Compare(r.id, o.id))
+	return cmp.Or(
+		cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority),
+		cmp.Compare(r.deadline, o.deadline), cmp.Compare(r.id, o.id),
+	)
 }
 
 // Accepted takes in a job that the log has accepted, or holds since an earlier
@@ -138,7 +142,7 @@
 }
 
 func (s *openStep) makeRank() rank {
-	r := rank{class: rankBatch, deadline: s.job.deadline, id: s.job.ID}
+	r := rank{class: rankBatch, priority: s.job.Priority, deadline: s.job.deadline, id: s.job.ID}
 	switch {
 	case s.Fills:
 		r.class = rankFills
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -15,6 +15,13 @@
 	// spreadPatience is how long an item that lasts waits for a worker with
 	// few of its step. The platform allows three seconds with room free.
 	spreadPatience = 1500 * tackclock.Millisecond
+	// packFactor is how many times the work that waits must fit the room of the
+	// workers that run something: an item that waits costs its caller time.
+	packFactor = 3
+	// packPatience is how long anything waits before empty workers take it
+	// after all. The rooms of several workers may do in sum and each be too
+	// small.
+	packPatience = 300 * tackclock.Millisecond
 )
 
 // start fills the worker's room with items that wait: first of jobs that can
@@ -74,14 +81,6 @@
 	return room.MilliCores > 0 && room.Fits(waiting.Times(packFactor))
 }
 
-// packFactor is how many times the work that waits must fit the room of the
-// workers that run something: an item that waits costs its caller time.
-const packFactor = 3
-
-// packPatience is how long anything waits before empty workers take it after
-// all. The rooms of several workers may do in sum and each be too small.
-const packPatience = 300 * tackclock.Millisecond
-
 // waitsTooLong reports whether items that last must start on any worker, also
 // one that is being emptied. If every worker of a small pool is, they would
 // wait for each other for good: the items for a worker, the workers for the
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -39,7 +39,6 @@
 		client *tackforward.Client
 		log    *logrus.Logger
 
-		mu      sync.Mutex
 		running map[tackid.Peer]*runningVM
 	}
 
