--- a/cmd/tacksoak/soak_test.go
+++ b/cmd/tacksoak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -22,6 +23,12 @@
 	{112, "a cancel without an answer had taken effect, and the oracle counted the job as owed"},
 }
 
+// network keeps runs of the test side by side apart: all processes of a run
+// have the same ports, on loopback addresses of their own.
+func network() byte {
+	return byte(80 + os.Getpid()%120)
+}
+
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "auburntackd")
 	build := exec.Command("go", "build", "-o", binary, "auburntack/cmd/auburntackd")
@@ -33,7 +40,7 @@
 			var out bytes.Buffer
 			result, err := tacksoak.Run(t.Context(), tacksoak.Config{
 				Binary: binary, Folder: t.TempDir(), Seed: s.seed, For: 6 * time.Second,
-				Controls: 3, Entries: 2, Workers: 6, Network: 59, Out: &out,
+				Controls: 3, Entries: 2, Workers: 6, Network: network(), Out: &out,
 			})
 			if err != nil {
 				t.Fatalf("%v\n%s", err, out.Bytes())
