Doubt a consent after any earlier call for the VM

Cause, found by reading: if an upkeep was done and its entry did not come into the log, the same leader calls again; the platform's yes was taken for the end of the VM's next life, and what runs there would start a second time. Ruled out: other leaders' calls (doubted already). The entry is also proposed with a time of its own. Before: TestConsentToOwnEarlierCallEndsNoLife fails. After: it passes.

--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -48,8 +48,8 @@
 	// callFrom is when the next call may be made.
 	callFrom tackclock.Time
 	// surely says that the platform has not done the upkeep before, so that
-	// its consent means that the life is over. unclear is set by a call whose
-	// fate is not known.
+	// its consent means that the life is over. unclear is set once a call was
+	// made that it may have carried out.
 	surely  bool
 	unclear bool
 	// doubtAt is when a consent came that may mean an earlier call.
@@ -280,19 +280,19 @@
 			st.life = life.id
 		}
 	}
+	st.unclear = true // from now on a consent may mean this call
 	life := d.lives[vm]
-	here := life != nil && life.id == st.life
-	switch {
-	case !done:
-		st.unclear = true
-	case here && st.surely:
+	if !done || life == nil || life.id != st.life {
+		return
+	}
+	if st.surely {
 		d.lose(now, life, "taken down for upkeep")
-	case here:
-		// The platform consents as well if an earlier leader's call was carried
-		// out. Then the life goes on, and what runs there must not start
-		// elsewhere. A further heartbeat or the end of the lease tells.
-		st.doubtAt = now
+		return
 	}
+	// The platform consents as well if an earlier call was carried out. Then the
+	// life goes on, and what runs there must not start elsewhere. A further
+	// heartbeat or the end of the lease tells.
+	st.doubtAt = now
 }
 
 // survived takes in that a life still sends heartbeats some time after the
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -168,3 +168,27 @@
 		assertDown(t, w.takeDown(newWave(w, 1, "m-0")))
 	})
 }
+
+// Symptom: items ran twice. Sequence: an upkeep was done, and writing that to
+// the log failed; the VM came back and ran items; the same leader called again,
+// and the platform said yes, since it was done. Cause: only calls without an
+// answer made a later consent doubtful.
+func TestConsentToOwnEarlierCallEndsNoLife(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(200)
+	wave := newWave(w, 1, "m-0")
+	if len(w.takeDown(wave)) != 1 {
+		t.Fatal("not taken down")
+	}
+	wave.Begun = nil // the log does not have it
+	w.addWorker("m-0", 0)
+	w.addWorker("m-1", 1)
+	w.submit(job(1), batch(8, 3, 40*tackclock.Second))
+	for range 40 {
+		if len(w.d.NextUpkeep(w.now, wave)) > 0 {
+			w.d.UpkeepCalled(w.now, "m-0", true, false)
+		}
+		w.run(200)
+	}
+	assertRuns(t, w, job(1), 8)
+}
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -144,7 +144,11 @@
 	}
 	c.mu.Unlock()
 	if begun {
-		c.propose(ctx, tackwork.Change{Upkeep: &tackwork.UpkeepBegun{Wave: wave, VM: vm}})
+		// The call may have used up its own time.
+		p := c.propose(context.WithoutCancel(ctx), tackwork.Change{Upkeep: &tackwork.UpkeepBegun{Wave: wave, VM: vm}})
+		if p.fate != committed {
+			c.log.WithField("vm", string(vm)).WithField("wave", int64(wave)).Warn("begun upkeep not in the log, called again")
+		}
 	}
 	c.mu.Lock()
 	delete(c.upkeep.calls, vm)
