Give the tests of control VMs addresses of their own

The test took a free port of 127.0.0.1 and used the one after it as well, which a connection of another process had been given meanwhile. Ruled out by the log: the product, which had not begun. Before: a port that the system hands out, on shared addresses. After: a fixed port below those, on loopback addresses that only this run uses; the package passes under the race detector.

--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,12 +30,18 @@
 // eventually is how long the tests wait for something that takes seconds.
 const eventually = 30 * time.Second
 
+// linksPort is below the ports that the system hands out to connections.
+const linksPort = 17260
+
+var clusters atomic.Int32
+
 type (
 	// cluster is some control VMs on loopback addresses of their own, with an
 	// entry VM's client.
 	cluster struct {
 		t      *testing.T
 		links  int
+		number int
 		folder string
 		seeds  []tackid.Peer
 		client *tackforward.Client
@@ -63,20 +71,13 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	port := probe.Addr().(*net.TCPAddr).Port
-	if err := probe.Close(); err != nil {
-		t.Fatal(err)
-	}
 	c := &cluster{
-		t: t, links: port, folder: t.TempDir(), running: make(map[tackid.Peer]*runningVM), log: logrus.New(),
-		seeds: []tackid.Peer{"127.0.0.1", "127.0.0.2", "127.0.0.3"},
+		t: t, links: linksPort, number: int(clusters.Add(1)), folder: t.TempDir(),
+		running: make(map[tackid.Peer]*runningVM), log: logrus.New(),
 	}
+	c.seeds = []tackid.Peer{c.peer(1), c.peer(2), c.peer(3)}
 	c.log.SetOutput(io.Discard)
-	c.client = tackforward.NewClient(port+1, c.seedPeers, new(tackclock.Clock), c.log)
+	c.client = tackforward.NewClient(linksPort+1, c.seedPeers, new(tackclock.Clock), c.log)
 	t.Cleanup(func() {
 		for p := range c.running {
 			c.stop(p)
@@ -85,6 +86,13 @@
 	return c
 }
 
+// peer is an address that no other cluster has, and no other run of the test
+// beside this one. A free port of 127.0.0.1 would not do: the one after it may
+// be taken by anybody before the VM listens.
+func (c *cluster) peer(n int) tackid.Peer {
+	return tackid.Peer(fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, c.number, n))
+}
+
 func (c *cluster) seedPeers() []tackid.Peer { return append([]tackid.Peer(nil), c.seeds...) }
 
 func (c *cluster) start(p tackid.Peer, bootstrap bool) {
@@ -279,10 +287,11 @@
 func TestNewVMTakesOverForOneThatIsGone(t *testing.T) {
 	c := newRunning(t)
 	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
-	c.start("127.0.0.4", false)
-	c.await("the new VM a member", func() bool { return c.running["127.0.0.4"].control.Member() })
+	added := c.peer(4)
+	c.start(added, false)
+	c.await("the new VM a member", func() bool { return c.running[added].control.Member() })
 	c.stop(c.leader())
-	c.await("the new VM a voter", func() bool { return c.votes("127.0.0.4") })
+	c.await("the new VM a voter", func() bool { return c.votes(added) })
 	c.await("three voters", func() bool {
 		n := 0
 		for _, m := range c.running[c.leader()].control.Standing() {
