Sum a job's work in one place; drop two fields that nothing read

Cause: the reading of the whole change found the sum over steps written three times, and openJob.work and Control.stopping set and never read. Ruled out: the other rows of duplicates (same shape, other logic).

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -55,12 +55,7 @@
 
 // refuse remembers what was asked for and refused.
 func (p *pool) refuse(now tackclock.Time, spec *tackjob.Spec) {
-	var work int64
-	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		work += int64(s.Count) * int64(s.MilliCores) * int64(s.Estimate)
-	}
-	p.refused = append(p.refused, refusal{at: now, work: work})
+	p.refused = append(p.refused, refusal{at: now, work: spec.Work()})
 }
 
 // workLeft is the job's work that is not done, in milliseconds of thousandths
@@ -73,7 +68,7 @@
 		if p, ok := o.Progress[0]; ok {
 			n -= p.Steps[i].Count
 		}
-		left += int64(n) * int64(s.MilliCores) * int64(s.Estimate)
+		left += s.Work(n)
 	}
 	return left
 }
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -20,8 +20,6 @@
 		fresh   bool // nobody before this dispatcher can have started any of it
 		// deadline is when the job should be through to be of full worth.
 		deadline tackclock.Time
-		// work is the job's core-milliseconds by its estimates.
-		work tackclock.Duration
 	}
 
 	stepKey struct {
@@ -103,7 +101,6 @@
 	o := &openJob{Job: j, fresh: fresh, steps: make(map[stepKey]*openStep)}
 	chain := j.Chain()
 	o.deadline = j.Accepted.Add(tackclock.Duration(j.Stretch*float64(chain)) + j.Objective)
-	o.work = j.Work()
 	o.started = len(j.Progress) > 0
 	d.jobs[j.ID] = o
 	d.openDue(now, o)
--- a/core/tackjob/chain.go
+++ b/core/tackjob/chain.go
@@ -18,13 +18,18 @@
 	return longest
 }
 
-// Work is what one occurrence takes, in milliseconds of a whole core, by the
-// estimates.
-func (s *Spec) Work() tackclock.Duration {
+// Work is what one occurrence takes, in milliseconds of thousandths of a core,
+// by the estimates.
+func (s *Spec) Work() int64 {
 	var total int64
 	for i := range s.Steps {
-		step := &s.Steps[i]
-		total += int64(step.Count) * int64(step.MilliCores) * int64(step.Estimate)
+		total += s.Steps[i].Work(s.Steps[i].Count)
 	}
-	return tackclock.Duration(total / 1000)
+	return total
+}
+
+// Work is what so many items of the step take, in milliseconds of thousandths
+// of a core, by the estimate.
+func (s *Step) Work(items int) int64 {
+	return int64(items) * int64(s.MilliCores) * int64(s.Estimate)
 }
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -80,8 +80,7 @@
 		snapshotAt tackid.Revision
 		members    members
 
-		status   atomic.Pointer[tackreplica.Status]
-		stopping atomic.Bool
+		status atomic.Pointer[tackreplica.Status]
 
 		// mu guards what follows. Only the loop writes state.
 		mu         sync.Mutex
--- a/io/tackcontrol/serve.go
+++ b/io/tackcontrol/serve.go
@@ -60,7 +60,6 @@
 // HandOver gives leadership to another VM before a planned stop, so that
 // nobody waits for an election.
 func (c *Control) HandOver(ctx context.Context) {
-	c.stopping.Store(true)
 	if len(c.status.Load().Members) <= 1 {
 		return
 	}
