Count work that cannot be in time any more a quarter when VMs are moved

Cause: the backlog counted jobs whose deadline has passed like any other. After the loss of a leader jobs wait 3.7 s, are late, and the first round of moves calls VMs from all pools for them; the next queue's turn finds none. Ruled out: the number of moves a round (the VMs were in use, not on their way). Change: late jobs are a part of a demand of their own, to be done within 10 s in place of 2.5 s (setting move.late_within_ms); a pool gives idle VMs by the same figure.

--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -68,7 +68,8 @@
 // certain label, or of a certain size, can do.
 func (d *Dispatcher) demands(now tackclock.Time, p *pool) []tackpool.Demand {
 	refused, arriving := p.recent(now)
-	list := []tackpool.Demand{{Backlog: d.backlogWork(p.service) + refused, Arriving: arriving}}
+	backlog, late := d.backlogByDeadline(now, p.service)
+	list := []tackpool.Demand{{Backlog: backlog + refused, Late: late, Arriving: arriving}}
 	at := make(map[string]int) // of a label in list
 	for _, s := range p.steps {
 		if len(s.waiting) == 0 {
@@ -94,7 +95,7 @@
 		special.Backlog += s.Work(len(s.waiting))
 	}
 	for i := range list[1:] {
-		list[0].Backlog -= p.beyond(&list[1+i])
+		list[0].Backlog = max(0, list[0].Backlog-p.beyond(&list[1+i]))
 	}
 	return list
 }
@@ -196,3 +197,18 @@
 	}
 	return work
 }
+
+// backlogByDeadline is backlogWork in two parts: of jobs that can still be in
+// time, and of those that cannot.
+func (d *Dispatcher) backlogByDeadline(now tackclock.Time, service tackid.Service) (inTime, late int64) {
+	for _, o := range d.jobs {
+		switch {
+		case o.Service != service || o.LongRunning() || o.Repeats != 0:
+		case now.Add(o.ChainLeft(0)) > o.deadline:
+			late += o.workLeft()
+		default:
+			inTime += o.workLeft()
+		}
+	}
+	return inTime, late
+}
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -109,6 +109,16 @@
 			t.Errorf("demands %+v, want half of the work that waits left out of the first", got)
 		}
 	})
+	t.Run("jobs that cannot be in time any more are apart", func(t *testing.T) {
+		w := newWorld(t, 0)
+		w.submit(job(1), batch(2, 4, 500))
+		w.run(4 * tackclock.Second) // of 4.4 s that it has
+		w.submit(job(2), batch(1, 4, 500))
+		want := tackpool.Demand{Backlog: 1 * 4000 * 500, Late: 2 * 4000 * 500}
+		if got := demands(w); got[0] != want {
+			t.Errorf("demands %+v, want %+v", got, want)
+		}
+	})
 	t.Run("a gang that the pool cannot hold calls for VMs", func(t *testing.T) {
 		w := newWorld(t, 1)
 		gang := batch(10, 2, 500)
--- a/core/tackjob/chain.go
+++ b/core/tackjob/chain.go
@@ -5,9 +5,23 @@
 // Chain is the time of the longest chain of steps that wait for each other,
 // by the estimates.
 func (s *Spec) Chain() tackclock.Duration {
+	return s.chain(func(int) bool { return false })
+}
+
+// ChainLeft is the longest chain of an occurrence's steps that are not done, by
+// the estimates.
+func (j *Job) ChainLeft(occurrence int32) tackclock.Duration {
+	return j.chain(func(step int) bool { return j.StepDone(occurrence, int32(step)) })
+}
+
+// chain is the longest chain of steps, without those that are done.
+func (s *Spec) chain(done func(step int) bool) tackclock.Duration {
 	ends := make([]tackclock.Duration, len(s.Steps))
 	var longest tackclock.Duration
 	for i := range s.Steps {
+		if done(i) {
+			continue
+		}
 		var begin tackclock.Duration
 		for _, a := range s.Steps[i].After {
 			begin = max(begin, ends[a])
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -25,6 +25,9 @@
 	// defaultFinishWithin leaves time for a move and a job's own run: callers are
 	// owed a job within some five seconds.
 	defaultFinishWithin = 2500 * tackclock.Millisecond
+	// defaultLateWithin is four times that: a late answer is worth a fraction of
+	// one in time, and the next queue's turn begins seconds later.
+	defaultLateWithin = 10 * tackclock.Second
 	// defaultParkAfter weighs a move there and back, which costs as much as 2.3 s
 	// in a pool.
 	defaultParkAfter = 2500 * tackclock.Millisecond
@@ -43,6 +46,8 @@
 		// FinishWithin is the time within which a pool should be through with its
 		// backlog.
 		FinishWithin tackclock.Duration
+		// LateWithin is that time for jobs that cannot be in time any more.
+		LateWithin tackclock.Duration
 		// ArrivingPercent is the part of the work that arrives for which VMs are
 		// sent beside those that the backlog needs.
 		ArrivingPercent int
@@ -88,6 +93,8 @@
 		// Backlog is the accepted work that is not done, and what was refused
 		// just now, in milliseconds of thousandths of a core.
 		Backlog int64
+		// Late is such work of jobs that cannot be in time any more.
+		Late int64
 		// Arriving is the work handed in lately, as the thousandths of a core
 		// that it keeps busy.
 		Arriving int
@@ -125,6 +132,7 @@
 func (p Planner) WithDefaults() Planner {
 	p.BehindAfter = cmp.Or(p.BehindAfter, defaultBehindAfter)
 	p.FinishWithin = cmp.Or(p.FinishWithin, defaultFinishWithin)
+	p.LateWithin = cmp.Or(p.LateWithin, defaultLateWithin)
 	p.ArrivingPercent = cmp.Or(p.ArrivingPercent, defaultArrivingPercent)
 	p.ParkAfter = cmp.Or(p.ParkAfter, defaultParkAfter)
 	p.KeepPercent = cmp.Or(p.KeepPercent, defaultKeepPercent)
@@ -181,7 +189,8 @@
 
 // behind reports whether so many thousandths of a core need too long.
 func (p *Planner) behind(d *Demand, cores int) bool {
-	return d.Backlog > 0 && d.Backlog/int64(max(cores, 1)) >= int64(p.BehindAfter)
+	work := d.Backlog + d.Late*int64(p.FinishWithin)/int64(p.LateWithin)
+	return work > 0 && work/int64(max(cores, 1)) >= int64(p.BehindAfter)
 }
 
 // needsOf returns what pools lack: first what must run at once, then what only
@@ -264,7 +273,7 @@
 // wanted is how many thousandths of a core do the backlog in time, beside what
 // arrives.
 func (p *Planner) wanted(d *Demand) int {
-	return int(d.Backlog/int64(p.FinishWithin)) + d.Arriving*p.ArrivingPercent/100
+	return int(d.Backlog/int64(p.FinishWithin)+d.Late/int64(p.LateWithin)) + d.Arriving*p.ArrivingPercent/100
 }
 
 // mayGo returns the VMs that the pool can do without, idle longest first. It
--- a/core/tackpool/plan_test.go
+++ b/core/tackpool/plan_test.go
@@ -155,6 +155,23 @@
 		assertMoves(t, []Pool{late, {Service: "names-api", VMs: busy("z"), Demands: work(48, 3)}},
 			Move{"a", "communes", "names-api"}, Move{"b", "communes", "names-api"}, Move{"c", "communes", "names-api"})
 	})
+	// Symptom: after a leader began, 33 of 49 VMs went into one pool, and of the
+	// next queue's turn, some seconds later, 181 jobs were refused. Sequence: jobs
+	// of a turn wait for the new leader until they are late; its first round calls
+	// VMs for all of their work. Cause: work that can earn little any more counted
+	// like any other.
+	t.Run("calls few VMs for work that is late", func(t *testing.T) {
+		others := idle("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+		assertMoves(t, []Pool{
+			{Service: "communes", VMs: others},
+			{Service: "names-api", VMs: busy("z"), Demands: []Demand{{Late: seconds(48, 10)}}},
+		}, Move{"a", "communes", "names-api"}, Move{"b", "communes", "names-api"})
+	})
+	t.Run("takes idle VMs of a pool whose work is late", func(t *testing.T) {
+		late := Pool{Service: "communes", VMs: idle("a", "b", "c", "d"), Demands: []Demand{{Late: seconds(32, 10)}}}
+		assertMoves(t, []Pool{late, {Service: "names-api", VMs: busy("z"), Demands: work(48, 3)}},
+			Move{"a", "communes", "names-api"}, Move{"b", "communes", "names-api"})
+	})
 	t.Run("counts a VM for all that it can do", func(t *testing.T) {
 		assertMoves(t, []Pool{
 			{Service: "communes", VMs: labelled(idle("a", "b", "c"), "large")},
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -139,6 +139,7 @@
 	Move struct {
 		BehindAfter     tackclock.Duration
 		FinishWithin    tackclock.Duration
+		LateWithin      tackclock.Duration
 		ArrivingPercent int
 		ParkAfter       tackclock.Duration
 		KeepPercent     int
