Say in the log how the pools stand while one lacks VMs

Cause: the log told which VM was moved, not why others were not. After a restart of all control VMs the planner ordered nothing for 4 s beside 18 empty VMs; that every VM waited for the hand-over of orders could only be guessed. Change: a line a pool and second, with VMs, idle and fixed ones, cores, backlog, what arrives and what is wanted, only while a pool is short.

--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,6 +25,9 @@
 	// movesAfter is how long a new leader waits before it moves VMs: by then
 	// workers have reported twice.
 	movesAfter = 1200 * tackclock.Millisecond
+	// standingsEvery spaces out the lines on how the pools stand: five a second on
+	// the deployments of today.
+	standingsEvery = tackclock.Second
 )
 
 // lookAtMachines reads the platform's list of VMs when it is due.
@@ -65,7 +69,9 @@
 		return
 	}
 	var moves []tackpool.Move
-	for _, m := range c.cfg.Moves.Plan(c.dispatch.Pools(now, &c.state.Catalog, free), most) {
+	pools := c.dispatch.Pools(now, &c.state.Catalog, free)
+	c.logStandings(now, pools)
+	for _, m := range c.cfg.Moves.Plan(pools, most) {
 		c.upkeep.calls[m.VM] = true
 		c.dispatch.Moving(now, m)
 		moves = append(moves, m)
@@ -76,6 +82,25 @@
 	}
 }
 
+// logStandings writes how the pools stand, at most every standingsEvery and only
+// while one lacks VMs. The caller holds mu.
+func (c *Control) logStandings(now tackclock.Time, pools []tackpool.Pool) {
+	if now.Sub(c.upkeep.standingsAt) < standingsEvery {
+		return
+	}
+	standings := c.cfg.Moves.Standings(pools)
+	if !slices.ContainsFunc(standings, func(s tackpool.Standing) bool { return s.Lacks() }) {
+		return
+	}
+	c.upkeep.standingsAt = now
+	for _, s := range standings {
+		c.log.WithFields(logrus.Fields{
+			"service": string(s.Service), "vms": s.VMs, "idle": s.Idle, "fixed": s.Fixed, "millicores": s.Cores,
+			"coming": s.Coming, "wanted": s.Wanted, "backlog_ms": s.BacklogMS, "late_ms": s.LateMS, "arriving": s.Arriving,
+		}).Info("pool stands")
+	}
+}
+
 // mayOrder reports whether the VM may be ordered about now. The caller holds mu.
 func (c *Control) mayOrder(now tackclock.Time, order Order, vm tackid.VM) bool {
 	return !c.upkeep.calls[vm] && c.orders.free(now, tackreplica.Term(order.Fence), vm, c.cfg.Handover)
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -52,6 +52,8 @@
 		calls map[tackid.VM]bool
 		// lookAt is when the platform's list of VMs is read next.
 		lookAt tackclock.Time
+		// standingsAt is when the log last said how the pools stand.
+		standingsAt tackclock.Time
 	}
 )
 
