--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"auburntack/core/tackclock"
-	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackpool"
 )
@@ -68,8 +67,8 @@
 // certain label, or of a certain size, can do.
 func (d *Dispatcher) demands(now tackclock.Time, p *pool) []tackpool.Demand {
 	refused, arriving := p.recent(now)
-	backlog, late := d.backlogByDeadline(now, p.service)
-	list := []tackpool.Demand{{Backlog: backlog + refused, Late: late, Arriving: arriving}}
+	b := d.backlogOf(now, p.service)
+	list := []tackpool.Demand{{Backlog: b.inTime + refused, Pressing: b.pressing, Soon: refused, Late: b.late, Arriving: arriving}}
 	at := make(map[string]int) // of a label in list
 	for _, s := range p.steps {
 		if len(s.waiting) == 0 {
@@ -93,13 +92,24 @@
 		special.Item = largest(special.Item, s.Takes())
 		special.Unplaced += unplaced
 		special.Backlog += s.Work(len(s.waiting))
+		special.Soon = special.Backlog
 	}
 	for i := range list[1:] {
-		list[0].Backlog = max(0, list[0].Backlog-p.beyond(&list[1+i]))
+		leaveOut(&list[0], p.beyond(&list[1+i]))
 	}
 	return list
 }
 
+// leaveOut takes work out of a demand, and as much of what presses.
+func leaveOut(d *tackpool.Demand, work int64) {
+	if work <= 0 || d.Backlog <= 0 {
+		return
+	}
+	left := max(0, d.Backlog-work)
+	d.Pressing = int(int64(d.Pressing) * left / d.Backlog)
+	d.Backlog = left
+}
+
 // beyond is the part of a demand's backlog that the pool's other workers cannot
 // help with. Counted for them, it held VMs in a pool that had nothing for them to
 // do, since the pool was behind.
@@ -185,30 +195,3 @@
 		MilliCores: max(a.MilliCores, b.MilliCores), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs),
 	}
 }
-
-// backlogWork is the service's accepted work that is not done, in milliseconds
-// of thousandths of a core, by the estimates. Work that lasts is none.
-func (d *Dispatcher) backlogWork(service tackid.Service) int64 {
-	var work int64
-	for _, o := range d.jobs {
-		if o.Service == service && !o.LongRunning() && o.Repeats == 0 {
-			work += o.workLeft()
-		}
-	}
-	return work
-}
-
-// backlogByDeadline is backlogWork in two parts: of jobs that can still be in
-// time, and of those that cannot.
-func (d *Dispatcher) backlogByDeadline(now tackclock.Time, service tackid.Service) (inTime, late int64) {
-	for _, o := range d.jobs {
-		switch {
-		case o.Service != service || o.LongRunning() || o.Repeats != 0:
-		case now.Add(o.ChainLeft(0)) > o.deadline:
-			late += o.workLeft()
-		default:
-			inTime += o.workLeft()
-		}
-	}
-	return inTime, late
-}
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -70,8 +70,8 @@
 		w.run(tackclock.Second)
 		big := tackjob.Room{MilliCores: 20000, MemoryMB: 1000}
 		assertDemands(t, demands(w),
-			tackpool.Demand{Backlog: 2 * 20000 * 500},
-			tackpool.Demand{Item: big, Backlog: 2 * 20000 * 500, Unplaced: 2 * 20000})
+			tackpool.Demand{Backlog: 2 * 20000 * 500, Pressing: 2 * 20000 * 500 / 1700},
+			tackpool.Demand{Item: big, Backlog: 2 * 20000 * 500, Soon: 2 * 20000 * 500, Unplaced: 2 * 20000})
 	})
 	t.Run("so does a label that none carries", func(t *testing.T) {
 		w := newWorld(t, 2)
@@ -81,7 +81,7 @@
 		w.run(tackclock.Second)
 		assertDemands(t, demands(w),
 			tackpool.Demand{},
-			tackpool.Demand{Label: "large", Item: tackjob.Room{MilliCores: 1000, MemoryMB: 1000}, Backlog: 2 * 1000 * 500, Unplaced: 2000})
+			tackpool.Demand{Label: "large", Item: tackjob.Room{MilliCores: 1000, MemoryMB: 1000}, Backlog: 2 * 1000 * 500, Soon: 2 * 1000 * 500, Unplaced: 2000})
 	})
 	t.Run("room that items which last take counts for nothing", func(t *testing.T) {
 		w := newWorld(t, 1)
@@ -114,7 +114,7 @@
 		w.submit(job(1), batch(2, 4, 500))
 		w.run(4 * tackclock.Second) // of 4.4 s that it has
 		w.submit(job(2), batch(1, 4, 500))
-		want := tackpool.Demand{Backlog: 1 * 4000 * 500, Late: 2 * 4000 * 500}
+		want := tackpool.Demand{Backlog: 1 * 4000 * 500, Pressing: 1 * 4000 * 500 / 2200, Late: 2 * 4000 * 500}
 		if got := demands(w); got[0] != want {
 			t.Errorf("demands %+v, want %+v", got, want)
 		}
@@ -163,6 +163,51 @@
 	})
 }
 
+// Load pattern: a queue of long jobs has had its turn, and the turn of a queue of
+// short ones begins.
+//
+// Symptom: 37 VMs worked off long jobs that had 8 s left, while the pool of the
+// short ones, which had five, grew by three VMs a second. Cause: all work was to be
+// done within the same time.
+func TestLongJobsPressLess(t *testing.T) {
+	pressing := func(estimate tackclock.Duration, chain int) int {
+		w := newWorld(t, 0)
+		steps := []tackjob.Step{batch(8, 4, estimate)}
+		for i := 1; i < chain; i++ {
+			steps = append(steps, batch(8, 4, estimate, i-1))
+		}
+		w.submit(job(1), steps...)
+		return w.d.demands(w.now, w.d.pool("names-api"))[0].Pressing
+	}
+	short, long := pressing(800, 1), pressing(2000, 2)
+	// The long job is five times the work, and has 10 s in place of 4.9 s.
+	if long > 3*short {
+		t.Errorf("the long job presses for %d thousandths of a core, the short one for %d", long, short)
+	}
+	t.Run("what is done of running items counts no more", func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.submit(job(1), batch(4, 4, 2*tackclock.Second))
+		w.run(100)
+		before := w.d.backlogOf(w.now, "names-api")
+		w.run(1500)
+		if after := w.d.backlogOf(w.now, "names-api"); after.inTime > before.inTime/2 {
+			t.Errorf("backlog %d after three quarters of the work, %d before", after.inTime, before.inTime)
+		}
+	})
+}
+
+// Symptom: an item starts on a VM that is about to move, which then cannot.
+func TestEmptiedWorkerGetsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(100)
+	w.d.Empty(w.now, []tackid.VM{"m-0"})
+	w.submit(job(1), batch(1, 1, 2000))
+	w.run(emptyFor - 50)
+	assertRuns(t, w, job(1), 0)
+	w.run(300)
+	assertRuns(t, w, job(1), 1)
+}
+
 // Load pattern: the queue of one pool asks four times what it holds while the
 // others stand idle.
 //
@@ -184,7 +229,7 @@
 	for _, m := range w.workers {
 		own.VMs = append(own.VMs, tackpool.VM{Name: m.vm, Room: m.capacity, Fixed: true})
 	}
-	if moves := (tackpool.Planner{}).Plan([]tackpool.Pool{idle, own}, 12); len(moves) != 2 {
+	if moves := (tackpool.Planner{}).Plan([]tackpool.Pool{idle, own}, 12).Moves; len(moves) != 2 {
 		t.Errorf("moves %v, want two: 64 cores are asked for, 32 are there", moves)
 	}
 }
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -32,6 +32,8 @@
 	EventMove
 	// EventSuspected says that a worker gets nothing new for a while.
 	EventSuspected
+	// EventEmptied says that a worker gets nothing new, so that its VM can move.
+	EventEmptied
 	// EventCopied says that the item of a run is to start elsewhere as well.
 	EventCopied
 )
@@ -59,7 +61,7 @@
 
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
-	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "run copied",
+	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "worker emptied", "run copied",
 }
 
 // String names the event in logs.
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -15,6 +15,9 @@
 	// reportsMean is how many reports of a worker show that it has nothing to do.
 	// The first to a new leader may have been under way for seconds.
 	reportsMean = 2
+	// emptyFor is how long a worker that is emptied for a move gets nothing new:
+	// three rounds, each of which says it again while it holds.
+	emptyFor = 500 * tackclock.Millisecond
 )
 
 type (
@@ -105,12 +108,51 @@
 		if len(w.runs) == 0 && w.strange == (tackjob.Room{}) {
 			vm.Idle = max(1, now.Sub(w.idleFrom))
 		}
-		vm.Fixed = w.vm == "" || w.leaving || d.inUpkeep(w.vm) || len(w.runs) > 0 || w.reports < reportsMean || !free(w.vm)
+		vm.Busy, vm.Emptying = w.busyFor(now), now < w.emptiedUntil
+		vm.Fixed = w.vm == "" || w.leaving || d.inUpkeep(w.vm) || w.reports < reportsMean || !free(w.vm)
 		out.VMs = append(out.VMs, vm)
 	}
 	out.Demands = d.demands(now, p)
 }
 
+// busyFor is after which time all that runs on the worker should have ended; zero
+// if nothing runs, or something that lasts.
+func (w *worker) busyFor(now tackclock.Time) tackclock.Duration {
+	var longest tackclock.Duration
+	for _, r := range w.runs {
+		if r.step.LongRunning || r.step.Gang || r.step.Fills {
+			return 0
+		}
+		longest = max(longest, r.left(now))
+	}
+	return longest
+}
+
+// left is how long the run should still take, one millisecond at least: by its
+// progress once it has made some, else by what its step takes.
+func (r *run) left(now tackclock.Time) tackclock.Duration {
+	done := r.percent - r.from
+	if !r.listed || done <= 0 {
+		return max(1, r.expected()-now.Sub(r.started))
+	}
+	ran := r.movedAt.Sub(r.listedAt)
+	return max(1, ran*tackclock.Duration(100-r.percent)/tackclock.Duration(done)-now.Sub(r.movedAt))
+}
+
+// Empty has VMs get nothing new for a while, so that they can soon be moved.
+func (d *Dispatcher) Empty(now tackclock.Time, vms []tackid.VM) {
+	for _, vm := range vms {
+		w := d.lives[vm]
+		if w == nil {
+			continue
+		}
+		if now >= w.emptiedUntil {
+			d.noteWorker(now, EventEmptied, w, "")
+		}
+		w.emptiedUntil = now.Add(emptyFor)
+	}
+}
+
 // inUpkeep reports whether a wave has taken hold of the VM.
 func (d *Dispatcher) inUpkeep(vm tackid.VM) bool {
 	st := d.upkeeps[vm]
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -74,7 +74,7 @@
 // takesNew reports whether the worker may get new items, but for one that is
 // being emptied for its upkeep.
 func (w *worker) takesNew(now tackclock.Time) bool {
-	return !w.draining && !w.leaving && now >= w.suspicion.until
+	return !w.draining && !w.leaving && now >= w.suspicion.until && now >= w.emptiedUntil
 }
 
 // othersSuffice reports whether the pool's workers that run something anyway
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -30,11 +30,13 @@
 	draining   bool
 	suspicion  suspicion
 	leaving    bool // a call that ends it is under way
-	heardAt    tackclock.Time
-	idleFrom   tackclock.Time // when its last run ended
-	runs       map[tackjob.Item]*run
-	steps      map[stepKey]int
-	ends       ends
+	// emptiedUntil is until when it gets nothing new, since its VM is to move.
+	emptiedUntil tackclock.Time
+	heardAt      tackclock.Time
+	idleFrom     tackclock.Time // when its last run ended
+	runs         map[tackjob.Item]*run
+	steps        map[stepKey]int
+	ends         ends
 	// strange is what it runs that the dispatcher wants stopped and has no
 	// run for.
 	strange tackjob.Room
--- /dev/null
+++ b/core/tackpool/empty.go
@@ -0,0 +1,55 @@
+package tackpool
+
+import (
+	"cmp"
+	"slices"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+)
+
+// emptyWithin is after which time a VM that gets nothing new must be through
+// with what it runs. For a longer one the turn that needs it is half over.
+const emptyWithin = 2 * tackclock.Second
+
+// empty chooses busy VMs of pools that have more than they want, for what others
+// lack still: those that are soonest through. Those that are being emptied go on,
+// so that two rounds do not choose different ones.
+//
+// Load pattern: a turn is over, and what is left of it is spread over all of its
+// pool's VMs. Each gets a further item before its last one ends, so none could go
+// where the next turn needs it.
+func (p *Planner) empty(pools []Pool, needs []need, spare map[tackid.Service]int) []tackid.VM {
+	busy := busyVMs(pools)
+	var chosen []tackid.VM
+	for i := range needs {
+		for k := 0; k < len(busy) && needs[i].lacks > 0; k++ {
+			vm := busy[k]
+			if vm.from == needs[i].service || spare[vm.from] < vm.Room.MilliCores || !needs[i].servedBy(&vm.VM) {
+				continue
+			}
+			busy = slices.Delete(busy, k, k+1)
+			k--
+			spare[vm.from] -= vm.Room.MilliCores
+			chosen = append(chosen, vm.Name)
+			supply(needs[i:], needs[i].service, &vm.VM)
+		}
+	}
+	return chosen
+}
+
+// busyVMs returns the VMs that could be emptied in time, soonest first.
+func busyVMs(pools []Pool) []freeVM {
+	var busy []freeVM
+	for i := range pools {
+		for _, vm := range pools[i].VMs {
+			if !vm.Fixed && vm.Busy > 0 && (vm.Busy <= emptyWithin || vm.Emptying) {
+				busy = append(busy, freeVM{VM: vm, from: pools[i].Service})
+			}
+		}
+	}
+	slices.SortFunc(busy, func(a, b freeVM) int {
+		return cmp.Or(-compareBool(a.Emptying, b.Emptying), cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.Name, b.Name))
+	})
+	return busy
+}
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -66,6 +66,11 @@
 		Labels []string
 		// Idle is how long nothing has run there; zero while something does.
 		Idle tackclock.Duration
+		// Busy is after which time what runs there should have ended, if all of it
+		// ends; zero if nothing runs, or some of it lasts.
+		Busy tackclock.Duration
+		// Emptying VMs get nothing new.
+		Emptying bool
 		// Fixed VMs stay: they run what must not be moved, or are on their way
 		// down already.
 		Fixed bool
@@ -93,6 +98,10 @@
 		// Backlog is the accepted work that is not done, and what was refused
 		// just now, in milliseconds of thousandths of a core.
 		Backlog int64
+		// Pressing is the thousandths of a core that do in good time what of the
+		// backlog goes by deadlines. The rest is Soon, to be done within one time.
+		Pressing int
+		Soon     int64
 		// Late is such work of jobs that cannot be in time any more.
 		Late int64
 		// Arriving is the work handed in lately, as the thousandths of a core
@@ -119,6 +128,13 @@
 		urgent  bool
 	}
 
+	// Plan is what to do now. Emptied are busy VMs that are to get nothing new, so
+	// that they can go soon.
+	Plan struct {
+		Moves   []Move
+		Emptied []tackid.VM
+	}
+
 	freeVM struct {
 		VM
 		from    tackid.Service
@@ -139,11 +155,12 @@
 	return p
 }
 
-// Plan returns the moves to make now, at most limit.
-func (p Planner) Plan(pools []Pool, limit int) []Move {
+// Plan returns what to do now, with at most limit moves.
+func (p Planner) Plan(pools []Pool, limit int) Plan {
 	p = p.WithDefaults()
 	needs := p.needsOf(pools)
-	free := p.freeVMs(pools)
+	spare := p.spares(pools)
+	free := p.freeVMs(pools, spare)
 	var moves []Move
 	for i := range needs {
 		for needs[i].lacks > 0 && len(moves) < limit {
@@ -156,10 +173,14 @@
 			vm := free[at]
 			free = slices.Delete(free, at, at+1)
 			moves = append(moves, Move{VM: vm.Name, From: vm.from, To: needs[i].service})
+			spare[vm.from] -= vm.Room.MilliCores
 			supply(needs[i:], needs[i].service, &vm.VM)
 		}
 	}
-	return append(moves, p.park(pools, free, limit-len(moves))...)
+	return Plan{
+		Moves:   append(moves, p.park(pools, free, limit-len(moves))...),
+		Emptied: p.empty(pools, needs, spare),
+	}
 }
 
 // supply takes a VM that is sent to a service off all that it lacks.
@@ -241,14 +262,14 @@
 // freeVMs returns the VMs that can go: those of other pools that have been
 // idle longest first, since they cost something where they are, then those of
 // the standby pool.
-func (p *Planner) freeVMs(pools []Pool) []freeVM {
+func (p *Planner) freeVMs(pools []Pool, spare map[tackid.Service]int) []freeVM {
 	var free []freeVM
 	for i := range pools {
 		pool := &pools[i]
-		spare := p.spare(pool)
+		left := spare[pool.Service]
 		for _, vm := range p.mayGo(pool) {
-			spare -= vm.Room.MilliCores
-			free = append(free, freeVM{VM: vm, from: pool.Service, standby: pool.Standby, needed: spare < 0})
+			left -= vm.Room.MilliCores
+			free = append(free, freeVM{VM: vm, from: pool.Service, standby: pool.Standby, needed: left < 0})
 		}
 	}
 	slices.SortStableFunc(free, func(a, b freeVM) int {
@@ -270,10 +291,18 @@
 	return d.cores(pool.VMs) + d.cores(pool.Coming) - p.wanted(d)
 }
 
+func (p *Planner) spares(pools []Pool) map[tackid.Service]int {
+	spare := make(map[tackid.Service]int, len(pools))
+	for i := range pools {
+		spare[pools[i].Service] = p.spare(&pools[i])
+	}
+	return spare
+}
+
 // wanted is how many thousandths of a core do the backlog in time, beside what
 // arrives.
 func (p *Planner) wanted(d *Demand) int {
-	return int(d.Backlog/int64(p.FinishWithin)+d.Late/int64(p.LateWithin)) + d.Arriving*p.ArrivingPercent/100
+	return d.Pressing + int(d.Soon/int64(p.FinishWithin)+d.Late/int64(p.LateWithin)) + d.Arriving*p.ArrivingPercent/100
 }
 
 // mayGo returns the VMs that the pool can do without, idle longest first. It
--- a/core/tackpool/plan_test.go
+++ b/core/tackpool/plan_test.go
@@ -30,7 +30,7 @@
 
 func assertMoves(t *testing.T, pools []Pool, want ...Move) {
 	t.Helper()
-	if got := (Planner{}).Plan(pools, 10); !slices.Equal(got, want) {
+	if got := (Planner{}).Plan(pools, 10).Moves; !slices.Equal(got, want) {
 		t.Errorf("moves %v, want %v", got, want)
 	}
 }
@@ -40,9 +40,10 @@
 	return cores * 1000 * s * 1000
 }
 
-// work is a backlog that so many cores do in so many seconds.
+// work is a backlog that so many cores do in so many seconds, to be done within
+// two and a half.
 func work(cores, s int64) []Demand {
-	return []Demand{{Backlog: seconds(cores, s)}}
+	return []Demand{{Backlog: seconds(cores, s), Pressing: int(seconds(cores, s) / 2500)}}
 }
 
 // labelled gives VMs a kind and a rack.
@@ -103,7 +104,7 @@
 	t.Run("sends VMs for what arrives before it has piled up", func(t *testing.T) {
 		assertMoves(t, []Pool{
 			{Service: "communes", VMs: idle("a", "b", "c", "d")},
-			{Service: "names-api", VMs: busy("e"), Demands: []Demand{{Backlog: seconds(8, 1), Arriving: 3 * cores16}}},
+			{Service: "names-api", VMs: busy("e"), Demands: []Demand{{Backlog: seconds(8, 1), Pressing: 3200, Arriving: 3 * cores16}}},
 		}, Move{"a", "communes", "names-api"}, Move{"b", "communes", "names-api"})
 	})
 	// Symptom: jobs that need a label waited for good in a pool with room.
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -71,7 +71,9 @@
 	var moves []tackpool.Move
 	pools := c.dispatch.Pools(now, &c.state.Catalog, free)
 	c.logStandings(now, pools)
-	for _, m := range c.cfg.Moves.Plan(pools, most) {
+	plan := c.cfg.Moves.Plan(pools, most)
+	c.dispatch.Empty(now, plan.Emptied)
+	for _, m := range plan.Moves {
 		c.upkeep.calls[m.VM] = true
 		c.dispatch.Moving(now, m)
 		moves = append(moves, m)
