Go on without a disk that failed, and take part again once it can be written

Cause: a write that failed ended the process. On a full disk it started, failed and ended again for as long as there was no room, with its ports closed. Change: the control VM leads nothing, votes for nobody and acknowledges nothing meanwhile; it sends callers on, opens the folder again every half second and begins with what it holds, as after a restart. What cannot be read still ends it, and so does a folder that cannot be opened at the start. Before: TestFullDisk fails (the VM that leads is gone, a job cannot be handed in in twenty tries). After: passes, six runs in a row.

--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -63,9 +63,11 @@
 		// CallsPerSecond is how many orders the platform takes, for VMs of all
 		// pools together; zero is no bound.
 		CallsPerSecond float64
-		Dispatch       tackdispatch.Config
-		Moves          tackpool.Planner
-		Cloud          Cloud
+		// Files is where the data folder lies; nil is the operating system.
+		Files    tackdisk.Files
+		Dispatch tackdispatch.Config
+		Moves    tackpool.Planner
+		Cloud    Cloud
 		// Advisor may be nil.
 		Advisor Advisor
 
@@ -89,6 +91,9 @@
 		waiters    map[tackid.Revision]waiter
 		snapshotAt tackid.Revision
 		members    members
+		// reopenAt is when the data folder is opened again after it failed; zero
+		// while it is good.
+		reopenAt tackclock.Time
 
 		status atomic.Pointer[tackreplica.Status]
 
@@ -129,11 +134,10 @@
 	}
 	c.state.KeepClosed = cfg.KeepClosed
 	c.orders.perSecond = cfg.CallsPerSecond
-	disk, stored, err := tackdisk.Open(cfg.Folder, tackdisk.Options{Peer: cfg.Self, Logger: cfg.Logger})
+	stored, err := c.openDisk()
 	if err != nil {
 		return nil, &StoppedError{What: "open the data folder", Err: err}
 	}
-	c.disk = disk
 	if err := c.restore(stored); err != nil {
 		return nil, err
 	}
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	"auburntack/core/tackupkeep"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackcontrol"
+	"auburntack/io/tackdisk"
 	"auburntack/io/tackforward"
 )
 
@@ -48,6 +50,18 @@
 		log    *logrus.Logger
 
 		running map[tackid.Peer]*runningVM
+		disks   map[tackid.Peer]*fillingDisk
+	}
+
+	// fillingDisk refuses every write while it is full.
+	fillingDisk struct {
+		tackdisk.OSFiles
+		full atomic.Bool
+	}
+
+	fillingFile struct {
+		tackdisk.File
+		disk *fillingDisk
 	}
 
 	runningVM struct {
@@ -69,11 +83,23 @@
 
 func (noCloud) Machines(context.Context) ([]tackdispatch.Machine, error) { return nil, nil }
 
+func (d *fillingDisk) Create(name string) (tackdisk.File, error) {
+	f, err := d.OSFiles.Create(name)
+	return &fillingFile{File: f, disk: d}, err
+}
+
+func (f *fillingFile) Write(data []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(data)
+}
+
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, links: linksPort, number: int(clusters.Add(1)), folder: t.TempDir(),
-		running: make(map[tackid.Peer]*runningVM), log: logrus.New(),
+		running: make(map[tackid.Peer]*runningVM), disks: make(map[tackid.Peer]*fillingDisk), log: logrus.New(),
 	}
 	c.seeds = []tackid.Peer{c.peer(1), c.peer(2), c.peer(3)}
 	c.log.SetOutput(io.Discard)
@@ -97,8 +123,10 @@
 
 func (c *cluster) start(p tackid.Peer, bootstrap bool) {
 	c.t.Helper()
+	c.disks[p] = new(fillingDisk)
 	control, err := tackcontrol.New(tackcontrol.Config{
-		Self: p, Links: c.links, Inner: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
+		Files: c.disks[p],
+		Self:  p, Links: c.links, Inner: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
 		Folder: filepath.Join(c.folder, string(p)), Cloud: noCloud{}, Clock: new(tackclock.Clock), Logger: c.log,
 	})
 	if err != nil {
@@ -305,6 +333,36 @@
 	c.assertAsk(tackwork.Lookup, jobA, tackwork.Done)
 }
 
+// Symptom: a control VM ends each time that it starts, and its ports are closed.
+// Sequence: the disk of the VM that leads is full; later it has room again. Cause:
+// a write that failed ended the process.
+func TestFullDisk(t *testing.T) {
+	c := newRunning(t)
+	c.assertAsk(tackwork.Submit, jobA, tackwork.Done)
+	full := c.leader()
+	c.disks[full].full.Store(true)
+	// The first of these meets the disk that is full. Its fate is unknown, and is
+	// told by asking again.
+	c.assertAsk(tackwork.Submit, jobB, tackwork.Done)
+	if second := c.leader(); second == full {
+		t.Error("the VM whose disk is full leads")
+	}
+	if a := c.running[full].control.Do(context.Background(), &tackwork.Request{Host: "a.example", Path: "/q/" + jobA}); !a.NotLeader {
+		t.Errorf("it answers %v, want callers sent on", a.Verdict)
+	}
+	c.disks[full].full.Store(false)
+	c.await("it takes part in decisions again", func() bool { return c.votes(full) })
+	for p := range c.running {
+		if p != full && p != c.leader() {
+			c.stop(p) // so that the next decision needs it
+			break
+		}
+	}
+	c.assertAsk(tackwork.Lookup, jobA, tackwork.Done)
+	c.assertAsk(tackwork.Lookup, jobB, tackwork.Done)
+	c.assertAsk(tackwork.Cancel, jobA, tackwork.Done)
+}
+
 // A minority answers nothing that could be stale, and says so at once.
 func TestMinorityIsNotSure(t *testing.T) {
 	c := newRunning(t)
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -43,8 +43,20 @@
 	c.meters.jobs.Update(int64(jobs))
 }
 
-// settle carries out what the log asks for until it asks for nothing more.
+// settle carries out what the log asks for, unless the disk has failed.
 func (c *Control) settle() error {
+	now := c.clock.Now()
+	if good, err := c.resume(now); !good {
+		return err
+	}
+	if err := c.carryOutAll(); err != nil {
+		return c.suspend(now, err)
+	}
+	return nil
+}
+
+// carryOutAll carries out what the log asks for until it asks for nothing more.
+func (c *Control) carryOutAll() error {
 	for {
 		r, ok := c.node.Ready()
 		if !ok {
--- a/io/tackdisk/disk.go
+++ b/io/tackdisk/disk.go
@@ -249,7 +249,7 @@
 		o.Logger = silent
 	}
 	if o.Files == nil {
-		o.Files = osFiles{}
+		o.Files = OSFiles{}
 	}
 	if o.MaxRecordBytes == 0 {
 		o.MaxRecordBytes = DefaultMaxRecordBytes
--- a/io/tackdisk/files.go
+++ b/io/tackdisk/files.go
@@ -39,18 +39,23 @@
 		Sync() error
 	}
 
-	osFiles struct{}
+	// OSFiles are the files of the operating system.
+	OSFiles struct{}
 )
 
-func (osFiles) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o750) }
+// MkdirAll implements Files.
+func (OSFiles) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o750) }
 
-func (osFiles) Create(name string) (File, error) {
+// Create implements Files.
+func (OSFiles) Create(name string) (File, error) {
 	return os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o640)
 }
 
-func (osFiles) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+// ReadFile implements Files.
+func (OSFiles) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
-func (osFiles) List(folder string) ([]string, error) {
+// List implements Files.
+func (OSFiles) List(folder string) ([]string, error) {
 	found, err := os.ReadDir(folder)
 	if err != nil {
 		return nil, err
@@ -62,9 +67,11 @@
 	return names, nil
 }
 
-func (osFiles) Rename(from, to string) error { return os.Rename(from, to) }
+// Rename implements Files.
+func (OSFiles) Rename(from, to string) error { return os.Rename(from, to) }
 
-func (osFiles) Remove(name string) error {
+// Remove implements Files.
+func (OSFiles) Remove(name string) error {
 	err := os.Remove(name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
@@ -72,7 +79,8 @@
 	return err
 }
 
-func (osFiles) SyncFolder(folder string) error {
+// SyncFolder implements Files.
+func (OSFiles) SyncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
 		return err
@@ -80,7 +88,8 @@
 	return errors.Join(f.Sync(), f.Close())
 }
 
-func (osFiles) Lock(name string) (io.Closer, error) {
+// Lock implements Files.
+func (OSFiles) Lock(name string) (io.Closer, error) {
 	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o640)
 	if err != nil {
 		return nil, err
