Read failures that an earlier release counted; JSON logs by default on the platform

Besides, one filter for the workers of a gang in place of two, and one 'taken' for a reservation; no change of behaviour.

--- a/cmd/auburntackd/main.go
+++ b/cmd/auburntackd/main.go
@@ -39,13 +39,9 @@
 			"  auburntackd platform --config deploy/tunables.ini",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			tunables := tacksettings.Default()
-			tunables.Log.Format = tacksettings.LogJSON
-			if config != "" {
-				var err error
-				if tunables, err = tacksettings.LoadTunables(config); err != nil {
-					return err
-				}
+			tunables, err := tacksettings.LoadTunables(config)
+			if err != nil {
+				return err
 			}
 			hangups := make(chan os.Signal, 1)
 			signal.Notify(hangups, syscall.SIGHUP)
--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -179,11 +179,12 @@
 	return false
 }
 
-// fitsGang leaves out workers that are being emptied, like runnable.
+// fitsGang leaves out workers that are being emptied, like runnable, and asks for
+// no tickets: a call for advice names the workers that could get one.
 func (d *Dispatcher) fitsGang(now tackclock.Time, p *pool, s *openStep) bool {
 	var able []*worker
 	for _, w := range p.workers {
-		if w.takesNew(now) && !w.silent(now) && !d.cordon[w.vm] && w.has(s.Requires) {
+		if d.hosts(now, w, s, false) {
 			able = append(able, w)
 		}
 	}
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -51,15 +51,19 @@
 
 // holds reports whether the worker is to start nothing else.
 func (r *reservation) holds(now tackclock.Time, w *worker) bool {
-	return r.gang != nil && now < r.until && len(r.gang.waiting) > 0 && r.workers[w]
+	return r.taken(now) && r.workers[w]
+}
+
+// taken reports whether workers are kept free for a gang that still waits.
+func (r *reservation) taken(now tackclock.Time) bool {
+	return r.gang != nil && now < r.until && len(r.gang.waiting) > 0
 }
 
 // reserve chooses the workers that are kept free for a gang: as few as will hold
 // it once what runs there is through. Only one gang of a pool has its turn.
 func (d *Dispatcher) reserve(now tackclock.Time, p *pool, s *openStep) {
 	r := &p.reserved
-	taken := r.gang != nil && now < r.until && len(r.gang.waiting) > 0
-	if taken || now.Sub(s.waiting[0].since) < reserveAfter {
+	if r.taken(now) || now.Sub(s.waiting[0].since) < reserveAfter {
 		return
 	}
 	hosts := d.hostsFor(now, p, s, (*worker).forWork)
@@ -119,7 +123,7 @@
 	var all []*worker
 	stranded := d.stranded(now, p, s)
 	for _, w := range p.workers {
-		if !w.takesNew(now) || w.silent(now) || d.cordon[w.vm] && !stranded || !w.has(s.Requires) || !s.ticketed(now, w) {
+		if !d.hosts(now, w, s, stranded) || !s.ticketed(now, w) {
 			continue
 		}
 		all = append(all, w)
@@ -136,6 +140,12 @@
 	return fillHosts(s, all, room)
 }
 
+// hosts reports whether members of a gang may start on the worker. Those of a
+// stranded gang also may on one that is being emptied.
+func (d *Dispatcher) hosts(now tackclock.Time, w *worker, s *openStep, stranded bool) bool {
+	return w.takesNew(now) && !w.silent(now) && (stranded || !d.cordon[w.vm]) && w.has(s.Requires)
+}
+
 func sortedRacks(racks map[string][]*worker, first string) []string {
 	names := make([]string, 0, len(racks))
 	for name := range racks {
--- a/core/tackjob/job.go
+++ b/core/tackjob/job.go
@@ -145,7 +145,11 @@
 	// it may list one that was counted before. Copies do not fail in the order of
 	// their numbers.
 	Failures struct {
-		Runs []uint64 `cbor:"3,keyasint"`
+		// Earlier is how many runs an earlier release counted, and LastEarlier the
+		// number of the last of them, to which their numbers rose.
+		Earlier     int      `cbor:"1,keyasint,omitempty"`
+		LastEarlier uint64   `cbor:"2,keyasint,omitempty"`
+		Runs        []uint64 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// InvalidError reports the first thing that is wrong with a job.
--- a/core/tackjob/job_test.go
+++ b/core/tackjob/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"github.com/fxamacker/cbor/v2"
 	"strings"
 	"testing"
 )
@@ -62,3 +63,33 @@
 		t.Error("the next step is not ready")
 	}
 }
+
+// Symptom: after an upgrade an item ran more often than its attempts. Sequence: it
+// fails once, the count is in a snapshot; the next release reads it, and the item
+// fails again. Cause: the fields of the former release were not read.
+func TestFailuresThatAnEarlierReleaseCounted(t *testing.T) {
+	type earlier struct {
+		Count int    `cbor:"1,keyasint"`
+		Run   uint64 `cbor:"2,keyasint"`
+	}
+	data, err := cbor.Marshal(earlier{Count: 1, Run: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var f Failures
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		t.Fatal(err)
+	}
+	j := &Job{Spec: *sound(), Attempts: 2}
+	item := Item{Job: j.ID}
+	j.progress(0).Steps[0].Failures = map[int32]Failures{0: f}
+	if got := j.Failures(item); got != 1 {
+		t.Errorf("%d failures, want 1", got)
+	}
+	if j.Take(End{Item: item, Failed: true, Run: 7}, 5) {
+		t.Error("a run that was counted before counts again")
+	}
+	if !j.Take(End{Item: item, Failed: true, Run: 9}, 5) || j.Phase != Failed {
+		t.Errorf("the job is %v after its second failure, want failed", j.Phase)
+	}
+}
--- a/core/tackjob/progress.go
+++ b/core/tackjob/progress.go
@@ -1,8 +1,10 @@
 package tackjob
 
-import "slices"
+import (
+	"slices"
 
-import "auburntack/core/tackclock"
+	"auburntack/core/tackclock"
+)
 
 type (
 	// End is a run's end that counts for its job.
@@ -58,7 +60,17 @@
 	if !ok {
 		return 0
 	}
-	return len(p.Steps[i.Step].Failures[i.Index].Runs)
+	f := p.Steps[i.Step].Failures[i.Index]
+	return f.count()
+}
+
+func (f *Failures) count() int {
+	return f.Earlier + len(f.Runs)
+}
+
+// has reports whether the run was counted.
+func (f *Failures) has(run uint64) bool {
+	return f.Earlier > 0 && run <= f.LastEarlier || slices.Contains(f.Runs, run)
 }
 
 // StepDone reports whether all items of the step have ended well.
@@ -115,7 +127,7 @@
 		index = 0 // a gang fails as one
 	}
 	f := s.Failures[index]
-	if slices.Contains(f.Runs, e.Run) {
+	if f.has(e.Run) {
 		return false
 	}
 	if s.Failures == nil {
@@ -123,7 +135,7 @@
 	}
 	f.Runs = append(slices.Clone(f.Runs), e.Run)
 	s.Failures[index] = f
-	if j.Attempts > 0 && len(f.Runs) >= j.Attempts {
+	if j.Attempts > 0 && f.count() >= j.Attempts {
 		j.close(Failed, now)
 	}
 	return true
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -179,10 +179,15 @@
 }
 
 // LoadTunables reads a file that holds no more than the sections [job], [move]
-// and [log], for a VM that is told all else by its platform. The error is a
-// *ProblemsError that lists every problem found.
+// and [log], for a VM that is told all else by its platform; an empty name is a
+// file with nothing in it. Log lines are JSON there unless it says otherwise. The
+// error is a *ProblemsError that lists every problem found.
 func LoadTunables(file string) (Settings, error) {
 	r := reader{settings: Default(), only: []string{"job", "move", "log"}}
+	r.settings.Log.Format = LogJSON
+	if file == "" {
+		return r.settings, nil
+	}
 	r.read(file)
 	if len(r.problems) > 0 {
 		return Settings{}, &ProblemsError{File: file, Problems: r.problems}
