Send the only VM of a kind where its label is lacked; a log as a table by second

Change: idle VMs that a pool keeps go for urgent needs of a label, and busy ones are emptied for urgent needs of any pool. Tests fail without it. Tests of two more ways in which items of cancelled jobs must stop: started late, and started by a leader that is gone; both pass on the code as it was. 'tackmeasure timeline' shows a log second by second.

--- a/cmd/tackmeasure/main.go
+++ b/cmd/tackmeasure/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"auburntack/io/tackmeasure"
+	"auburntack/io/tacktimeline"
 
 	"github.com/spf13/cobra"
 )
@@ -57,9 +58,34 @@
 	cmd.Flags().IntSliceVar(&daemons, "daemons", nil, "numbers of daemons, each a cluster")
 	cmd.Flags().IntSliceVar(&sizes, "vms", nil, "numbers of VMs, ascending")
 	cmd.MarkFlagRequired("daemon")
+	cmd.AddCommand(timelineCommand())
 	return cmd
 }
 
+func timelineCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "timeline [FILE]",
+		Short: "Show a log of control VMs second by second: pools, jobs, moves",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in := cmd.InOrStdin()
+			if len(args) > 0 {
+				f, err := os.Open(args[0])
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				in = f
+			}
+			var t tacktimeline.Timeline
+			if err := t.Read(in); err != nil {
+				return err
+			}
+			return t.Write(cmd.OutOrStdout())
+		},
+	}
+}
+
 // run measures in a folder of its own, which it removes.
 func run(ctx context.Context, plan tackmeasure.Plan) error {
 	folder, err := os.MkdirTemp("", "tackmeasure")
--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -47,6 +47,41 @@
 	assertRuns(t, w, job(2), 0)
 }
 
+// Symptom: an item of a cancelled job runs on. Sequence: the answer with its start
+// is held up for three seconds, the leader takes the order for lost, the job is
+// cancelled, and then the worker starts the item.
+func TestCancelStopsWhatStartsLate(t *testing.T) {
+	w := newWorld(t, 1)
+	m := w.workers[0]
+	w.run(100)
+	w.submit(job(1), batch(2, 1, 20*tackclock.Second))
+	late := w.receive(m.report(w))
+	if len(late.Start) != 2 {
+		t.Fatalf("%d starts, want 2", len(late.Start))
+	}
+	m.cut = true
+	w.run(3 * tackclock.Second)
+	w.apply(tackwork.Change{Cancel: job(1)})
+	m.cut = false
+	w.obey(m, w.now, &late)
+	assertRuns(t, w, job(1), 2)
+	w.run(600)
+	assertRuns(t, w, job(1), 0)
+}
+
+// Symptom: an item of a cancelled job runs on. Sequence: the leader that started it
+// is removed, and the next one takes the cancel in before it hears of the worker.
+func TestCancelStopsWhatAnEarlierLeaderStarted(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(8, 2, 20*tackclock.Second))
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 8)
+	w.newLeader()
+	w.apply(tackwork.Change{Cancel: job(1)})
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 0)
+}
+
 // Symptom: an item that failed too often leaves its siblings running.
 func TestFailedJobStopsWhatRuns(t *testing.T) {
 	w := newWorld(t, 2)
--- a/core/tackpool/empty.go
+++ b/core/tackpool/empty.go
@@ -12,8 +12,8 @@
 // with what it runs. For a longer one the turn that needs it is half over.
 const emptyWithin = 2 * tackclock.Second
 
-// empty chooses busy VMs of pools that have more than they want, for what others
-// lack still: those that are soonest through. Those that are being emptied go on,
+// empty chooses busy VMs of pools that have more than they want, and for urgent needs
+// of any pool, for what others lack still: those that are soonest through. Those that are being emptied go on,
 // so that two rounds do not choose different ones.
 //
 // Load pattern: a turn is over, and what is left of it is spread over all of its
@@ -25,7 +25,7 @@
 	for i := range needs {
 		for k := 0; k < len(busy) && needs[i].lacks > 0; k++ {
 			vm := busy[k]
-			if vm.from == needs[i].service || spare[vm.from] < vm.Room.MilliCores || !needs[i].servedBy(&vm.VM) {
+			if vm.from == needs[i].service || !needs[i].servedBy(&vm.VM) || !needs[i].urgent && spare[vm.from] < vm.Room.MilliCores {
 				continue
 			}
 			busy = slices.Delete(busy, k, k+1)
--- a/core/tackpool/empty_test.go
+++ b/core/tackpool/empty_test.go
@@ -40,6 +40,11 @@
 		other := Pool{Service: "communes", VMs: through(300, "a", "b", "c", "d"), Demands: work(40, 3)}
 		assertEmptied(t, []Pool{other, lacking}, "a")
 	})
+	t.Run("for what is urgent also those that it needs", func(t *testing.T) {
+		other := Pool{Service: "communes", VMs: through(300, "a", "b"), Demands: work(40, 3)}
+		urgent := Pool{Service: "names-api", VMs: busy("z"), Demands: []Demand{{Unplaced: 1000}}}
+		assertEmptied(t, []Pool{other, urgent}, "a")
+	})
 	t.Run("none that is busy for long", func(t *testing.T) {
 		assertEmptied(t, []Pool{{Service: "communes", VMs: through(emptyWithin+1, "a", "b")}, lacking})
 	})
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"auburntack/core/tackclock"
@@ -141,6 +140,9 @@
 		standby bool
 		// needed says that its own pool needs it; it goes for urgent needs alone.
 		needed bool
+		// kept VMs are those that a pool keeps of each kind. They go for urgent needs
+		// of a label alone.
+		kept bool
 	}
 )
 
@@ -165,7 +167,7 @@
 	for i := range needs {
 		for needs[i].lacks > 0 && len(moves) < limit {
 			at := slices.IndexFunc(free, func(vm freeVM) bool {
-				return needs[i].servedBy(&vm.VM) && vm.from != needs[i].service && (needs[i].urgent || !vm.needed)
+				return needs[i].takes(&vm)
 			})
 			if at < 0 {
 				break
@@ -183,6 +185,18 @@
 	}
 }
 
+// takes reports whether the VM may be sent for what is lacked.
+func (n *need) takes(vm *freeVM) bool {
+	switch {
+	case vm.from == n.service || !n.servedBy(&vm.VM):
+		return false
+	case vm.kept:
+		return n.urgent && n.Label != ""
+	default:
+		return n.urgent || !vm.needed
+	}
+}
+
 // supply takes a VM that is sent to a service off all that it lacks.
 func supply(needs []need, service tackid.Service, vm *VM) {
 	for i := range needs {
@@ -259,114 +273,8 @@
 	return 1
 }
 
-// freeVMs returns the VMs that can go: those of other pools that have been
-// idle longest first, since they cost something where they are, then those of
-// the standby pool.
-func (p *Planner) freeVMs(pools []Pool, spare map[tackid.Service]int) []freeVM {
-	var free []freeVM
-	for i := range pools {
-		pool := &pools[i]
-		left := spare[pool.Service]
-		for _, vm := range p.mayGo(pool) {
-			left -= vm.Room.MilliCores
-			free = append(free, freeVM{VM: vm, from: pool.Service, standby: pool.Standby, needed: left < 0})
-		}
-	}
-	slices.SortStableFunc(free, func(a, b freeVM) int {
-		return cmp.Or(compareBool(a.needed, b.needed), compareBool(a.standby, b.standby), cmp.Compare(b.Idle, a.Idle))
-	})
-	return free
-}
-
-// spare is how many thousandths of a core the pool has beyond what it is to do.
-//
-// Load pattern: a turn is over and what is left of it waits for earlier steps or
-// for a few slow items, beside many empty VMs. Were those held until nothing is
-// left, the next queue's turn would be refused beside them.
-func (p *Planner) spare(pool *Pool) int {
-	if pool.Standby || len(pool.Demands) == 0 {
-		return math.MaxInt
-	}
-	d := &pool.Demands[0]
-	return d.cores(pool.VMs) + d.cores(pool.Coming) - p.wanted(d)
-}
-
-func (p *Planner) spares(pools []Pool) map[tackid.Service]int {
-	spare := make(map[tackid.Service]int, len(pools))
-	for i := range pools {
-		spare[pools[i].Service] = p.spare(&pools[i])
-	}
-	return spare
-}
-
 // wanted is how many thousandths of a core do the backlog in time, beside what
 // arrives.
 func (p *Planner) wanted(d *Demand) int {
 	return d.Pressing + int(d.Soon/int64(p.FinishWithin)+d.Late/int64(p.LateWithin)) + d.Arriving*p.ArrivingPercent/100
 }
-
-// mayGo returns the VMs that the pool can do without, idle longest first. It
-// keeps a part of each kind: what only one kind can run would find no worker.
-func (p *Planner) mayGo(pool *Pool) []VM {
-	kinds := make(map[string]int)
-	for i := range pool.VMs {
-		kinds[pool.VMs[i].kind()]++
-	}
-	for kind, n := range kinds {
-		kinds[kind] = p.mayGive(pool, n)
-	}
-	var list []VM
-	for _, vm := range pool.idlest() {
-		if kinds[vm.kind()] > 0 {
-			kinds[vm.kind()]--
-			list = append(list, vm)
-		}
-	}
-	return list
-}
-
-// kind is the label that comes before the rack's.
-func (vm *VM) kind() string {
-	if len(vm.Labels) < 2 {
-		return ""
-	}
-	return vm.Labels[0]
-}
-
-// mayGive is how many of n VMs the pool can do without.
-func (p *Planner) mayGive(pool *Pool, n int) int {
-	if pool.Standby {
-		return n
-	}
-	keep := (n*p.KeepPercent + 99) / 100
-	return max(0, n-max(keep, 1))
-}
-
-// idlest returns the VMs that could go, idle longest first.
-func (p *Pool) idlest() []VM {
-	var list []VM
-	for _, vm := range p.VMs {
-		if !vm.Fixed && (vm.Idle > 0 || p.Standby) {
-			list = append(list, vm)
-		}
-	}
-	slices.SortFunc(list, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.Name, b.Name))
-	})
-	return list
-}
-
-// park sends VMs that have been idle for long to the standby pool.
-func (p *Planner) park(pools []Pool, free []freeVM, limit int) []Move {
-	at := slices.IndexFunc(pools, func(p Pool) bool { return p.Standby })
-	if at < 0 {
-		return nil
-	}
-	var moves []Move
-	for _, vm := range free {
-		if len(moves) < limit && !vm.standby && !vm.needed && vm.Idle >= p.ParkAfter {
-			moves = append(moves, Move{VM: vm.Name, From: vm.from, To: pools[at].Service})
-		}
-	}
-	return moves
-}
--- a/core/tackpool/plan_test.go
+++ b/core/tackpool/plan_test.go
@@ -135,6 +135,20 @@
 			{Service: "names-api", VMs: vms},
 		}, Move{"a", "names-api", "backoffice"})
 	})
+	// Symptom: jobs that require a label waited to the end of a day. Sequence: four
+	// VMs have it, each the only one of its kind in its pool; one of them idles, and
+	// nothing there requires the label. Cause: a pool kept one VM of each kind,
+	// whatever others lacked.
+	t.Run("takes the only VM of a kind where a label is lacked", func(t *testing.T) {
+		from := append(labelled(idle("a", "b"), "small"), labelled(idle("c"), "large")...)
+		pools := []Pool{
+			{Service: "communes", VMs: from},
+			{Service: "names-api", VMs: labelled(busy("e"), "small"), Demands: []Demand{{}, {Label: "large", Unplaced: 1000}}},
+		}
+		assertMoves(t, pools, Move{"c", "communes", "names-api"})
+		pools[1].Demands = []Demand{{}, {Label: "large", Soon: seconds(16, 4)}}
+		assertMoves(t, pools)
+	})
 	// Symptom: an item that lasts found no worker beside a hundred idle VMs.
 	// Sequence: a pool's jobs wait for their first steps, so its VMs idle while its
 	// backlog is long. Cause: a pool that is behind gave none.
