--- a/core/tackpool/empty.go
+++ b/core/tackpool/empty.go
@@ -4,14 +4,9 @@
 	"cmp"
 	"slices"
 
-	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
 
-// emptyWithin is after which time a VM that gets nothing new must be through
-// with what it runs. For a longer one the turn that needs it is half over.
-const emptyWithin = 2 * tackclock.Second
-
 // empty chooses busy VMs of pools that have more than they want, and for urgent needs
 // of any pool, for what others lack still: those that are soonest through. Those that are being emptied go on,
 // so that two rounds do not choose different ones.
@@ -20,7 +15,7 @@
 // pool's VMs. Each gets a further item before its last one ends, so none could go
 // where the next turn needs it.
 func (p *Planner) empty(pools []Pool, needs []need, spare map[tackid.Service]int) []tackid.VM {
-	busy := busyVMs(pools)
+	busy := p.busyVMs(pools)
 	var chosen []tackid.VM
 	for i := range needs {
 		for k := 0; k < len(busy) && needs[i].lacks > 0; k++ {
@@ -39,11 +34,11 @@
 }
 
 // busyVMs returns the VMs that could be emptied in time, soonest first.
-func busyVMs(pools []Pool) []freeVM {
+func (p *Planner) busyVMs(pools []Pool) []freeVM {
 	var busy []freeVM
 	for i := range pools {
 		for _, vm := range pools[i].VMs {
-			if !vm.Fixed && vm.Busy > 0 && (vm.Busy <= emptyWithin || vm.Emptying) {
+			if !vm.Fixed && vm.Busy > 0 && (vm.Busy <= p.EmptyWithin || vm.Emptying) {
 				busy = append(busy, freeVM{VM: vm, from: pools[i].Service})
 			}
 		}
--- a/core/tackpool/empty_test.go
+++ b/core/tackpool/empty_test.go
@@ -46,7 +46,7 @@
 		assertEmptied(t, []Pool{other, urgent}, "a")
 	})
 	t.Run("none that is busy for long", func(t *testing.T) {
-		assertEmptied(t, []Pool{{Service: "communes", VMs: through(emptyWithin+1, "a", "b")}, lacking})
+		assertEmptied(t, []Pool{{Service: "communes", VMs: through(defaultEmptyWithin+1, "a", "b")}, lacking})
 	})
 	t.Run("those that are being emptied go on", func(t *testing.T) {
 		other := Pool{Service: "communes", VMs: append(through(900, "a", "b", "c"), through(300, "d", "e")...)}
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -27,6 +27,9 @@
 	// defaultLateWithin is four times that: a late answer is worth a fraction of
 	// one in time, and the next queue's turn begins seconds later.
 	defaultLateWithin = 10 * tackclock.Second
+	// defaultEmptyWithin is a quarter of the turns that are known. A VM that is busy
+	// for longer comes when the turn that needs it is half over.
+	defaultEmptyWithin = 2 * tackclock.Second
 	// defaultParkAfter weighs a move there and back, which costs as much as 2.3 s
 	// in a pool.
 	defaultParkAfter = 2500 * tackclock.Millisecond
@@ -50,6 +53,9 @@
 		// ArrivingPercent is the part of the work that arrives for which VMs are
 		// sent beside those that the backlog needs.
 		ArrivingPercent int
+		// EmptyWithin is after which time a busy VM that gets nothing new must be
+		// through for it to be emptied for another pool.
+		EmptyWithin tackclock.Duration
 		// ParkAfter is how long a VM is idle before it goes to the standby pool.
 		ParkAfter tackclock.Duration
 		// KeepPercent is the part of a pool's VMs that stays however idle they
@@ -152,6 +158,7 @@
 	p.FinishWithin = cmp.Or(p.FinishWithin, defaultFinishWithin)
 	p.LateWithin = cmp.Or(p.LateWithin, defaultLateWithin)
 	p.ArrivingPercent = cmp.Or(p.ArrivingPercent, defaultArrivingPercent)
+	p.EmptyWithin = cmp.Or(p.EmptyWithin, defaultEmptyWithin)
 	p.ParkAfter = cmp.Or(p.ParkAfter, defaultParkAfter)
 	p.KeepPercent = cmp.Or(p.KeepPercent, defaultKeepPercent)
 	return p
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -141,6 +141,7 @@
 		FinishWithin    tackclock.Duration
 		LateWithin      tackclock.Duration
 		ArrivingPercent int
+		EmptyWithin     tackclock.Duration
 		ParkAfter       tackclock.Duration
 		KeepPercent     int
 	}
