--- a/core/tackdispatch/backlog.go
+++ b/core/tackdispatch/backlog.go
@@ -21,6 +21,8 @@
 const (
 	// slackPercent is the part of the time until its deadline within which a job
 	// should be done: steps wait for each other, and estimates are too low at times.
+	// With 35 and 70 in its place the worth of days with trouble was the same within
+	// its error of 0.006.
 	slackPercent = 50
 	// leastSlack bounds that time from below, at about what a move takes.
 	leastSlack = 1500 * tackclock.Millisecond
@@ -48,16 +50,16 @@
 // Load pattern: a queue of long jobs has had its turn, and one of short jobs begins
 // its own. Both are worth the same a core-second, but the long ones have twice the
 // time. With one time for all, the long jobs kept VMs that they need later.
-func (d *Dispatcher) backlogOf(now tackclock.Time, service tackid.Service) backlog {
+func (d *Dispatcher) backlogOf(now tackclock.Time, p *pool) backlog {
 	type due struct {
 		at   tackclock.Time
 		work int64
 	}
-	done := d.workDone(now)
+	done := p.workDone(now)
 	var b backlog
 	var dues []due
 	for _, o := range d.jobs {
-		if !o.owes(service) {
+		if !o.owes(p.service) {
 			continue
 		}
 		work := max(0, o.workLeft()-done[o])
@@ -78,12 +80,14 @@
 	return b
 }
 
-// workDone is the part of what the running items take that is done.
-func (d *Dispatcher) workDone(now tackclock.Time) map[*openJob]int64 {
+// workDone is the part of what the pool's running items take that is done.
+func (p *pool) workDone(now tackclock.Time) map[*openJob]int64 {
 	done := make(map[*openJob]int64)
-	for _, r := range d.running {
-		if s := r.step; !s.LongRunning {
-			done[s.job] += int64(max(0, s.Estimate-r.left(now))) * int64(s.MilliCores)
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if s := r.step; !s.LongRunning && r.copied == "" {
+				done[s.job] += int64(max(0, s.Estimate-r.left(now))) * int64(s.MilliCores)
+			}
 		}
 	}
 	return done
--- a/core/tackdispatch/bench_test.go
+++ b/core/tackdispatch/bench_test.go
@@ -5,7 +5,9 @@
 	"testing"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackpool"
 )
 
 // benchWorld is a world whose workers have all reported once.
@@ -110,3 +112,23 @@
 		})
 	}
 }
+
+// BenchmarkPlan is one round of the planner: what a pool has and is to do, with ten
+// jobs that wait and one that runs for each four workers, and the moves.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{49, 350, 2300} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := benchWorld(b, workers)
+			for n := range 11 * workers / 4 {
+				w.submit(job(n), batch(8, 4, tackclock.Hour), batch(8, 4, tackclock.Hour, 0))
+			}
+			w.run(2 * tackclock.Second)
+			free := func(tackid.VM) bool { return true }
+			catalog := &w.state.Catalog
+			b.ReportAllocs()
+			for b.Loop() {
+				tackpool.Planner{}.Plan(w.d.Pools(w.now, catalog, free), 12)
+			}
+		})
+	}
+}
--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -67,7 +67,7 @@
 // certain label, or of a certain size, can do.
 func (d *Dispatcher) demands(now tackclock.Time, p *pool) []tackpool.Demand {
 	refused, arriving := p.recent(now)
-	b := d.backlogOf(now, p.service)
+	b := d.backlogOf(now, p)
 	list := []tackpool.Demand{{Backlog: b.inTime + refused, Pressing: b.pressing, Soon: refused, Late: b.late, Arriving: arriving}}
 	at := make(map[string]int) // of a label in list
 	for _, s := range p.steps {
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -188,9 +188,9 @@
 		w := newWorld(t, 2)
 		w.submit(job(1), batch(4, 4, 2*tackclock.Second))
 		w.run(100)
-		before := w.d.backlogOf(w.now, "names-api")
+		before := w.d.backlogOf(w.now, w.d.pool("names-api"))
 		w.run(1500)
-		if after := w.d.backlogOf(w.now, "names-api"); after.inTime > before.inTime/2 {
+		if after := w.d.backlogOf(w.now, w.d.pool("names-api")); after.inTime > before.inTime/2 {
 			t.Errorf("backlog %d after three quarters of the work, %d before", after.inTime, before.inTime)
 		}
 	})
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -71,8 +71,8 @@
 	return (s.Requires != "") == t.labelled && s.late(now) == t.late
 }
 
-// takesNew reports whether the worker may get new items, but for one that is
-// being emptied for its upkeep.
+// takesNew reports whether the worker may get new items. One that is emptied for a
+// move may not, one that is emptied for its upkeep is told apart by the caller.
 func (w *worker) takesNew(now tackclock.Time) bool {
 	return !w.draining && !w.leaving && now >= w.suspicion.until && now >= w.emptiedUntil
 }
--- a/core/tackpool/empty.go
+++ b/core/tackpool/empty.go
@@ -7,13 +7,16 @@
 	"auburntack/core/tackid"
 )
 
-// empty chooses busy VMs of pools that have more than they want, and for urgent needs
-// of any pool, for what others lack still: those that are soonest through. Those that are being emptied go on,
-// so that two rounds do not choose different ones.
+// empty chooses busy VMs for what pools lack still: of pools that have more than
+// they want, and for urgent needs of any. Those that are soonest through come first,
+// but those that are being emptied go on, so that two rounds do not choose different
+// ones.
 //
 // Load pattern: a turn is over, and what is left of it is spread over all of its
 // pool's VMs. Each gets a further item before its last one ends, so none could go
-// where the next turn needs it.
+// where the next turn needs it. Mean worth of days with trouble 0.569 before, 0.580
+// after, and 0.596 with work weighed by its deadlines (49 VMs, 30 plays each, standard
+// errors of the differences 0.010 and 0.007).
 func (p *Planner) empty(pools []Pool, needs []need, spare map[tackid.Service]int) []tackid.VM {
 	busy := p.busyVMs(pools)
 	var chosen []tackid.VM
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -3,10 +3,11 @@
 // when nothing needs them.
 //
 // Load pattern: queues ask several times their mean in turns of a few seconds,
-// more than their own pool holds, while the pools of the others stand idle. A
-// move costs a second and a half of the VM and a fixed price, so a VM moves
-// only when it has nothing to do and another pool is behind by more than what
-// the move takes.
+// more than their own pool holds, while the pools of the others stand idle. Each
+// pool wants cores for what it has accepted, by its deadlines, for what arrives, and
+// a few for what is late. What it has beyond that is for others: idle VMs move at
+// once, busy ones are emptied first. A move costs a second and a half of the VM and
+// a fixed price.
 package tackpool
 
 import (
@@ -27,8 +28,8 @@
 	// defaultLateWithin is four times that: a late answer is worth a fraction of
 	// one in time, and the next queue's turn begins seconds later.
 	defaultLateWithin = 10 * tackclock.Second
-	// defaultEmptyWithin is a quarter of the turns that are known. A VM that is busy
-	// for longer comes when the turn that needs it is half over.
+	// defaultEmptyWithin is about what an item and a move take. A VM that is busy
+	// for longer comes when the jobs that need it are half way to their deadlines.
 	defaultEmptyWithin = 2 * tackclock.Second
 	// defaultParkAfter weighs a move there and back, which costs as much as 2.3 s
 	// in a pool.
@@ -45,8 +46,8 @@
 		// BehindAfter is the backlog, as time that the pool needs for it, from
 		// which on a pool is given VMs.
 		BehindAfter tackclock.Duration
-		// FinishWithin is the time within which a pool should be through with its
-		// backlog.
+		// FinishWithin is the time within which a pool should do what goes by no
+		// deadline: what was refused just now, and what requires a label.
 		FinishWithin tackclock.Duration
 		// LateWithin is that time for jobs that cannot be in time any more.
 		LateWithin tackclock.Duration
