Let workers whose lease ran out join again

The model's random schedules hid it, since they add sound workers before they look.

Ruled out: a shorter memory of ended lives. A late heartbeat of a life that is really over would then end the one that follows it. So only a lapse is forgiven, and only to a later heartbeat than the last one; moves and upkeeps that are under way still count.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -414,3 +414,25 @@
 	assertPhase(t, w, job(3), tackjob.Complete)
 	assertPhase(t, w, job(2), tackjob.Open)
 }
+
+// Symptom: after a partition of a few seconds the workers behind it stay empty for
+// a minute, beside a queue of work. Sequence: a worker's heartbeats do not arrive
+// until its lease has run out; the partition heals, and it goes on with its life.
+// Cause: a worker whose lease had run out was taken for one whose life is over.
+func TestWorkerBackAfterItsLeaseGetsWork(t *testing.T) {
+	w := newWorld(t, 1)
+	m := w.workers[0]
+	w.submit(job(1), batch(4, 2, 2*tackclock.Second))
+	w.run(tackclock.Second)
+	m.cut = true
+	w.run(6 * tackclock.Second)
+	late := m.report(w)
+	m.cut = false
+	w.run(4 * tackclock.Second)
+	assertPhase(t, w, job(1), tackjob.Complete)
+	t.Run("a heartbeat from before is still late", func(t *testing.T) {
+		if o := w.receive(late); o.Hold != 0 {
+			t.Errorf("orders %+v, want none", o)
+		}
+	})
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -28,6 +28,9 @@
 	// notSent stands for the heartbeat that was answered with a start which
 	// has not been sent yet: no heartbeat is later.
 	notSent = math.MaxUint64
+	// lateFor is for how long late heartbeats of a life are told from new ones. What
+	// a partition holds up arrives within seconds of its end.
+	lateFor = tackclock.Minute
 	// endsInReport is how many ends a worker lists at a time. A list of this
 	// length may leave some out.
 	endsInReport = 500
@@ -86,6 +89,8 @@
 		workers map[WorkerID]*worker
 		lives   map[tackid.VM]*worker
 		over    map[WorkerID]tackclock.Time
+		// lapsed are workers whose lease ran out and whose life may go on.
+		lapsed  map[WorkerID]lapse
 		pools   map[tackid.Service]*pool
 		jobs    map[tackjob.ID]*openJob
 		running map[tackjob.Item]*run
@@ -102,6 +107,12 @@
 		eventsLeft int
 	}
 
+	// lapse is when a worker's lease ran out, and its last heartbeat.
+	lapse struct {
+		at       tackclock.Time
+		sequence uint64
+	}
+
 	// run is one start of an item.
 	run struct {
 		item       tackjob.Item
@@ -169,6 +180,7 @@
 	d.workers = make(map[WorkerID]*worker)
 	d.lives = make(map[tackid.VM]*worker)
 	d.over = make(map[WorkerID]tackclock.Time)
+	d.lapsed = make(map[WorkerID]lapse)
 	d.pools = make(map[tackid.Service]*pool)
 	d.jobs = make(map[tackjob.ID]*openJob)
 	d.running = make(map[tackjob.Item]*run)
@@ -197,7 +209,7 @@
 func (d *Dispatcher) Tick(now tackclock.Time) {
 	for _, w := range d.workers {
 		if now >= w.leaseUntil {
-			d.lose(now, w, "lease ran out")
+			d.lapse(now, w)
 			continue
 		}
 		d.copySilent(now, w)
@@ -205,22 +217,45 @@
 	for _, j := range d.timed {
 		d.openDue(now, j)
 	}
+	d.forget(now)
+}
+
+// forget drops what is kept of lives only to tell late heartbeats.
+func (d *Dispatcher) forget(now tackclock.Time) {
 	for id, at := range d.over {
-		if now.Sub(at) > tackclock.Minute {
+		if now.Sub(at) > lateFor {
 			delete(d.over, id)
 		}
 	}
+	for id, l := range d.lapsed {
+		if now.Sub(l.at) > lateFor {
+			delete(d.lapsed, id)
+		}
+	}
 }
 
-// lose takes a worker out. What ran there may start elsewhere: the caller must
-// know that it does not run any more.
+// lapse takes out a worker whose lease ran out. All that ran there has ended, but
+// its life may go on behind a partition. It joins again with a later heartbeat than
+// those it sent before.
+func (d *Dispatcher) lapse(now tackclock.Time, w *worker) {
+	d.remove(now, w, "lease ran out")
+	d.lapsed[w.id] = lapse{at: now, sequence: w.sequence}
+}
+
+// lose takes out a worker whose life is over.
 func (d *Dispatcher) lose(now tackclock.Time, w *worker, reason string) {
+	d.remove(now, w, reason)
+	d.over[w.id] = now
+}
+
+// remove takes a worker out. What ran there may start elsewhere: the caller must
+// know that it does not run any more.
+func (d *Dispatcher) remove(now tackclock.Time, w *worker, reason string) {
 	for _, r := range w.runs {
 		d.free(now, r)
 		d.requeue(now, r)
 	}
 	delete(d.workers, w.id)
-	d.over[w.id] = now
 	if d.lives[w.vm] == w {
 		delete(d.lives, w.vm)
 	}
@@ -235,6 +270,7 @@
 	if w := d.workers[id]; w != nil {
 		d.lose(now, w, "left")
 	}
+	delete(d.lapsed, id)
 	d.over[id] = now
 }
 
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -103,7 +103,7 @@
 		return nil
 	}
 	w := d.workers[r.Worker]
-	if w == nil && d.outlived(now, r) {
+	if w == nil && (d.outlived(now, r) || r.Sequence <= d.lapsed[r.Worker].sequence) {
 		return nil
 	}
 	if w == nil {
@@ -152,10 +152,12 @@
 		ends: ends{pending: make(map[uint64]tackjob.End)},
 	}
 	w.heardAt, w.idleFrom = now, now
+	delete(d.lapsed, w.id)
 	delete(d.standby, w.vm)
 	if m := d.moves[w.vm]; m != nil && m.life != w.id {
 		delete(d.moves, w.vm)
 	}
+	w.leaving = d.ordered(w)
 	d.noteWorker(now, EventJoined, w, string(w.service))
 	d.workers[w.id] = w
 	if w.vm != "" {
@@ -165,6 +167,19 @@
 	return w
 }
 
+// ordered reports whether the platform may be about to end this life, for a move or
+// an upkeep: one that joins again may have been called for while it was silent.
+func (d *Dispatcher) ordered(w *worker) bool {
+	if w.vm == "" {
+		return false
+	}
+	if d.moves[w.vm] != nil {
+		return true
+	}
+	st := d.upkeeps[w.vm]
+	return st != nil && st.calledAt != 0 && st.life == w.id
+}
+
 func (d *Dispatcher) takeEnds(now tackclock.Time, w *worker, rows []Ended) []tackjob.End {
 	var finished []tackjob.End
 	for i := range rows {
