Refuse heartbeats, VMs and advice that are not as their senders write them

Cause: another program may write heartbeats and entries. A heartbeat {} came in as a worker without VM, pool and room, one with an unknown state as a ready worker, a room of 1e300 as the smallest negative number; a list that was missing ended all that ran on the worker; the greatest sequence number wrapped to 0. One entry of the platform's list that was wrong lost the whole list. A heartbeat of an unknown pool with the VM of a worker ended that worker's life, so that its items would have started a second time.

A known worker's service, VM and sequence number must follow from what it said before; a worker that is not known must be of a pool that a catalog names, or that owes jobs.

Random schedules get heartbeats in the name of known workers, which must leave them as they were (2,000 schedules).

Not done: the same strictness for announcements of the own interface.

--- a/core/tackdispatch/advice.go
+++ b/core/tackdispatch/advice.go
@@ -80,7 +80,8 @@
 	return ids
 }
 
-// Advised takes in the answer to a call. With ok false the call failed.
+// Advised takes in the answer to a call. With ok false the call failed. Tickets for
+// workers that were not asked about are passed over.
 func (d *Dispatcher) Advised(now tackclock.Time, r AdviceRequest, tickets []Ticket, valid tackclock.Duration, ok bool) {
 	s := d.stepOf(stepKey{job: r.Job, occurrence: r.Occurrence, step: r.Step})
 	if s == nil {
@@ -93,7 +94,9 @@
 	}
 	a.tickets = make(map[WorkerID]string, len(tickets))
 	for _, t := range tickets {
-		a.tickets[t.Worker] = t.Text
+		if slices.Contains(r.Workers, t.Worker) {
+			a.tickets[t.Worker] = t.Text
+		}
 	}
 	a.until = now.Add(valid - ticketSlack)
 }
--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -436,3 +436,14 @@
 		}
 	})
 }
+
+func TestAdviceForOthersIsPassedOver(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 1, 500))
+	r := AdviceRequest{Job: job(1), Workers: []WorkerID{"i-1"}}
+	w.d.Advised(w.now, r, []Ticket{{Worker: "i-1", Text: "t"}, {Worker: "i-2", Text: "u"}}, tackclock.Second, true)
+	s := w.d.stepOf(stepKey{job: job(1)})
+	if len(s.advice.tickets) != 1 || s.advice.tickets["i-1"] != "t" {
+		t.Errorf("tickets %v, want that of the worker that was asked about", s.advice.tickets)
+	}
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -195,6 +195,21 @@
 	jobs.Each(func(j *tackjob.Job) { d.accept(now, j, j.Term == d.fresh) })
 }
 
+// Knows reports whether the worker has sent heartbeats that were taken in.
+func (d *Dispatcher) Knows(id WorkerID) bool {
+	return d.workers[id] != nil
+}
+
+// Owes reports whether a job is owed by the service.
+func (d *Dispatcher) Owes(service tackid.Service) bool {
+	for _, o := range d.jobs {
+		if o.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Sure reports whether nothing can run that no worker has listed.
 func (d *Dispatcher) Sure(now tackclock.Time) bool {
 	return now >= d.sure
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -1,7 +1,10 @@
 package tackdispatch
 
 import (
+	"errors"
 	"fmt"
+	"math"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -20,7 +23,7 @@
 	}
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
-		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double",
+		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "foreign",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -61,6 +64,37 @@
 		w.arrive()
 	case "double":
 		w.receive(w.delay(m))
+	case "foreign":
+		w.foreign(t, m)
+	}
+}
+
+// foreign has another program send heartbeats in the worker's name. They must change
+// nothing: the world checks afterwards that the worker's own ones are still obeyed.
+func (w *world) foreign(t *rapid.T, m *modelWorker) {
+	known := w.d.workers[m.id]
+	if known == nil {
+		return
+	}
+	r := Report{
+		Worker: m.id, VM: m.vm, Service: m.service, Sequence: m.sequence + 1, Capacity: m.capacity,
+		Draining: rapid.Bool().Draw(t, "draining"),
+	}
+	switch rapid.IntRange(0, 2).Draw(t, "foreign field") {
+	case 0:
+		r.Service = "elsewhere"
+	case 1:
+		r.VM = "m-elsewhere"
+	case 2:
+		r.Sequence = math.MaxUint64 >> rapid.IntRange(0, 20).Draw(t, "shift")
+	}
+	before := *known
+	o, finished, err := w.d.Heartbeat(w.now, &r)
+	if !errors.As(err, new(*ForeignError)) || o.Hold != 0 || len(finished) != 0 {
+		t.Fatalf("heartbeat %+v gets %+v, %v", r, o, err)
+	}
+	if after := *known; w.d.workers[m.id] != known || !reflect.DeepEqual(before, after) {
+		t.Fatalf("worker is %+v after the foreign heartbeat, was %+v", after, before)
 	}
 }
 
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -71,11 +71,14 @@
 
 // Heartbeat takes in a worker's report and returns its orders, with the ends
 // that the log must hold before the worker may forget them. An answer without
-// a hold leaves the worker as it is.
-func (d *Dispatcher) Heartbeat(now tackclock.Time, r *Report) (Orders, []tackjob.End) {
+// a hold leaves the worker as it is. The error is a *ForeignError.
+func (d *Dispatcher) Heartbeat(now tackclock.Time, r *Report) (Orders, []tackjob.End, error) {
+	if err := d.check(now, r); err != nil {
+		return Orders{}, nil, err
+	}
 	w := d.take(now, r)
 	if w == nil {
-		return Orders{}, nil
+		return Orders{}, nil, nil
 	}
 	finished := d.takeEnds(now, w, r.Ended)
 	d.takeRunning(now, w, r)
@@ -93,7 +96,7 @@
 	o.Pace = d.pace(now, w)
 	o.Noted = w.ends.noted()
 	o.Retry = d.retry(w)
-	return o, finished
+	return o, finished, nil
 }
 
 // take finds the worker of a report, or nil if the report is out of date: of a
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -277,7 +277,10 @@
 
 // receive has the leader take in a report, and the log the ends in it.
 func (w *world) receive(r *Report) Orders {
-	o, finished := w.d.Heartbeat(w.now, r)
+	o, finished, err := w.d.Heartbeat(w.now, r)
+	if err != nil {
+		w.t.Fatalf("heartbeat of a sound worker: %v", err)
+	}
 	if len(finished) > 0 {
 		w.waiting = append(w.waiting, heldEnds{worker: r.Worker, ends: finished})
 		if !w.held {
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -382,6 +383,30 @@
 	}
 }
 
+// Symptom: what runs on a worker starts a second time elsewhere. Sequence: another
+// program sends a heartbeat with the worker's VM, a new id and a pool that no catalog
+// names. Cause: it was taken for the VM's next life, so the worker's was taken for
+// over.
+func TestHeartbeatOfAnUnknownPoolEndsNothing(t *testing.T) {
+	c := newRunning(t)
+	leader := c.running[c.leader()].control
+	sound := &worker{id: "i-1", control: leader}
+	sound.beat()
+	foreign := &tackdispatch.Report{
+		Worker: "i-9", VM: "m-i-1", Service: "elsewhere", Sequence: 1, Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
+	}
+	if _, _, err := leader.Heartbeat(foreign); !errors.As(err, new(*tackdispatch.ForeignError)) {
+		t.Errorf("error %v, want a *ForeignError", err)
+	}
+	sound.sequence++
+	o, _, err := leader.Heartbeat(&tackdispatch.Report{
+		Worker: sound.id, VM: "m-i-1", Service: "names-api", Sequence: sound.sequence, Capacity: foreign.Capacity,
+	})
+	if err != nil || o.Hold == 0 {
+		t.Errorf("the worker's own heartbeat gets %+v, %v, want a lease", o, err)
+	}
+}
+
 // worker runs what it is ordered and ends it at once.
 type worker struct {
 	id       tackdispatch.WorkerID
@@ -393,7 +418,7 @@
 
 func (w *worker) beat() {
 	w.sequence++
-	o, ok := w.control.Heartbeat(&tackdispatch.Report{
+	o, ok, _ := w.control.Heartbeat(&tackdispatch.Report{
 		Worker: w.id, VM: tackid.VM("m-" + string(w.id)), Service: "names-api", Sequence: w.sequence, Ended: w.ended,
 		Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
 	})
