--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -71,11 +71,14 @@
 
 // Heartbeat takes in a worker's report and returns its orders, with the ends
 // that the log must hold before the worker may forget them. An answer without
-// a hold leaves the worker as it is.
-func (d *Dispatcher) Heartbeat(now tackclock.Time, r *Report) (Orders, []tackjob.End) {
+// a hold leaves the worker as it is. The error is a *ForeignError.
+func (d *Dispatcher) Heartbeat(now tackclock.Time, r *Report) (Orders, []tackjob.End, error) {
+	if err := d.check(now, r); err != nil {
+		return Orders{}, nil, err
+	}
 	w := d.take(now, r)
 	if w == nil {
-		return Orders{}, nil
+		return Orders{}, nil, nil
 	}
 	finished := d.takeEnds(now, w, r.Ended)
 	d.takeRunning(now, w, r)
@@ -93,7 +96,7 @@
 	o.Pace = d.pace(now, w)
 	o.Noted = w.ends.noted()
 	o.Retry = d.retry(w)
-	return o, finished
+	return o, finished, nil
 }
 
 // take finds the worker of a report, or nil if the report is out of date: of a
@@ -103,7 +106,7 @@
 		return nil
 	}
 	w := d.workers[r.Worker]
-	if w == nil && d.outlived(now, r) {
+	if w == nil && (d.outlived(now, r) || r.Sequence <= d.lapsed[r.Worker].sequence) {
 		return nil
 	}
 	if w == nil {
@@ -152,10 +155,12 @@
 		ends: ends{pending: make(map[uint64]tackjob.End)},
 	}
 	w.heardAt, w.idleFrom = now, now
+	delete(d.lapsed, w.id)
 	delete(d.standby, w.vm)
 	if m := d.moves[w.vm]; m != nil && m.life != w.id {
 		delete(d.moves, w.vm)
 	}
+	w.leaving = d.ordered(w)
 	d.noteWorker(now, EventJoined, w, string(w.service))
 	d.workers[w.id] = w
 	if w.vm != "" {
@@ -165,6 +170,19 @@
 	return w
 }
 
+// ordered reports whether the platform may be about to end this life, for a move or
+// an upkeep: one that joins again may have been called for while it was silent.
+func (d *Dispatcher) ordered(w *worker) bool {
+	if w.vm == "" {
+		return false
+	}
+	if d.moves[w.vm] != nil {
+		return true
+	}
+	st := d.upkeeps[w.vm]
+	return st != nil && st.calledAt != 0 && st.life == w.id
+}
+
 func (d *Dispatcher) takeEnds(now tackclock.Time, w *worker, rows []Ended) []tackjob.End {
 	var finished []tackjob.End
 	for i := range rows {
