--- /dev/null
+++ b/internal/tackdocs/fitting_test.go
@@ -0,0 +1,59 @@
+package tackdocs
+
+import (
+	"io/fs"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// theirNames are names of the users' deployments, data centres, services, classes of
+// requests and days. Those that the brief uses as examples are left out.
+var theirNames = regexp.MustCompile(`(?i)\b(` + strings.Join([]string{
+	"sscto", "ortb", "bsnc", "kamloops", "vernon", "salmon-arm", "cotabato-hall", "zamboanga-hall", "marawi-hall", "davao-hall",
+	"vannes", "saint-brieuc", "gift-pass", "group-desk", "lamp-room", "partner-ledger", "timed-entry", "dawn-svc", "eid-svc",
+	"jumuah-svc", "member-svc", "ramadan-svc", "slot-hold", "slot-watch", "group-quote", "group-watch", "pass-check",
+	"pass-watch", "roster-build", "roster-watch", "spelling-check", "index-watch", "commune-merge", "cadastre-sync",
+	"alias-check", "postal-feed", "parish-rebuild", "dispatch-feed", "fajr-calc", "fajr-push", "ramadan-table",
+	"ramadan-feed", "jumuah-calc", "jumuah-push", "eid-table", "eid-feed", `quiet-\d`, `trouble-\d`, `scale-\d`,
+}, "|") + `)\b`)
+
+// Symptom: the product serves one deployment well and another badly. Sequence: a
+// decision is tried on the deployments at hand until it does well there. Cause: it
+// goes by who asks, not by what it observes. A name in the code is how that shows.
+func TestNoDecisionGoesByTheUsersNames(t *testing.T) {
+	files := productFiles(t)
+	if len(files) < 100 {
+		t.Fatalf("%d files found", len(files))
+	}
+	for _, file := range files {
+		for i, line := range strings.Split(read(t, file), "\n") {
+			if name := theirNames.FindString(line); name != "" {
+				t.Errorf("%s:%d: %q", file, i+1, name)
+			}
+		}
+	}
+}
+
+// productFiles returns the files that the product is built of, and those that say
+// how it is run.
+func productFiles(t *testing.T) []string {
+	t.Helper()
+	var files []string
+	for _, folder := range []string{"core", "io", "platform", "cmd", "deploy"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+			if err == nil && d.IsDir() && d.Name() == "testdata" {
+				return fs.SkipDir
+			}
+			if err == nil && !d.IsDir() && !strings.HasSuffix(path, "_test.go") {
+				files = append(files, path)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return files
+}
