--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -11,9 +11,8 @@
 	// asked to come back.
 	shortestComeBack = 500 * tackclock.Millisecond
 	// defaultAdmitPercent is above 100 since idle VMs of other pools come within
-	// two seconds, so the backlog is done sooner than the pool's cores say. Mean
-	// worth of the days with trouble, over both sites: 0.48 at 100, 0.49 at 125,
-	// 0.51 at 160.
+	// two seconds, so the backlog is done sooner than the pool's cores say. Net
+	// gain under faults: 0.48 at 100, 0.49 at 125, 0.51 at 160 (two fleets of 49 VMs).
 	defaultAdmitPercent = 160
 )
 
--- a/core/tackdispatch/backlog.go
+++ b/core/tackdispatch/backlog.go
@@ -21,8 +21,8 @@
 const (
 	// slackPercent is the part of the time until its deadline within which a job
 	// should be done: steps wait for each other, and estimates are too low at times.
-	// With 35 and 70 in its place the worth of days with trouble was the same within
-	// its error of 0.006.
+	// With 35 and 70 in its place the net gain under faults was the same within its
+	// error of 0.006.
 	slackPercent = 50
 	// leastSlack bounds that time from below, at about what a move takes.
 	leastSlack = 1500 * tackclock.Millisecond
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -212,8 +212,8 @@
 // others stand idle.
 //
 // Before VMs were sent for what arrives they came when the backlog had grown to
-// 0.8 s of the pool's work. Mean worth of the days with trouble, over three
-// seeds each of both deployments: 0.42 to 0.52 and 0.52 to 0.63.
+// 0.8 s of the pool's work. Net gain under faults on two fleets of 49 VMs: 0.42
+// before and 0.52 after, 0.52 and 0.63 (15 runs each).
 func TestVMsComeForWhatArrives(t *testing.T) {
 	w := newWorld(t, 2)
 	w.run(100)
--- a/core/tackdispatch/suspect.go
+++ b/core/tackdispatch/suspect.go
@@ -143,9 +143,9 @@
 //
 // An estimate may be several times too low, and the items of a step share it.
 // Judged by that alone, sound workers that happen to hold one such step got
-// nothing new for seconds: 47 times on a calm day, and 145 times on a busy one.
-// Mean worth of days with trouble 0.449 before, 0.501 after (49 VMs, 15 plays
-// each, standard error of the difference 0.012).
+// nothing new for seconds: 47 times in half a minute without faults, 145 times in one with them.
+// Net gain under faults 0.449 before, 0.501 after (49 VMs, 15 paired runs, standard
+// error of the difference 0.012).
 func (r *run) comparable() bool {
 	return r.step.quickest.worker != nil && r.step.quickest.worker != r.worker
 }
--- a/core/tackpool/empty.go
+++ b/core/tackpool/empty.go
@@ -14,8 +14,8 @@
 //
 // Load pattern: a turn is over, and what is left of it is spread over all of its
 // pool's VMs. Each gets a further item before its last one ends, so none could go
-// where the next turn needs it. Mean worth of days with trouble 0.569 before, 0.580
-// after, and 0.596 with work weighed by its deadlines (49 VMs, 30 plays each, standard
+// where the next turn needs it. Net gain under faults 0.569 before, 0.580 after,
+// and 0.596 with work weighed by its deadlines (49 VMs, 30 paired runs each, standard
 // errors of the differences 0.010 and 0.007).
 func (p *Planner) empty(pools []Pool, needs []need, spare map[tackid.Service]int) []tackid.VM {
 	busy := p.busyVMs(pools)
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -33,12 +33,12 @@
 	defaultEmptyWithin = 2 * tackclock.Second
 	// defaultParkAfter is the break-even time: a rest and a return are two moves of
 	// a second and a half, and for the second one callers wait, to whom a VM's work is
-	// worth some twenty times its keep. With it in the place of 2.5 s queues that have
-	// their turn every 20 s are served 0.02 better, of 1 (49 VMs, 30 paired runs of
-	// half a minute, standard error 0.005).
+	// worth some twenty times its keep. With 2.5 s in its place the net gain under
+	// faults, with a turn of each queue every 20 s, is 0.618 for 0.638 (49 VMs, 30
+	// paired runs, standard error of the difference 0.005).
 	defaultParkAfter = 30 * tackclock.Second
 	// defaultArrivingPercent and defaultKeepPercent: with 150 and 20 in their
-	// place the worth of days with trouble was the same within its error.
+	// place the net gain under faults was the same within its error.
 	defaultArrivingPercent = 100
 	defaultKeepPercent     = 33
 )
