Let workers of a large pool that have room ask less often

Cause: each worker with room asked every 150 ms, however many others did. With 3,000 workers half of what the leader answered ordered nothing, and its VM was at its limit: 62.9 % of a core of the 67.2 that it has. A pool now hears of a worker with room about every 20 ms, up to the 400 ms of workers without room; where something waits, and in small pools, as before. Workers that joined in step are spread.

--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -20,6 +20,10 @@
 	// arrivals are the jobs that were handed in lately.
 	arrivals []arrival
 	reserved reservation
+	// roomy is how many workers had room when they were last counted; they are
+	// counted again at countAt.
+	roomy   int
+	countAt tackclock.Time
 	// gangsAt is when room is looked for again for gangs.
 	gangsAt tackclock.Time
 }
--- /dev/null
+++ b/core/tackdispatch/retry.go
@@ -0,0 +1,67 @@
+package tackdispatch
+
+import "auburntack/core/tackclock"
+
+const (
+	// roomEvery is how often a pool should hear of a worker with room. An item that
+	// comes waits for the next one to ask, which is the least of its waits: a commit
+	// takes longer.
+	roomEvery = 20 * tackclock.Millisecond
+	// countEvery spaces out the counts of a pool's workers with room.
+	countEvery = 100 * tackclock.Millisecond
+	// roomParts is the part of a worker's cores that must be free for it to count as
+	// one with room.
+	roomParts = 8
+)
+
+// retry is when the worker should ask again.
+//
+// Load pattern: a pool of hundreds of VMs whose turn is over. Were all that have room
+// to ask as often as those of a small pool, the leader would do little else: half of
+// its processor time went into answers without an order. What matters to an item that
+// comes is how soon any of them asks.
+func (d *Dispatcher) retry(now tackclock.Time, w *worker) tackclock.Duration {
+	if len(w.ends.pending) > 0 {
+		return d.cfg.Retry
+	}
+	if w.draining || !w.roomy() {
+		return d.cfg.RetryBusy
+	}
+	p := d.pools[w.service]
+	if len(p.steps) > 0 {
+		return d.cfg.Retry // something waits
+	}
+	wait := min(d.cfg.RetryBusy, roomEvery*tackclock.Duration(p.withRoom(now)))
+	return max(d.cfg.Retry, w.dither(wait))
+}
+
+// dither changes a wait by up to a quarter, each time by another part. Workers that
+// heard of a leader at the same moment would otherwise go on to ask in step, with
+// nobody between.
+func (w *worker) dither(wait tackclock.Duration) tackclock.Duration {
+	const (
+		parts = 64
+		step  = 37 // no divisor of parts in common, so that all parts come
+	)
+	part := tackclock.Duration((w.phase + w.sequence*step) % parts)
+	return wait*3/4 + wait/2*part/parts
+}
+
+// roomy reports whether the worker has room for more than a small item.
+func (w *worker) roomy() bool {
+	return w.room().MilliCores >= w.capacity.MilliCores/roomParts
+}
+
+// withRoom is how many of the pool's workers have room, as counted lately.
+func (p *pool) withRoom(now tackclock.Time) int {
+	if now < p.countAt {
+		return p.roomy
+	}
+	p.countAt, p.roomy = now.Add(countEvery), 0
+	for _, w := range p.workers {
+		if w.roomy() && w.takesNew(now) {
+			p.roomy++
+		}
+	}
+	return p.roomy
+}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -24,6 +24,8 @@
 	lasting  tackjob.Room // the part of used that items that last take
 	sequence uint64
 	reports  int // taken in by this dispatcher
+	// phase tells workers apart that joined in step.
+	phase uint64
 	// leaseUntil is when everything that runs there has surely ended, if no
 	// further heartbeat is answered.
 	leaseUntil tackclock.Time
@@ -95,7 +97,7 @@
 	d.sendPlanned(now, w, r.Sequence, &o)
 	o.Pace = d.pace(now, w)
 	o.Noted = w.ends.noted()
-	o.Retry = d.retry(w)
+	o.Retry = d.retry(now, w)
 	return o, finished, nil
 }
 
@@ -150,7 +152,7 @@
 		}
 	}
 	w := &worker{
-		id: r.Worker, vm: r.VM, service: r.Service, zone: r.Zone,
+		id: r.Worker, vm: r.VM, service: r.Service, zone: r.Zone, phase: uint64(len(d.workers)),
 		runs: make(map[tackjob.Item]*run), steps: make(map[stepKey]int),
 		ends: ends{pending: make(map[uint64]tackjob.End)},
 	}
@@ -364,14 +366,3 @@
 func (w *worker) forWork() tackjob.Room {
 	return w.capacity.Minus(w.lasting)
 }
-
-// retry is when the worker should ask again.
-func (d *Dispatcher) retry(w *worker) tackclock.Duration {
-	if len(w.ends.pending) > 0 {
-		return d.cfg.Retry
-	}
-	if w.draining || w.room().MilliCores < w.capacity.MilliCores/8 {
-		return d.cfg.RetryBusy
-	}
-	return d.cfg.Retry
-}
