--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -30,7 +30,7 @@
 	p := d.pool(q.Service)
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
-	wait := d.backlog(now, q)
+	wait := d.backlog(q)
 	if (wait+chain)*100 <= allowed*tackclock.Duration(d.cfg.AdmitPercent) {
 		p.arrived(now, spec, false)
 		return 0, true
@@ -41,7 +41,7 @@
 
 // backlog is how long the service's pool takes for the work that is accepted
 // and not done.
-func (d *Dispatcher) backlog(_ tackclock.Time, q *tackcatalog.Queue) tackclock.Duration {
+func (d *Dispatcher) backlog(q *tackcatalog.Queue) tackclock.Duration {
 	p := d.pools[q.Service]
 	if p == nil {
 		return 0
--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -144,8 +144,6 @@
 	assertRuns(t, w, job(1), 4)
 }
 
-// Symptom: an item is lost. Sequence: an answer with starts gets lost on its
-// way; the worker's next heartbeat lists nothing.
 // Symptom: items ran twice after a change of the leader. Sequence: a heartbeat of a
 // worker is held up by a partition; the worker crashes, its VM comes back with
 // another life, which runs items; the new leader hears that life, then the late
@@ -169,6 +167,8 @@
 	assertRuns(t, w, job(1), 4)
 }
 
+// Symptom: an item is lost. Sequence: an answer with starts gets lost on its
+// way; the worker's next heartbeat lists nothing.
 func TestLostAnswerIsMadeGood(t *testing.T) {
 	w := newWorld(t, 1)
 	w.submit(job(1), batch(4, 2, 500))
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -123,6 +123,9 @@
 		life := d.lives[vm]
 		back := life != nil && life.id != st.life
 		if back || now.Sub(st.calledAt) > d.downFor(st) {
+			if life != nil && !back {
+				life.leaving = false // it is still there, so no call was carried out
+			}
 			st.calledAt = 0
 			delete(d.cordon, vm)
 			continue
--- a/core/tackpool/rest.go
+++ b/core/tackpool/rest.go
@@ -143,7 +143,7 @@
 			best, bestCost = after, c
 		}
 	}
-	return max(best, leastRest)
+	return min(breakEven, max(best, leastRest))
 }
 
 // cost is what the gaps cost with rest after a time.
--- a/core/tackpool/rest_test.go
+++ b/core/tackpool/rest_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+func TestRestIsNeverLaterThanBreakEven(t *testing.T) {
+	gaps := make([]tackclock.Duration, gapsMean)
+	for _, breakEven := range []tackclock.Duration{100, tackclock.Second, tackclock.Minute} {
+		if got := cheapest(gaps, breakEven); got > breakEven {
+			t.Errorf("rest after %v, break-even after %v", got, breakEven)
+		}
+	}
+}
+
 func TestRestKnowsNothingAtFirst(t *testing.T) {
 	var r Rest
 	if got := r.After(1000, breakEven); got != breakEven {
