End a life whose lease ran out once its VM goes on without it

Only since workers may join again after their lease.

Ruled out: ends that are noted after an item began again; none of the items had one.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -447,3 +447,30 @@
 		t.Errorf("tickets %v, want that of the worker that was asked about", s.advice.tickets)
 	}
 }
+
+// Symptom: items ran twice at once. Sequence: a worker is cut off after its first
+// heartbeats, and one of them is held up; its lease runs out, its VM is taken down and
+// comes back with another life, which runs items; the partition heals and the early
+// heartbeat arrives. Cause: a worker whose lease had run out could join again, and one
+// of a life's first heartbeats ends the life before it.
+func TestLateHeartbeatAfterItsLeaseEndsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	m := w.workers[0]
+	w.beat(m, false)
+	late := m.report(w) // the second of its life
+	m.cut = true
+	w.run(5 * tackclock.Second)
+	m.dead = true
+	next := w.addWorker(m.vm, 0)
+	w.submit(job(1), batch(4, 2, 20*tackclock.Second))
+	w.run(tackclock.Second)
+	if o := w.receive(late); o.Hold != 0 {
+		t.Errorf("orders %+v for a life that is over", o)
+	}
+	if known := w.d.lives[m.vm].id; known != next.id {
+		t.Errorf("dispatch takes %s for the life of the VM, want %s", known, next.id)
+	}
+	w.addWorker("m-other", 1)
+	w.run(3 * tackclock.Second)
+	assertRuns(t, w, job(1), 4)
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -107,9 +107,10 @@
 		eventsLeft int
 	}
 
-	// lapse is when a worker's lease ran out, and its last heartbeat.
+	// lapse is when a worker's lease ran out, its VM, and its last heartbeat.
 	lapse struct {
 		at       tackclock.Time
+		vm       tackid.VM
 		sequence uint64
 	}
 
@@ -254,7 +255,22 @@
 // those it sent before.
 func (d *Dispatcher) lapse(now tackclock.Time, w *worker) {
 	d.remove(now, w, "lease ran out")
-	d.lapsed[w.id] = lapse{at: now, sequence: w.sequence}
+	d.lapsed[w.id] = lapse{at: now, vm: w.vm, sequence: w.sequence}
+}
+
+// endLapsed notes that lives whose lease ran out on a VM are over, since another has
+// followed them or the VM was taken down. A heartbeat of theirs that a partition held
+// up would else be taken for the VM's next life, and end the one that runs.
+func (d *Dispatcher) endLapsed(now tackclock.Time, vm tackid.VM) {
+	if vm == "" {
+		return
+	}
+	for id, l := range d.lapsed {
+		if l.vm == vm {
+			delete(d.lapsed, id)
+			d.over[id] = now
+		}
+	}
 }
 
 // lose takes out a worker whose life is over.
