--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -255,7 +255,7 @@
 // Load pattern: a queue's turn, with estimates that are several times too low for
 // some steps.
 //
-// Symptom: jobs wait beside workers with room, on a calm day too. Sequence: a
+// Symptom: jobs wait beside workers with room, also without faults. Sequence: a
 // worker holds the items of one such step, and nothing else that can be judged.
 // Cause: each item counted against the worker, though they share their estimate.
 func TestLowEstimateSpeaksAgainstNoWorker(t *testing.T) {
--- a/core/tackdispatch/retry.go
+++ b/core/tackdispatch/retry.go
@@ -4,8 +4,7 @@
 
 const (
 	// roomEvery is how often a pool should hear of a worker with room. An item that
-	// comes waits for the next one to ask, which is the least of its waits: a commit
-	// takes longer.
+	// comes waits for the next one to ask, about as long as for its commit.
 	roomEvery = 20 * tackclock.Millisecond
 	// countEvery spaces out the counts of a pool's workers with room.
 	countEvery = 100 * tackclock.Millisecond
@@ -17,9 +16,9 @@
 // retry is when the worker should ask again.
 //
 // Load pattern: a pool of hundreds of VMs whose turn is over. Were all that have room
-// to ask as often as those of a small pool, the leader would do little else: half of
-// its processor time went into answers without an order. What matters to an item that
-// comes is how soon any of them asks.
+// to ask as often as those of a small pool, the leader would be busy with answers that
+// order nothing. What matters to an item that comes is how soon any of them asks. The
+// leader of 3,006 workers takes 56.8 % of a core for 62.9 (one run of each).
 func (d *Dispatcher) retry(now tackclock.Time, w *worker) tackclock.Duration {
 	if len(w.ends.pending) > 0 {
 		return d.cfg.Retry
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -212,7 +212,7 @@
 	assertRuns(t, w, job(1), 8)
 }
 
-// Symptom: jobs of a calm day did not run for 18 s beside free workers. Sequence:
+// Symptom: jobs did not run for 18 s beside free workers, without faults. Sequence:
 // the only worker with the label that they require is being emptied for its
 // upkeep; items that last on it have nowhere else to go, so it is never taken
 // down. Cause: a worker that is being emptied ran nothing new, whatever waited.
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -33,7 +33,7 @@
 	defaultEmptyWithin = 2 * tackclock.Second
 	// defaultParkAfter is the break-even time: a rest and a return are two moves of
 	// a second and a half, and for the second one callers wait, to whom a VM's work is
-	// worth some twenty times its keep. With 2.5 s in its place the net gain under
+	// taken to be worth some twenty times its keep. With 2.5 s in its place the net gain under
 	// faults, with a turn of each queue every 20 s, is 0.618 for 0.638 (49 VMs, 30
 	// paired runs, standard error of the difference 0.005).
 	defaultParkAfter = 30 * tackclock.Second
