Keep the Date of a repeated answer; entries of KNOWN-RED.txt in the users' new form

Cause: TestKeyRunsOnce compares a repeat whole with the first answer. The record lacked the Date that the server adds, so the two differed when the clock's second changed between them. Ruled out: comparing without the Date; it would let a repeat differ. Before: the record of an answer without Date has none (TestRepeatKeepsTheDate fails); after: it has the time at which the answer came, and every repeat carries it. No other test compares whole answers of different moments (searched for comparisons of exchange's results). KNOWN-RED.txt takes entries of test, command with seed, what was seen and issue, without a limit of three, as the users now ask; a field that is missing, unknown or given twice is refused with its line.

--- a/internal/tackverdict/known.go
+++ b/internal/tackverdict/known.go
@@ -8,10 +8,6 @@
 	"strings"
 )
 
-// mostKnown is how many tests may be known to fail at a time. A longer list
-// would turn into a place where tests are left to rot.
-const mostKnown = 3
-
 type (
 	// testName names a test of a package, without subtests.
 	testName struct {
@@ -21,9 +17,10 @@
 
 	// knownRed is a test that fails for a fault that is known.
 	knownRed struct {
-		name  testName
-		cause string
-		issue string
+		name    testName
+		command string // how to see it fail, with its seed
+		seen    string
+		issue   string
 	}
 
 	// listError reports a list of known failures that cannot be taken.
@@ -53,43 +50,78 @@
 	if err != nil {
 		return nil, err
 	}
+	return parseKnown(file, string(data))
+}
+
+// parseKnown reads the entries of the list. The error is a *listError.
+func parseKnown(file, text string) ([]knownRed, error) {
 	var known []knownRed
-	for i, line := range strings.Split(string(data), "\n") {
+	var entry knownRed
+	begun := 0 // the line on which the entry began, zero between entries
+	for i, line := range strings.Split(text+"\n\n", "\n") {
 		line = strings.TrimSpace(line)
-		if line == "" || strings.HasPrefix(line, "#") {
+		if strings.HasPrefix(line, "#") || line == "" && begun == 0 {
+			continue
+		}
+		if line == "" {
+			if missing := entry.missing(); missing != "" {
+				return nil, &listError{File: file, Line: begun, Reason: "an entry without " + missing}
+			}
+			known = append(known, entry)
+			entry, begun = knownRed{}, 0
 			continue
 		}
-		k, reason := parseKnown(line)
-		if reason == "" && len(known) == mostKnown {
-			reason = fmt.Sprintf("more than %d tests are listed", mostKnown)
+		if begun == 0 {
+			begun = i + 1
 		}
-		if reason != "" {
+		if reason := entry.take(line); reason != "" {
 			return nil, &listError{File: file, Line: i + 1, Reason: reason}
 		}
-		known = append(known, k)
 	}
 	return known, nil
 }
 
-// parseKnown reads a line "PACKAGE.TEST, CAUSE, ISSUE"; reason says what is
-// wrong with it. A whole package or a subtest cannot be listed: the one would
-// hide too much, the other's failure cannot be told from its parent's own.
-func parseKnown(line string) (k knownRed, reason string) {
-	first := strings.Index(line, ",")
-	last := strings.LastIndex(line, ",")
-	if first == last {
-		return k, "want PACKAGE.TEST, CAUSE, ISSUE"
+// take reads one line of an entry; the result says what is wrong with it.
+func (k *knownRed) take(line string) string {
+	field, value, _ := strings.Cut(line, ":")
+	value = strings.TrimSpace(value)
+	into := map[string]*string{"command": &k.command, "seen": &k.seen, "issue": &k.issue}[field]
+	switch {
+	case value == "":
+		return fmt.Sprintf("%q: want a field and its value", line)
+	case field == "test" && k.name != testName{}, into != nil && *into != "":
+		return "a second " + field + " in one entry"
+	case field == "test":
+		return k.takeName(value)
+	case into == nil:
+		return fmt.Sprintf("unknown field %q, want test, command, seen or issue", field)
 	}
-	name := strings.TrimSpace(line[:first])
-	k.cause = strings.TrimSpace(line[first+1 : last])
-	k.issue = strings.TrimSpace(line[last+1:])
+	*into = value
+	return ""
+}
+
+// takeName reads PACKAGE.TEST. A whole package or a subtest cannot be listed: the
+// one would hide too much, the other's failure cannot be told from its parent's own.
+func (k *knownRed) takeName(name string) string {
 	dot := strings.LastIndex(name, ".")
-	if dot <= 0 || k.cause == "" || k.issue == "" {
-		return k, "want PACKAGE.TEST, CAUSE, ISSUE"
+	if dot <= 0 || !strings.HasPrefix(name[dot+1:], "Test") || strings.Contains(name[dot+1:], "/") {
+		return fmt.Sprintf("%q is no PACKAGE.TEST at top level", name)
 	}
 	k.name = testName{pkg: name[:dot], test: name[dot+1:]}
-	if !strings.HasPrefix(k.name.test, "Test") || strings.Contains(k.name.test, "/") {
-		return k, fmt.Sprintf("%q is no test at top level", k.name.test)
+	return ""
+}
+
+// missing names the first field that the entry lacks.
+func (k *knownRed) missing() string {
+	switch {
+	case k.name == testName{}:
+		return "test"
+	case k.command == "":
+		return "command"
+	case k.seen == "":
+		return "seen"
+	case k.issue == "":
+		return "issue"
 	}
-	return k, ""
+	return ""
 }
--- a/internal/tackverdict/verdict.go
+++ b/internal/tackverdict/verdict.go
@@ -178,7 +178,7 @@
 	case actionPass:
 		fmt.Fprintf(w, "known red: %s: passes now, take it off the list (%s)\n", k.name, k.issue)
 	default:
-		fmt.Fprintf(w, "known red: %s: %s (%s)\n", k.name, k.cause, k.issue)
+		fmt.Fprintf(w, "known red: %s: %s (%s); %s\n", k.name, k.seen, k.issue, k.command)
 	}
 	return true
 }
--- a/io/tackhttp/keyed.go
+++ b/io/tackhttp/keyed.go
@@ -110,6 +110,7 @@
 		c.h.settle(c.finish(id, f.outcome()))
 		return f
 	}
+	a.stampDate()
 	finish := c.finish(id, tackledger.OutcomeAnswered)
 	finish.Answer = a.record(c)
 	settled = true
@@ -144,6 +145,15 @@
 	return nil
 }
 
+// stampDate gives an answer that has no Date the time at which it came. The server
+// adds one to each answer that it writes, so without it a repeat would carry another
+// time than the first answer, which is when the work's answer was made.
+func (a *attempt) stampDate() {
+	if a.resp.Header.Get("Date") == "" {
+		a.resp.Header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+}
+
 // record returns the answer as it is kept.
 func (a *attempt) record(c *call) tackledger.Answer {
 	header := make(http.Header, len(a.resp.Header))
--- a/io/tackhttp/keyed_test.go
+++ b/io/tackhttp/keyed_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -100,6 +101,34 @@
 	assertOwn(t, got, http.StatusUnprocessableEntity, codeKeyMismatch, tackledger.OutcomeDidNotRun)
 }
 
+// Symptom: the repeat of an answer differs from it in one line, its Date.
+// Sequence: a backend server answers without a Date; the caller repeats the request
+// after the clock's second has changed.
+// Cause: the record lacked the Date that the first caller was sent, so each answer
+// got its own. An answer's Date is when it was made, and a repeat makes none.
+func TestRepeatKeepsTheDate(t *testing.T) {
+	backend := newScript(t, echo)
+	ledger := new(majority)
+	e := newEntry(t, Config{Ledger: ledger}, backend.address)
+	first := exchange(t, e.address, keyed("POST", "dated", "{}"))
+	id := tackledger.ID{Service: "names", Key: "dated"}
+	claim, err := ledger.Claim(t.Context(), tackledger.Begin{ID: id, Fingerprint: tackledger.Print("POST", "/names/x", []byte("{}"))})
+	if err != nil || claim.Kind != tackledger.Recorded {
+		t.Fatalf("the key's record is %+v, %v", claim, err)
+	}
+	at := slices.IndexFunc(claim.Answer.Header, func(f tackledger.Field) bool { return f.Name == "Date" })
+	if at < 0 || len(claim.Answer.Header[at].Values) != 1 {
+		t.Fatalf("the record has the header %v, want one Date", claim.Answer.Header)
+	}
+	if date := "\r\nDate: " + claim.Answer.Header[at].Values[0] + "\r\n"; !strings.Contains(first, date) {
+		t.Errorf("the first answer was %q, and its record has %q", first, date)
+	}
+	claim.Answer.Header[at].Values[0] = "Wed, 02 Dec 2026 18:00:00 GMT"
+	if got := exchange(t, e.address, keyed("POST", "dated", "{}")); !strings.Contains(got, "\r\nDate: Wed, 02 Dec 2026 18:00:00 GMT\r\n") {
+		t.Errorf("the repeat got %q, want the recorded Date", got)
+	}
+}
+
 // Symptom: after an entry VM died, a repeat of what it was running runs again.
 // Sequence: it claims the key and dies, before or after the dispatch; the
 // caller repeats the request through another one, at once and later.
