Ask callers for a key of their workspace

The leader decides, by the catalog that the log holds; a submit carries its key into the log and is looked at again when applied, since a catalog may stand between. A catalog's check lists all problems at once.

--- a/core/tackcatalog/catalog.go
+++ b/core/tackcatalog/catalog.go
@@ -10,6 +10,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/core/tackworkspace"
 )
 
 type (
@@ -24,6 +25,10 @@
 		Services     []Service `cbor:"3,keyasint,omitempty"`
 		MaxBodyBytes int       `cbor:"4,keyasint,omitempty"`
 		Source       []byte    `cbor:"5,keyasint,omitempty"`
+		// Keyed says that callers must show a key of a workspace, on queues that are
+		// not public. Without it all queues are open to everybody.
+		Keyed      bool                      `cbor:"6,keyasint,omitempty"`
+		Workspaces []tackworkspace.Workspace `cbor:"7,keyasint,omitempty"`
 	}
 
 	// QueueKey names a queue by what callers address: host and path prefix.
@@ -52,6 +57,8 @@
 		// Advised says that only some workers may run a step, and that the
 		// placement advisor knows which.
 		Advised bool `cbor:"10,keyasint,omitempty"`
+		// Public queues ask for no key. Their jobs belong to no workspace.
+		Public bool `cbor:"11,keyasint,omitempty"`
 	}
 
 	// Service is a pool of workers.
@@ -63,45 +70,56 @@
 		Standby bool `cbor:"3,keyasint,omitempty"`
 	}
 
-	// InvalidError reports the first thing that is wrong with a catalog.
+	// InvalidError reports all that is wrong with a catalog.
 	InvalidError struct {
-		Field   string
-		Problem string
+		Problems []tackworkspace.Problem
 	}
 )
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	return fmt.Sprintf("%s: %s", e.Field, e.Problem)
+	texts := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		texts[i] = p.Field + ": " + p.Text
+	}
+	return strings.Join(texts, "; ")
 }
 
 // Validate returns an *InvalidError if the catalog cannot be put in force.
 func (c *Catalog) Validate() error {
+	var problems []tackworkspace.Problem
+	add := func(field, text string) { problems = append(problems, tackworkspace.Problem{Field: field, Text: text}) }
 	if c.Version == 0 {
-		return &InvalidError{Field: "version", Problem: "missing or zero"}
+		add("version", "missing or zero")
 	}
 	services := make(map[tackid.Service]bool, len(c.Services))
 	for i, s := range c.Services {
 		if s.Name == "" || services[s.Name] {
-			return &InvalidError{Field: fmt.Sprintf("services[%d].name", i), Problem: "empty or given twice"}
+			add(fmt.Sprintf("services[%d].name", i), "empty or given twice")
 		}
 		services[s.Name] = true
 	}
 	seen := make(map[QueueKey]bool, len(c.Queues))
 	for i, q := range c.Queues {
 		field := fmt.Sprintf("routes[%d]", i)
-		switch {
-		case !services[q.Service]:
-			return &InvalidError{Field: field + ".service", Problem: fmt.Sprintf("unknown service %q", q.Service)}
-		case seen[q.QueueKey]:
-			return &InvalidError{Field: field, Problem: "host and prefix of another route"}
-		case q.Timeout <= 0:
-			return &InvalidError{Field: field + ".timeout_ms", Problem: "must be above 0"}
-		case !strings.HasPrefix(q.Prefix, "/"):
-			return &InvalidError{Field: field + ".prefix", Problem: "must begin with a slash"}
+		if !services[q.Service] {
+			add(field+".service", fmt.Sprintf("unknown service %q", q.Service))
+		}
+		if seen[q.QueueKey] {
+			add(field, "host and prefix of another route")
+		}
+		if q.Timeout <= 0 {
+			add(field+".timeout_ms", "must be above 0")
+		}
+		if !strings.HasPrefix(q.Prefix, "/") {
+			add(field+".prefix", "must begin with a slash")
 		}
 		seen[q.QueueKey] = true
 	}
+	problems = append(problems, tackworkspace.Check(c.Workspaces)...)
+	if len(problems) > 0 {
+		return &InvalidError{Problems: problems}
+	}
 	return nil
 }
 
--- a/core/tackcatalog/catalog_test.go
+++ b/core/tackcatalog/catalog_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
+
+	"auburntack/core/tackworkspace"
 )
 
 func valid() *Catalog {
@@ -13,6 +16,11 @@
 			{QueueKey: QueueKey{"a.example", "/q/"}, Service: "names-api", Timeout: 1},
 			{QueueKey: QueueKey{"a.example", "/q/deep/"}, Service: "communes", Timeout: 1},
 		},
+		Keyed: true,
+		Workspaces: []tackworkspace.Workspace{
+			{Name: "mairies", Keys: []tackworkspace.Fingerprint{tackworkspace.Print("a"), tackworkspace.Print("b")}, Weight: 3},
+			{Name: "postes", Keys: []tackworkspace.Fingerprint{tackworkspace.Print("c")}, Weight: 1},
+		},
 	}
 }
 
@@ -21,22 +29,52 @@
 		t.Fatalf("a sound catalog: %v", err)
 	}
 	for field, spoil := range map[string]func(*Catalog){
-		"version":              func(c *Catalog) { c.Version = 0 },
-		"services[1].name":     func(c *Catalog) { c.Services[1].Name = "names-api" },
-		"routes[1].service":    func(c *Catalog) { c.Queues[1].Service = "nobody" },
-		"routes[1]":            func(c *Catalog) { c.Queues[1].Prefix = "/q/" },
-		"routes[0].timeout_ms": func(c *Catalog) { c.Queues[0].Timeout = 0 },
-		"routes[0].prefix":     func(c *Catalog) { c.Queues[0].Prefix = "q" },
+		"version":               func(c *Catalog) { c.Version = 0 },
+		"services[1].name":      func(c *Catalog) { c.Services = append(c.Services[:1], Service{Name: "names-api"}, c.Services[1]) },
+		"routes[1].service":     func(c *Catalog) { c.Queues[1].Service = "nobody" },
+		"routes[1]":             func(c *Catalog) { c.Queues[1].Prefix = "/q/" },
+		"routes[0].timeout_ms":  func(c *Catalog) { c.Queues[0].Timeout = 0 },
+		"routes[0].prefix":      func(c *Catalog) { c.Queues[0].Prefix = "q" },
+		"workspaces[0].name":    func(c *Catalog) { c.Workspaces[0].Name = "" },
+		"workspaces[1].name":    func(c *Catalog) { c.Workspaces[1].Name = c.Workspaces[0].Name },
+		"workspaces[1].keys[1]": func(c *Catalog) { c.Workspaces[1].Keys = append(c.Workspaces[1].Keys, c.Workspaces[0].Keys[1]) },
+		"workspaces[0].keys[0]": func(c *Catalog) { c.Workspaces[0].Keys[0] = "" },
+		"workspaces[0].weight":  func(c *Catalog) { c.Workspaces[0].Weight = -1 },
+		"workspaces[1].cap":     func(c *Catalog) { c.Workspaces[1].Cap.MemoryMB = -1 },
 	} {
 		t.Run(field, func(t *testing.T) {
 			c := valid()
 			spoil(c)
-			var invalid *InvalidError
-			if err := c.Validate(); !errors.As(err, &invalid) || invalid.Field != field {
-				t.Errorf("error %v, want one of %s", err, field)
-			}
+			assertProblems(t, c, field)
 		})
 	}
+	t.Run("all at once", func(t *testing.T) {
+		c := valid()
+		c.Version, c.Queues[0].Timeout, c.Workspaces[1].Keys[0] = 0, -1, c.Workspaces[0].Keys[0]
+		assertProblems(t, c, "version", "routes[0].timeout_ms", "workspaces[1].keys[0]")
+	})
+	t.Run("a key twice in its own workspace", func(t *testing.T) {
+		c := valid()
+		c.Workspaces[0].Keys = append(c.Workspaces[0].Keys, c.Workspaces[0].Keys[0])
+		if err := c.Validate(); err != nil {
+			t.Errorf("a sound catalog: %v", err)
+		}
+	})
+}
+
+func assertProblems(t *testing.T, c *Catalog, want ...string) {
+	t.Helper()
+	var invalid *InvalidError
+	if !errors.As(c.Validate(), &invalid) {
+		t.Fatalf("no error, want problems with %v", want)
+	}
+	var got []string
+	for _, p := range invalid.Problems {
+		got = append(got, p.Field)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("problems with %v, want %v", got, want)
+	}
 }
 
 func TestMatch(t *testing.T) {
--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -5,6 +5,7 @@
 	"auburntack/core/tackcrash"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -113,7 +114,7 @@
 			return false
 		}
 	}
-	return w.strange == (tackjob.Room{})
+	return w.strange == (tackroom.Room{})
 }
 
 // settled reports whether the run was listed for so long that its worker's crash says
--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -89,7 +89,7 @@
 			list = append(list, tackpool.Demand{Label: s.Requires})
 		}
 		special := &list[i]
-		special.Item = largest(special.Item, s.Takes())
+		special.Item = special.Item.Max(s.Takes())
 		special.Unplaced += unplaced
 		special.Backlog += s.Work(len(s.waiting))
 		special.Soon = special.Backlog
@@ -190,9 +190,3 @@
 	}
 	return fillHosts(s, able, (*worker).forWork) != nil
 }
-
-func largest(a, b tackjob.Room) tackjob.Room {
-	return tackjob.Room{
-		MilliCores: max(a.MilliCores, b.MilliCores), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs),
-	}
-}
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -7,6 +7,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackpool"
+	"auburntack/core/tackroom"
 )
 
 // flood hands in a job of single items every 50 ms, more than the pool holds,
@@ -68,7 +69,7 @@
 		w := newWorld(t, 2)
 		w.submit(job(1), batch(2, 20, 500))
 		w.run(tackclock.Second)
-		big := tackjob.Room{MilliCores: 20000, MemoryMB: 1000}
+		big := tackroom.Room{MilliCores: 20000, MemoryMB: 1000}
 		assertDemands(t, demands(w),
 			tackpool.Demand{Backlog: 2 * 20000 * 500, Pressing: 2 * 20000 * 500 / 1700},
 			tackpool.Demand{Item: big, Backlog: 2 * 20000 * 500, Soon: 2 * 20000 * 500, Unplaced: 2 * 20000})
@@ -81,7 +82,7 @@
 		w.run(tackclock.Second)
 		assertDemands(t, demands(w),
 			tackpool.Demand{},
-			tackpool.Demand{Label: "large", Item: tackjob.Room{MilliCores: 1000, MemoryMB: 1000}, Backlog: 2 * 1000 * 500, Soon: 2 * 1000 * 500, Unplaced: 2000})
+			tackpool.Demand{Label: "large", Item: tackroom.Room{MilliCores: 1000, MemoryMB: 1000}, Backlog: 2 * 1000 * 500, Soon: 2 * 1000 * 500, Unplaced: 2000})
 	})
 	t.Run("room that items which last take counts for nothing", func(t *testing.T) {
 		w := newWorld(t, 1)
@@ -219,7 +220,7 @@
 	w.run(100)
 	idle := tackpool.Pool{Service: "communes"}
 	for _, name := range []tackid.VM{"s-1", "s-2", "s-3", "s-4"} {
-		idle.VMs = append(idle.VMs, tackpool.VM{Name: name, Room: tackjob.Room{MilliCores: 16000}, Idle: tackclock.Second})
+		idle.VMs = append(idle.VMs, tackpool.VM{Name: name, Room: tackroom.Room{MilliCores: 16000}, Idle: tackclock.Second})
 	}
 	for n := range 4 {
 		spec := &tackjob.Spec{ID: job(n), Queue: testQueue.QueueKey, Steps: []tackjob.Step{batch(16, 2, 500)}}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackreplica"
+	"auburntack/core/tackroom"
 	"auburntack/core/tacksilence"
 )
 
@@ -127,7 +128,7 @@
 		number     RunNumber
 		worker     *worker
 		step       *openStep
-		takes      tackjob.Room
+		takes      tackroom.Room
 		started    tackclock.Time
 		sentIn     uint64 // the heartbeat that was answered with the start
 		listed     bool
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -133,7 +133,7 @@
 // hostsFor returns a worker for each waiting item of the gang, or nil if the
 // room that workers have by the given measure does not do. Workers of one rack
 // are taken first.
-func (d *Dispatcher) hostsFor(now tackclock.Time, p *pool, s *openStep, room func(*worker) tackjob.Room) []*worker {
+func (d *Dispatcher) hostsFor(now tackclock.Time, p *pool, s *openStep, room func(*worker) tackroom.Room) []*worker {
 	racks := make(map[string][]*worker)
 	var all []*worker
 	stranded := d.stranded(now, p, s)
@@ -162,9 +162,9 @@
 }
 
 // roomAlone is the worker's room if it runs nothing.
-func (w *worker) roomAlone() tackjob.Room {
+func (w *worker) roomAlone() tackroom.Room {
 	if !w.runsNothing() {
-		return tackjob.Room{MilliCores: -1, MemoryMB: -1, GPUs: -1}
+		return tackroom.Room{MilliCores: -1, MemoryMB: -1, GPUs: -1}
 	}
 	return w.room()
 }
@@ -188,7 +188,7 @@
 
 // fillHosts puts the waiting items on workers in turn, and returns nil if not
 // all of them fit.
-func fillHosts(s *openStep, workers []*worker, roomOf func(*worker) tackjob.Room) []*worker {
+func fillHosts(s *openStep, workers []*worker, roomOf func(*worker) tackroom.Room) []*worker {
 	var hosts []*worker
 	takes := s.Takes()
 	for _, w := range workers {
@@ -236,7 +236,7 @@
 		}
 		// A worker's room may have shrunk since the start was planned, and one that does
 		// not guard its room would run what does not fit.
-		if now > p.until || r.stopping || !w.room().Fits(tackjob.Room{}) {
+		if now > p.until || r.stopping || !w.room().Fits(tackroom.Room{}) {
 			d.free(now, r)
 			d.requeue(now, r)
 			d.undoubt(r)
--- a/core/tackdispatch/message.go
+++ b/core/tackdispatch/message.go
@@ -4,6 +4,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -45,7 +46,7 @@
 		Service  tackid.Service
 		Zone     tackid.DataCentre
 		Labels   []string
-		Capacity tackjob.Room
+		Capacity tackroom.Room
 		// Sequence rises with every heartbeat of one life.
 		Sequence uint64
 		Draining bool
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -5,7 +5,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 // pool is a service's workers and the steps that wait for them.
@@ -73,8 +73,8 @@
 }
 
 // capacity is what the pool's workers have that take new work.
-func (p *pool) capacity() tackjob.Room {
-	var sum tackjob.Room
+func (p *pool) capacity() tackroom.Room {
+	var sum tackroom.Room
 	for _, w := range p.workers {
 		if !w.draining {
 			sum = sum.Plus(w.capacity)
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -4,8 +4,8 @@
 	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
-	"auburntack/core/tackjob"
 	"auburntack/core/tackpool"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -25,7 +25,7 @@
 	Machine struct {
 		VM       tackid.VM
 		Service  tackid.Service
-		Capacity tackjob.Room
+		Capacity tackroom.Room
 		// Labels are its kind and its rack.
 		Labels []string
 		// Up says that it is neither moving nor down.
@@ -35,7 +35,7 @@
 	// moving is a VM on its way to another pool.
 	moving struct {
 		to     tackid.Service
-		room   tackjob.Room
+		room   tackroom.Room
 		labels []string
 		since  tackclock.Time
 		life   WorkerID // the life that the move ended
@@ -105,7 +105,7 @@
 			continue
 		}
 		vm := tackpool.VM{Name: w.vm, Room: w.forWork(), Labels: w.labels}
-		if len(w.runs) == 0 && w.strange == (tackjob.Room{}) {
+		if len(w.runs) == 0 && w.strange == (tackroom.Room{}) {
 			vm.Idle = max(1, now.Sub(w.idleFrom))
 		}
 		vm.Busy, vm.Emptying = w.busyFor(now), now < w.emptiedUntil
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -12,6 +12,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 	"auburntack/core/tackwork"
 )
 
@@ -67,7 +68,7 @@
 	case "foreign":
 		w.foreign(t, m)
 	case "resize":
-		m.resize(tackjob.Room{MilliCores: 1000 * rapid.IntRange(0, 16).Draw(t, "cores"), MemoryMB: 32768})
+		m.resize(tackroom.Room{MilliCores: 1000 * rapid.IntRange(0, 16).Draw(t, "cores"), MemoryMB: 32768})
 	case "crasher":
 		w.submitRandom(t, jobs)
 		item := tackjob.Item{Job: job(*jobs), Index: int32(rapid.IntRange(0, 11).Draw(t, "index"))}
@@ -142,7 +143,7 @@
 		w.release()
 		for _, m := range w.workers {
 			m.cut, m.hung, m.failing = false, false, false
-			m.resize(tackjob.Room{MilliCores: 16000, MemoryMB: 32768})
+			m.resize(tackroom.Room{MilliCores: 16000, MemoryMB: 32768})
 		}
 		for n := range 4 {
 			w.addWorker(tackid.VM("fresh-"+string(rune('a'+n))), 7)
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -86,7 +86,7 @@
 // another pool, or go to the standby pool. Workers that get nothing new don't
 // count, whatever room they have: what waits would be left to them for good.
 func (d *Dispatcher) othersSuffice(now tackclock.Time, p *pool, w *worker) bool {
-	var waiting, room tackjob.Room
+	var waiting, room tackroom.Room
 	for _, s := range p.steps {
 		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" || s.Gang || s.job.Advised || s.Affinity != "" {
 			return false
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -132,7 +132,7 @@
 
 // runsNothing reports whether nothing runs on the worker, and nothing is to.
 func (w *worker) runsNothing() bool {
-	return len(w.runs) == 0 && w.strange == (tackjob.Room{})
+	return len(w.runs) == 0 && w.strange == (tackroom.Room{})
 }
 
 // startTrials starts an item that is to be by itself, and reports whether the worker is
@@ -184,7 +184,7 @@
 	case waited > 2*trialPatience:
 		return true
 	case waited > trialPatience:
-		return w.lasting == (tackjob.Room{}) || !d.anyWithoutLasting(now, p)
+		return w.lasting == (tackroom.Room{}) || !d.anyWithoutLasting(now, p)
 	}
 	return w.runsNothing() && !s.job.CrashesUnder(s.item(i.index)).On(w.vm)
 }
@@ -193,7 +193,7 @@
 // nothing that lasts. What lasts is what a crash costs most.
 func (d *Dispatcher) anyWithoutLasting(now tackclock.Time, p *pool) bool {
 	return slices.ContainsFunc(p.workers, func(w *worker) bool {
-		return w.lasting == (tackjob.Room{}) && w.takesNew(now) && !w.silent(now) && !d.cordon[w.vm]
+		return w.lasting == (tackroom.Room{}) && w.takesNew(now) && !w.silent(now) && !d.cordon[w.vm]
 	})
 }
 
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -8,6 +8,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 // freshSequence is the sequence number up to which a report is surely one of the
@@ -22,9 +23,9 @@
 	service  tackid.Service
 	zone     tackid.DataCentre
 	labels   []string
-	capacity tackjob.Room
-	used     tackjob.Room
-	lasting  tackjob.Room // the part of used that items that last take
+	capacity tackroom.Room
+	used     tackroom.Room
+	lasting  tackroom.Room // the part of used that items that last take
 	sequence uint64
 	reports  int // taken in by this dispatcher
 	// phase tells workers apart that joined in step.
@@ -44,7 +45,7 @@
 	ends         ends
 	// strange is what it runs that the dispatcher wants stopped and has no
 	// run for.
-	strange tackjob.Room
+	strange tackroom.Room
 	stops   []Stop
 	// planned are starts of gangs that wait for its next heartbeat.
 	planned []planned
@@ -276,7 +277,7 @@
 
 // takeRunning compares what the worker lists with what it was told to run.
 func (d *Dispatcher) takeRunning(now tackclock.Time, w *worker, r *Report) {
-	w.strange = tackjob.Room{}
+	w.strange = tackroom.Room{}
 	listed := make(map[tackjob.Item]bool, len(r.Running))
 	for i := range r.Running {
 		row := &r.Running[i]
@@ -350,7 +351,7 @@
 // takesOf is what a run takes that is not owed any more. Jobs that were closed
 // are known for minutes. Of what is not known at all the worker is taken for full:
 // with less, it would be filled beyond what it has.
-func (d *Dispatcher) takesOf(w *worker, item tackjob.Item) tackjob.Room {
+func (d *Dispatcher) takesOf(w *worker, item tackjob.Item) tackroom.Room {
 	if d.table != nil {
 		if j := d.table.Get(item.Job); j != nil && j.Has(item) {
 			return j.Steps[item.Step].Takes()
@@ -386,12 +387,12 @@
 }
 
 // room is what a worker has left.
-func (w *worker) room() tackjob.Room {
+func (w *worker) room() tackroom.Room {
 	return w.capacity.Minus(w.used).Minus(w.strange)
 }
 
 // forWork is what a worker has for items that end. Those that last never make
 // room for them.
-func (w *worker) forWork() tackjob.Room {
+func (w *worker) forWork() tackroom.Room {
 	return w.capacity.Minus(w.lasting)
 }
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 func (w *world) noteFailure(item tackjob.Item, run RunNumber) {
@@ -61,7 +62,7 @@
 		if m.dead {
 			continue
 		}
-		var used tackjob.Room
+		var used tackroom.Room
 		for item, r := range m.runs {
 			if other, twice := on[item]; twice && !r.step.Speculative {
 				w.t.Fatalf("%v runs on %s and %s", item, other, m.id)
--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 // crash ends a worker's life without a word. Its VM is back a while later.
@@ -61,7 +62,7 @@
 }
 
 // resize gives the worker another room while it runs.
-func (m *modelWorker) resize(to tackjob.Room) {
+func (m *modelWorker) resize(to tackroom.Room) {
 	m.shrunk = m.shrunk || !to.Fits(m.capacity)
 	m.capacity = to
 }
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -9,6 +9,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackreplica"
+	"auburntack/core/tackroom"
 	"auburntack/core/tackwork"
 )
 
@@ -82,7 +83,7 @@
 		vm       tackid.VM
 		service  tackid.Service
 		rack     string
-		capacity tackjob.Room
+		capacity tackroom.Room
 		sequence uint64
 		runs     map[tackjob.Item]*modelRun
 		ended    []Ended
@@ -137,7 +138,7 @@
 	w.lives++
 	m := &modelWorker{
 		id: WorkerID(fmt.Sprintf("i-%d", w.lives)), vm: vm, service: "names-api", rack: fmt.Sprintf("r-%d", rack),
-		capacity: tackjob.Room{MilliCores: 16000, MemoryMB: 32768},
+		capacity: tackroom.Room{MilliCores: 16000, MemoryMB: 32768},
 		runs:     make(map[tackjob.Item]*modelRun), highest: make(map[tackjob.Item]RunNumber), beatAt: w.now,
 		lapsed: make(map[uint64]bool),
 	}
@@ -434,7 +435,7 @@
 
 func batch(count int, cores float64, estimate tackclock.Duration, after ...int) tackjob.Step {
 	return tackjob.Step{
-		Count: count, Room: tackjob.Room{MilliCores: int(1000 * cores), MemoryMB: 1000}, Estimate: estimate, After: after,
+		Count: count, Room: tackroom.Room{MilliCores: int(1000 * cores), MemoryMB: 1000}, Estimate: estimate, After: after,
 	}
 }
 
--- a/core/tackid/id.go
+++ b/core/tackid/id.go
@@ -26,6 +26,8 @@
 	Service string
 	// Team names a customer that quotas are given to.
 	Team string
+	// Workspace names a customer with keys and a share of the workers.
+	Workspace string
 	// DataCentre names a failure domain that a network partition may cut off.
 	DataCentre string
 	// Rack names a failure domain within a data centre.
--- a/core/tackjob/job.go
+++ b/core/tackjob/job.go
@@ -11,6 +11,7 @@
 	"auburntack/core/tackcrash"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -42,20 +43,12 @@
 	// Phase is how a job stands.
 	Phase uint8
 
-	// Room is what an item takes up on a worker, or what a worker has.
-	Room struct {
-		// MilliCores are thousandths of a core.
-		MilliCores int `cbor:"1,keyasint,omitempty"`
-		MemoryMB   int `cbor:"2,keyasint,omitempty"`
-		GPUs       int `cbor:"3,keyasint,omitempty"`
-	}
-
 	// Step is a set of like items.
 	Step struct {
 		Count int `cbor:"1,keyasint"`
 		// Room has a key of its own: its fields' keys are those of the step's
 		// first ones, and would be lost without notice.
-		Room `cbor:"2,keyasint"`
+		tackroom.Room `cbor:"2,keyasint"`
 		// Estimate is the caller's rough guess of an item's run time.
 		Estimate tackclock.Duration `cbor:"4,keyasint,omitempty"`
 		// After are the steps that must be done before this one starts.
@@ -119,6 +112,8 @@
 		Objective tackclock.Duration `cbor:"11,keyasint,omitempty"`
 		Stretch   float64            `cbor:"12,keyasint,omitempty"`
 		Advised   bool               `cbor:"18,keyasint,omitempty"`
+		// Workspace is whose key the job was handed in with; empty if it needed none.
+		Workspace tackid.Workspace `cbor:"19,keyasint,omitempty"`
 		// Accepted and Closed are log times; Term is the leader's that
 		// appended the job.
 		Accepted tackclock.Time     `cbor:"13,keyasint,omitempty"`
@@ -250,28 +245,8 @@
 	return nil
 }
 
-// Fits reports whether r has room for need.
-func (r Room) Fits(need Room) bool {
-	return need.MilliCores <= r.MilliCores && need.MemoryMB <= r.MemoryMB && need.GPUs <= r.GPUs
-}
-
-// Plus returns r enlarged by o.
-func (r Room) Plus(o Room) Room {
-	return Room{MilliCores: r.MilliCores + o.MilliCores, MemoryMB: r.MemoryMB + o.MemoryMB, GPUs: r.GPUs + o.GPUs}
-}
-
-// Minus returns r reduced by o.
-func (r Room) Minus(o Room) Room {
-	return Room{MilliCores: r.MilliCores - o.MilliCores, MemoryMB: r.MemoryMB - o.MemoryMB, GPUs: r.GPUs - o.GPUs}
-}
-
-// Times returns r taken n times.
-func (r Room) Times(n int) Room {
-	return Room{MilliCores: n * r.MilliCores, MemoryMB: n * r.MemoryMB, GPUs: n * r.GPUs}
-}
-
 // Takes is what one item counts against a worker's capacity.
-func (s *Step) Takes() Room {
+func (s *Step) Takes() tackroom.Room {
 	r := s.Room
 	if s.Fills {
 		r.MilliCores = 0
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -16,7 +16,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const (
@@ -71,7 +71,7 @@
 	// VM is a worker's VM in a pool, or on its way to one.
 	VM struct {
 		Name tackid.VM
-		Room tackjob.Room
+		Room tackroom.Room
 		// Labels are its kind and its rack. They stay with the VM when it moves.
 		Labels []string
 		// Idle is how long nothing has run there; zero while something does.
@@ -104,7 +104,7 @@
 		// Label is what a VM must carry to do it; any VM does if it is empty.
 		Label string
 		// Item is the room of its largest item.
-		Item tackjob.Room
+		Item tackroom.Room
 		// Backlog is the accepted work that is not done, and what was refused
 		// just now, in milliseconds of thousandths of a core.
 		Backlog int64
--- a/core/tackpool/plan_test.go
+++ b/core/tackpool/plan_test.go
@@ -5,12 +5,12 @@
 	"testing"
 
 	"auburntack/core/tackid"
-	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 )
 
 const cores16 = 16000
 
-var room16 = tackjob.Room{MilliCores: cores16, MemoryMB: 32768}
+var room16 = tackroom.Room{MilliCores: cores16, MemoryMB: 32768}
 
 func idle(names ...tackid.VM) []VM {
 	var vms []VM
@@ -122,7 +122,7 @@
 		from[0].Room.MemoryMB = 1024
 		assertMoves(t, []Pool{
 			{Service: "communes", VMs: append(from, idle("c")...)},
-			{Service: "names-api", VMs: busy("e"), Demands: []Demand{{}, {Item: tackjob.Room{MemoryMB: 4096}, Unplaced: 1000}}},
+			{Service: "names-api", VMs: busy("e"), Demands: []Demand{{}, {Item: tackroom.Room{MemoryMB: 4096}, Unplaced: 1000}}},
 		}, Move{"b", "communes", "names-api"})
 	})
 	t.Run("keeps a VM of each kind", func(t *testing.T) {
--- a/core/tackwork/answer.go
+++ b/core/tackwork/answer.go
@@ -4,6 +4,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackworkspace"
 )
 
 const (
@@ -32,6 +33,9 @@
 	Unavailable
 	// Unknown means that it may or may not have been done.
 	Unknown
+	// NoKey means that the queue asks for a key, and that no workspace holds the one
+	// that was shown, if any. Nothing was done.
+	NoKey
 )
 
 type (
@@ -51,6 +55,8 @@
 		Spec *tackjob.Spec `cbor:"4,keyasint,omitempty"`
 		// ID names the request in the logs of all VMs that it passes.
 		ID tackid.RequestID `cbor:"5,keyasint,omitempty"`
+		// Key is the key that the caller showed.
+		Key tackworkspace.Fingerprint `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Answer is what becomes of a Request.
@@ -109,7 +115,7 @@
 func (v Verdict) String() string {
 	return [...]string{
 		Done: "done", NoQueue: "no_queue", NoJob: "no_job", Refused: "refused", Invalid: "invalid",
-		Conflict: "conflict", Unavailable: "unavailable", Unknown: "unknown",
+		Conflict: "conflict", Unavailable: "unavailable", Unknown: "unknown", NoKey: "no_key",
 	}[v]
 }
 
--- a/core/tackwork/state.go
+++ b/core/tackwork/state.go
@@ -14,6 +14,7 @@
 	"auburntack/core/tackjob"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackupkeep"
+	"auburntack/core/tackworkspace"
 )
 
 const (
@@ -35,10 +36,13 @@
 		Jobs    tackjob.Table
 		Waves   tackupkeep.Table
 
+		// holders follows from Catalog.
+		holders tackworkspace.Holders
 		expired tackclock.Time
 	}
 
-	// Change is one entry of the log. One field is set; Findings may stand beside Ends.
+	// Change is one entry of the log. One field is set; Findings may stand beside Ends,
+	// Key beside Submit.
 	Change struct {
 		Submit  *tackjob.Spec        `cbor:"1,keyasint,omitempty"`
 		Cancel  tackjob.ID           `cbor:"2,keyasint,omitempty"`
@@ -50,6 +54,9 @@
 		// nothing; whoever leads next knows of them.
 		Orders   []tackid.VM       `cbor:"7,keyasint,omitempty"`
 		Findings *tackjob.Findings `cbor:"8,keyasint,omitempty"`
+		// Key is what a job is handed in with, beside Submit; empty if its queue
+		// needs none.
+		Key tackworkspace.Fingerprint `cbor:"9,keyasint,omitempty"`
 	}
 
 	// UpkeepBegun notes that the platform has taken a VM down for a wave.
@@ -67,6 +74,8 @@
 		Conflict bool
 		// NoQueue says that no queue of that key is in the catalog.
 		NoQueue bool
+		// NoKey says that no workspace holds the key any more.
+		NoKey bool
 	}
 
 	snapshot struct {
@@ -102,7 +111,7 @@
 func (s *State) apply(c *Change, e tackreplica.Entry) Outcome {
 	switch {
 	case c.Submit != nil:
-		return s.submit(c.Submit, e)
+		return s.submit(c, e)
 	case c.Cancel != "":
 		return Outcome{Job: s.Jobs.Cancel(c.Cancel, e.Time)}
 	case c.Catalog != nil:
@@ -126,9 +135,11 @@
 	return Outcome{}
 }
 
-// submit accepts a job. The queue is looked up here and not where the job came
-// in: a change of the catalog may stand in the log between the two.
-func (s *State) submit(spec *tackjob.Spec, e tackreplica.Entry) Outcome {
+// submit accepts a job. The queue and the holder of the key are looked up here and
+// not where the job came in: a change of the catalog may stand in the log between
+// the two, and a key that it takes away must not be used after it.
+func (s *State) submit(c *Change, e tackreplica.Entry) Outcome {
+	spec := c.Submit
 	if known := s.Jobs.Get(spec.ID); known != nil {
 		return Outcome{Job: known}
 	}
@@ -136,9 +147,14 @@
 	if q == nil {
 		return Outcome{NoQueue: true}
 	}
+	workspace, held := s.holders.Of(c.Key)
+	if c.Key != "" && !held {
+		return Outcome{NoKey: true}
+	}
 	j := &tackjob.Job{
 		Spec: *spec, Service: q.Service, Attempts: q.Attempts, Priority: q.Priority,
 		Objective: q.Objective, Stretch: q.Stretch, Advised: q.Advised,
+		Workspace: workspace,
 	}
 	return Outcome{Job: s.Jobs.Accept(j, e.Term, e.Time)}
 }
@@ -153,7 +169,7 @@
 	if c.Version <= s.Catalog.Version {
 		return Outcome{}
 	}
-	s.Catalog = *c
+	s.Catalog, s.holders = *c, tackworkspace.HoldersOf(c.Workspaces)
 	s.Jobs.Each(func(j *tackjob.Job) {
 		if q := c.Queue(j.Queue); q != nil {
 			j.Service = q.Service
@@ -162,6 +178,11 @@
 	return Outcome{}
 }
 
+// Holder returns the workspace that holds the key.
+func (s *State) Holder(key tackworkspace.Fingerprint) (tackid.Workspace, bool) {
+	return s.holders.Of(key)
+}
+
 func (s *State) expire(now tackclock.Time) {
 	if now.Sub(s.expired) < expireEvery {
 		return
@@ -181,7 +202,7 @@
 	if err := cbor.Unmarshal(data, &snap); err != nil {
 		return fmt.Errorf("tackwork: snapshot: %w", err)
 	}
-	s.Catalog = snap.Catalog
+	s.Catalog, s.holders = snap.Catalog, tackworkspace.HoldersOf(snap.Catalog.Workspaces)
 	s.Jobs.Restore(snap.Jobs)
 	s.Waves.Restore(snap.Waves)
 	s.expired = snap.Expired
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -23,6 +23,7 @@
 	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
 	"auburntack/core/tackupkeep"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackcontrol"
@@ -223,7 +224,7 @@
 func (c *cluster) ask(op tackwork.Operation, id string) tackwork.Answer {
 	r := &tackwork.Request{Operation: op, Host: "a.example", Path: "/q/" + id}
 	if op == tackwork.Submit {
-		r.Spec = &tackjob.Spec{Steps: []tackjob.Step{{Count: 2, Estimate: 100, Room: tackjob.Room{MilliCores: 500}}}}
+		r.Spec = &tackjob.Spec{Steps: []tackjob.Step{{Count: 2, Estimate: 100, Room: tackroom.Room{MilliCores: 500}}}}
 	}
 	return c.client.Do(context.Background(), r)
 }
@@ -393,7 +394,7 @@
 	sound := &worker{id: "i-1", control: leader}
 	sound.beat()
 	foreign := &tackdispatch.Report{
-		Worker: "i-9", VM: "m-i-1", Service: "elsewhere", Sequence: 1, Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
+		Worker: "i-9", VM: "m-i-1", Service: "elsewhere", Sequence: 1, Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	}
 	if _, _, err := leader.Heartbeat(foreign); !errors.As(err, new(*tackdispatch.ForeignError)) {
 		t.Errorf("error %v, want a *ForeignError", err)
@@ -420,7 +421,7 @@
 	w.sequence++
 	o, ok, _ := w.control.Heartbeat(&tackdispatch.Report{
 		Worker: w.id, VM: tackid.VM("m-" + string(w.id)), Service: "names-api", Sequence: w.sequence, Ended: w.ended,
-		Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
+		Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	})
 	if !ok {
 		return
@@ -443,7 +444,7 @@
 // the log, and so must the job's failure.
 func TestItemThatCrashesItsWorkersIsGivenUpAcrossLeaders(t *testing.T) {
 	c := newRunning(t)
-	spec := &tackjob.Spec{Steps: []tackjob.Step{{Count: 1, Estimate: 100, Room: tackjob.Room{MilliCores: 500}}}}
+	spec := &tackjob.Spec{Steps: []tackjob.Step{{Count: 1, Estimate: 100, Room: tackroom.Room{MilliCores: 500}}}}
 	c.await("the job is accepted", func() bool {
 		submit := &tackwork.Request{Operation: tackwork.Submit, Host: "a.example", Path: "/q/" + jobA, Spec: spec}
 		return c.client.Do(context.Background(), submit).Verdict == tackwork.Done
@@ -489,7 +490,7 @@
 	l.sequence++
 	o, ok, _ := c.running[leader].control.Heartbeat(&tackdispatch.Report{
 		Worker: tackdispatch.WorkerID(fmt.Sprintf("i-%s-%d", l.vm, l.number)), VM: l.vm, Service: "names-api",
-		Sequence: l.sequence, Capacity: tackjob.Room{MilliCores: 4000, MemoryMB: 4000},
+		Sequence: l.sequence, Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	})
 	if !ok || len(o.Start) == 0 {
 		return false
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -7,14 +7,19 @@
 
 	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackwork"
+	"auburntack/core/tackworkspace"
 )
 
 // comeBack is when to come back to a system without a leader: an election
 // takes one to two seconds.
 const comeBack = tackclock.Second
 
+// idTaken is why a job is not accepted whose id another caller has used.
+const idTaken = "the id is that of a job in another queue or workspace"
+
 // Do carries out what a caller asks of a queue, if this VM leads.
 func (c *Control) Do(ctx context.Context, r *tackwork.Request) tackwork.Answer {
 	now := c.clock.Now()
@@ -58,55 +63,98 @@
 	}).Info("request decided")
 }
 
+// call is a caller's request whose queue is known, and which its caller may make.
+type call struct {
+	queue tackcatalog.Queue
+	id    tackjob.ID // empty for a request about the queue itself
+	// workspace is the holder of the caller's key; key and workspace are empty where
+	// the queue asks for none.
+	workspace tackid.Workspace
+	key       tackworkspace.Fingerprint
+	spec      *tackjob.Spec
+}
+
 func (c *Control) do(ctx context.Context, r *tackwork.Request) tackwork.Answer {
+	call, refusal := c.resolve(r)
+	if refusal != nil {
+		return *refusal
+	}
+	switch {
+	case call.id == "":
+		return c.pending(call)
+	case r.Operation == tackwork.Lookup:
+		return c.lookup(call)
+	case r.Operation == tackwork.Cancel:
+		return c.cancel(ctx, call)
+	default:
+		return c.submit(ctx, call)
+	}
+}
+
+// resolve finds the queue and the workspace of a request, or why there is none. The
+// key is looked at before all that is asked for: who holds none learns nothing.
+func (c *Control) resolve(r *tackwork.Request) (*call, *tackwork.Answer) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.state.Catalog.Version == 0 {
-		c.mu.Unlock()
-		return tackwork.Answer{Verdict: tackwork.Unavailable, RetryAfter: comeBack, Reason: "no catalog yet"}
+		return nil, &tackwork.Answer{Verdict: tackwork.Unavailable, RetryAfter: comeBack, Reason: "no catalog yet"}
 	}
 	q, rest := c.state.Catalog.Match(r.Host, r.Path)
 	if q == nil {
-		c.mu.Unlock()
-		return tackwork.Answer{Verdict: tackwork.NoQueue}
+		return nil, &tackwork.Answer{Verdict: tackwork.NoQueue}
 	}
-	queue := *q
-	c.mu.Unlock()
-	id := tackjob.ID(rest)
-	switch {
-	case rest == "" && r.Operation == tackwork.Lookup:
-		return c.pending(&queue)
-	case !id.Valid():
-		return tackwork.Answer{Verdict: tackwork.NoQueue, Reason: "no job id in the path"}
-	case r.Operation == tackwork.Lookup:
-		return c.lookup(&queue, id)
-	case r.Operation == tackwork.Cancel:
-		return c.cancel(ctx, &queue, id)
-	default:
-		return c.submit(ctx, &queue, id, r)
+	found := &call{queue: *q, id: tackjob.ID(rest), spec: r.Spec}
+	if c.state.Catalog.Keyed && !q.Public {
+		held := false
+		if found.workspace, held = c.state.Holder(r.Key); !held {
+			return nil, &tackwork.Answer{Verdict: tackwork.NoKey, Reason: whyNoKey(r.Key)}
+		}
+		found.key = r.Key
+	}
+	if !found.id.Valid() && (rest != "" || r.Operation != tackwork.Lookup) {
+		return nil, &tackwork.Answer{Verdict: tackwork.NoQueue, Reason: "no job id in the path"}
+	}
+	return found, nil
+}
+
+// whyNoKey tells a key that nobody holds from one that was not shown.
+func whyNoKey(key tackworkspace.Fingerprint) string {
+	if key == "" {
+		return "no key"
+	}
+	return "unknown key " + key.Short()
+}
+
+// sees reports whether the job is one that the caller may ask for: of the queue that
+// he addressed, and of his workspace where it has one.
+func (k *call) sees(j *tackjob.Job) bool {
+	if j == nil || j.Queue != k.queue.QueueKey {
+		return false
 	}
+	return k.key == "" || j.Workspace == "" || j.Workspace == k.workspace
 }
 
-func (c *Control) pending(q *tackcatalog.Queue) tackwork.Answer {
+func (c *Control) pending(k *call) tackwork.Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.dispatch.Pending(func(j *tackjob.Job) bool { return j.Queue == q.QueueKey })
+	n := c.dispatch.Pending(func(j *tackjob.Job) bool { return j.Queue == k.queue.QueueKey })
 	return tackwork.Answer{Queue: true, Pending: n}
 }
 
-func (c *Control) lookup(q *tackcatalog.Queue, id tackjob.ID) tackwork.Answer {
+func (c *Control) lookup(k *call) tackwork.Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	j := c.state.Jobs.Get(id)
-	if j == nil || j.Queue != q.QueueKey {
+	j := c.state.Jobs.Get(k.id)
+	if !k.sees(j) {
 		return tackwork.Answer{Verdict: tackwork.NoJob}
 	}
-	return tackwork.Answer{Progress: tackwork.ProgressOf(j, c.dispatch.Started(id))}
+	return tackwork.Answer{Progress: tackwork.ProgressOf(j, c.dispatch.Started(k.id))}
 }
 
-func (c *Control) cancel(ctx context.Context, q *tackcatalog.Queue, id tackjob.ID) tackwork.Answer {
+func (c *Control) cancel(ctx context.Context, k *call) tackwork.Answer {
 	c.mu.Lock()
-	j := c.state.Jobs.Get(id)
-	known := j != nil && j.Queue == q.QueueKey
+	j := c.state.Jobs.Get(k.id)
+	known := k.sees(j)
 	open := known && j.Phase == tackjob.Open
 	c.mu.Unlock()
 	if !known {
@@ -115,39 +163,46 @@
 	if !open {
 		return tackwork.Answer{}
 	}
-	return c.answerProposal(c.propose(ctx, tackwork.Change{Cancel: id}))
+	return c.answerProposal(c.propose(ctx, tackwork.Change{Cancel: k.id}))
 }
 
-func (c *Control) submit(ctx context.Context, q *tackcatalog.Queue, id tackjob.ID, r *tackwork.Request) tackwork.Answer {
-	if r.Spec == nil {
+func (c *Control) submit(ctx context.Context, k *call) tackwork.Answer {
+	if k.spec == nil {
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: "no job in the body"}
 	}
-	spec := *r.Spec
-	spec.ID, spec.Queue = id, q.QueueKey
+	spec := *k.spec
+	spec.ID, spec.Queue = k.id, k.queue.QueueKey
 	if err := spec.Validate(); err != nil {
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: err.Error()}
 	}
 	c.mu.Lock()
-	known := c.state.Jobs.Get(id)
+	known := c.state.Jobs.Get(k.id)
 	var wait tackclock.Duration
 	admitted := true
 	if known == nil {
-		wait, admitted = c.dispatch.Admit(c.clock.Now(), q, &spec)
+		wait, admitted = c.dispatch.Admit(c.clock.Now(), &k.queue, &spec)
 	}
 	c.mu.Unlock()
 	switch {
-	case known != nil && known.Queue != q.QueueKey:
-		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: "the id is that of a job in another queue"}
+	case known != nil && !k.sees(known):
+		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: idTaken}
 	case known != nil:
 		return tackwork.Answer{Reason: "known"}
 	case !admitted:
 		return tackwork.Answer{Verdict: tackwork.Refused, RetryAfter: wait, Reason: "would end too late"}
 	}
-	p := c.propose(ctx, tackwork.Change{Submit: &spec})
-	if p.fate == committed && p.outcome.NoQueue {
+	p := c.propose(ctx, tackwork.Change{Submit: &spec, Key: k.key})
+	switch {
+	case p.fate != committed:
+		return c.answerProposal(p)
+	case p.outcome.NoQueue:
 		return tackwork.Answer{Verdict: tackwork.NoQueue, Reason: "the queue was dropped meanwhile"}
+	case p.outcome.NoKey:
+		return tackwork.Answer{Verdict: tackwork.NoKey, Reason: "the key was taken away meanwhile"}
+	case !k.sees(p.outcome.Job):
+		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: idTaken}
 	}
-	return c.answerProposal(p)
+	return tackwork.Answer{}
 }
 
 func (c *Control) answerProposal(p proposed) tackwork.Answer {
@@ -173,7 +228,8 @@
 	}
 	a := c.putValid(ctx, catalog)
 	c.log.WithFields(logrus.Fields{
-		"version": uint64(catalog.Version), "queues": len(catalog.Queues), "advised": advised(catalog), "outcome": a.Verdict.String(), "reason": a.Reason,
+		"version": uint64(catalog.Version), "queues": len(catalog.Queues), "advised": advised(catalog),
+		"workspaces": len(catalog.Workspaces), "keys": keys(catalog), "outcome": a.Verdict.String(), "reason": a.Reason,
 	}).Info("catalog decided")
 	return a
 }
@@ -189,6 +245,15 @@
 	return n
 }
 
+// keys counts the keys that callers may show.
+func keys(catalog *tackcatalog.Catalog) int {
+	n := 0
+	for i := range catalog.Workspaces {
+		n += len(catalog.Workspaces[i].Keys)
+	}
+	return n
+}
+
 func (c *Control) putValid(ctx context.Context, catalog *tackcatalog.Catalog) tackwork.Answer {
 	p := c.propose(ctx, tackwork.Change{Catalog: catalog})
 	if p.fate == committed && p.outcome.Conflict {
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -16,6 +16,7 @@
 	accepted   metrics.Counter
 	refused    metrics.Counter
 	unsure     metrics.Counter
+	noKey      metrics.Counter
 	heartbeats metrics.Counter
 	starts     metrics.Counter
 	stops      metrics.Counter
@@ -44,6 +45,7 @@
 		accepted:   counter("jobs_accepted"),
 		refused:    counter("jobs_refused"),
 		unsure:     counter("job_requests_unsure"),
+		noKey:      counter("job_requests_without_key"),
 		heartbeats: counter("worker_heartbeats"),
 		starts:     counter("runs_ordered"),
 		stops:      counter("runs_stopped"),
@@ -84,6 +86,8 @@
 		m.refused.Inc(1)
 	case a.Verdict == tackwork.Unknown || a.Verdict == tackwork.Unavailable:
 		m.unsure.Inc(1)
+	case a.Verdict == tackwork.NoKey:
+		m.noKey.Inc(1)
 	case a.Verdict == tackwork.Done && r.Operation == tackwork.Submit:
 		m.accepted.Inc(1)
 	}
