Hold each workspace to its cap, over all workers and leaders

What an earlier leader may have started is bounded by a grant in the log, raised before more runs than any leader had running; a new leader starts beside the grant until the leases of its predecessors are over. Ruled out: bounding by what workers have listed; it misses what the former leader ordered last. The schedules found a start that was planned before a cap was lowered and sent after it, which is mended and has its test.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -126,7 +126,7 @@
 	w.submit(job(1), batch(6, 4, 30*tackclock.Second))
 	w.run(tackclock.Second)
 	w.workers[0].cut = true
-	w.d.Reset(w.now, w.term, &w.state.Jobs)
+	w.d.Reset(w.now, w.term, w.inherited())
 	w.addWorker("m-9", 9)
 	w.run(6 * tackclock.Second)
 	assertRuns(t, w, job(1), 6)
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -12,9 +12,11 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackquota"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackroom"
 	"auburntack/core/tacksilence"
+	"auburntack/core/tackworkspace"
 )
 
 const (
@@ -75,9 +77,11 @@
 	// Dispatcher is one leader's view of the workers and what runs on them.
 	// It is not safe for concurrent use.
 	Dispatcher struct {
-		cfg  Config
-		term tackreplica.Term
-		runs uint64
+		cfg Config
+		// quota is what workspaces have running.
+		quota tackquota.Book
+		term  tackreplica.Term
+		runs  uint64
 		// fresh is the term of jobs that were accepted before Reset and that nobody
 		// can have started; zero if there is none.
 		fresh tackreplica.Term
@@ -115,6 +119,14 @@
 		eventsLeft int
 	}
 
+	// Inherited is what a leader finds in its log.
+	Inherited struct {
+		// Jobs may be nil: nobody leads then.
+		Jobs       *tackjob.Table
+		Workspaces []tackworkspace.Workspace
+		Grants     tackquota.Grants
+	}
+
 	// lapse is when a worker's lease ran out, its VM, and its last heartbeat.
 	lapse struct {
 		at       tackclock.Time
@@ -124,11 +136,13 @@
 
 	// run is one start of an item.
 	run struct {
-		item       tackjob.Item
-		number     RunNumber
-		worker     *worker
-		step       *openStep
-		takes      tackroom.Room
+		item   tackjob.Item
+		number RunNumber
+		worker *worker
+		step   *openStep
+		takes  tackroom.Room
+		// earlier says that another leader started it.
+		earlier    bool
 		started    tackclock.Time
 		sentIn     uint64 // the heartbeat that was answered with the start
 		listed     bool
@@ -155,7 +169,7 @@
 // New returns a dispatcher that leads nothing yet.
 func New(cfg Config) *Dispatcher {
 	d := &Dispatcher{cfg: cfg.WithDefaults()}
-	d.Reset(0, 0, nil)
+	d.Reset(0, 0, Inherited{})
 	return d
 }
 
@@ -178,20 +192,22 @@
 	return now.Add(d.cfg.Hold + d.cfg.Hold/driftDivisor + leaseSlack)
 }
 
-// Reset begins a leadership at now with the jobs that the log holds. What
+// Reset begins a leadership at now with what the log holds. What
 // earlier leaders started may run until their last answers' leases are over,
 // so until then only items of jobs start that nobody can have started: those
 // accepted in this term. A reset within a term has started some of those.
-func (d *Dispatcher) Reset(now tackclock.Time, term tackreplica.Term, jobs *tackjob.Table) {
+func (d *Dispatcher) Reset(now tackclock.Time, term tackreplica.Term, log Inherited) {
+	// A worker counts its lease from when it sent the heartbeat, which was
+	// before the earlier leader's own lease ended.
+	d.began, d.sure = now, d.leaseEnd(now)
 	if term != d.term {
 		d.term, d.runs, d.fresh = term, 0, term
+		d.quota.Begin(d.sure, log.Workspaces, log.Grants)
 	} else {
 		d.fresh = 0
+		d.quota.BeginAgain(d.sure, log.Workspaces, log.Grants)
 	}
-	// A worker counts its lease from when it sent the heartbeat, which was
-	// before the earlier leader's own lease ended.
-	d.began, d.sure = now, d.leaseEnd(now)
-	d.table = jobs
+	d.table = log.Jobs
 	d.workers = make(map[WorkerID]*worker)
 	d.lives = make(map[tackid.VM]*worker)
 	d.over = make(map[WorkerID]tackclock.Time)
@@ -206,10 +222,10 @@
 	d.moves = make(map[tackid.VM]*moving)
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
-	if jobs == nil {
+	if log.Jobs == nil {
 		return
 	}
-	jobs.Each(func(j *tackjob.Job) {
+	log.Jobs.Each(func(j *tackjob.Job) {
 		d.accept(now, j, j.Term == d.fresh)
 		d.recall(now, j)
 	})
@@ -220,6 +236,16 @@
 	return d.workers[id] != nil
 }
 
+// Grants returns what the log is to let workspaces have running, since the last call.
+func (d *Dispatcher) Grants(now tackclock.Time) []tackquota.Grant {
+	return d.quota.Wanted(now)
+}
+
+// Granted takes in that the log holds grants.
+func (d *Dispatcher) Granted(list []tackquota.Grant) {
+	d.quota.Granted(list)
+}
+
 // Owes reports whether a job is owed by the service.
 func (d *Dispatcher) Owes(service tackid.Service) bool {
 	for _, o := range d.jobs {
@@ -336,6 +362,7 @@
 		d.free(now, r)
 		d.requeue(now, r)
 	}
+	w.forgetStrange()
 	delete(d.workers, w.id)
 	if d.lives[w.vm] == w {
 		delete(d.lives, w.vm)
@@ -362,6 +389,7 @@
 // free takes a run off its worker.
 func (d *Dispatcher) free(now tackclock.Time, r *run) {
 	w := r.worker
+	r.step.job.account.End(r.step.Room, r.earlier)
 	delete(w.runs, r.item)
 	w.idleFrom = now
 	w.used = w.used.Minus(r.takes)
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -46,10 +46,18 @@
 	EventItemGivenUp
 	// EventItemForgiven says that a suspected item has run for long enough.
 	EventItemForgiven
+	// EventHeld says that items wait, since their workspace has all running that it
+	// may.
+	EventHeld
 )
 
-// maxEvents bounds what is kept between two looks at the events.
-const maxEvents = 4096
+const (
+	// maxEvents bounds what is kept between two looks at the events.
+	maxEvents = 4096
+	// heldEvery spaces out what is noted of items of one step that their workspace's cap
+	// holds back.
+	heldEvery = tackclock.Second
+)
 
 type (
 	// EventKind says what was decided or learnt.
@@ -76,7 +84,7 @@
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
 	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "worker emptied", "run copied",
-	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven",
+	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held",
 }
 
 // String names the event in logs.
@@ -107,6 +115,18 @@
 	})
 }
 
+// noteHeld notes that the items of a step wait for what their workspace has running.
+func (d *Dispatcher) noteHeld(now tackclock.Time, s *openStep) {
+	if now < s.heldAgain {
+		return
+	}
+	s.heldAgain = now.Add(heldEvery)
+	d.note(Event{
+		Kind: EventHeld, At: now, Item: s.item(s.waiting[len(s.waiting)-1].index), Age: now.Sub(s.waiting[len(s.waiting)-1].since),
+		Reason: s.job.account.String(),
+	})
+}
+
 // noteLost notes a run that its worker took with it. Without the line a run that was
 // lost is told from one that was never ordered only by its number, and which others
 // were lost with it cannot be told at all.
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -119,6 +119,9 @@
 // tryGang starts the gang if there is room for all of it, and has workers kept
 // free for it otherwise.
 func (d *Dispatcher) tryGang(now tackclock.Time, p *pool, s *openStep) {
+	if !d.withinCap(now, s, len(s.waiting)) {
+		return
+	}
 	room := (*worker).room
 	if d.mustBeAlone(now, s) {
 		room = (*worker).roomAlone
@@ -235,8 +238,8 @@
 			continue
 		}
 		// A worker's room may have shrunk since the start was planned, and one that does
-		// not guard its room would run what does not fit.
-		if now > p.until || r.stopping || !w.room().Fits(tackroom.Room{}) {
+		// not guard its room would run what does not fit. So may a workspace's cap.
+		if now > p.until || r.stopping || !w.room().Fits(tackroom.Room{}) || !r.step.job.account.Keeps(now, r.step.Room) {
 			d.free(now, r)
 			d.requeue(now, r)
 			d.undoubt(r)
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -6,13 +6,15 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackquota"
 )
 
 type (
 	// openJob is a job that is owed.
 	openJob struct {
 		*tackjob.Job
-		steps map[stepKey]*openStep
+		account *tackquota.Account
+		steps   map[stepKey]*openStep
 		// opened are the occurrences that are due.
 		opened  int
 		started bool
@@ -41,7 +43,9 @@
 		pooled  bool
 		advice  advice
 		tryAt   tackclock.Time // when room is looked for again, for a gang
-		rank    rank
+		// heldAgain is when it is next noted that the workspace's cap holds items back.
+		heldAgain tackclock.Time
+		rank      rank
 		// restraints are those of the waiting items that may not start like the others.
 		restraints map[int32]restraint
 		// blamed counts the workers that crashed under each item, or may have, as far as
@@ -112,7 +116,7 @@
 	if j.Phase != tackjob.Open || d.jobs[j.ID] != nil {
 		return
 	}
-	o := &openJob{Job: j, fresh: fresh, steps: make(map[stepKey]*openStep)}
+	o := &openJob{Job: j, account: d.quota.Account(j.Workspace), fresh: fresh, steps: make(map[stepKey]*openStep)}
 	chain := j.Chain()
 	o.deadline = j.Accepted.Add(tackclock.Duration(j.Stretch*float64(chain)) + j.Objective)
 	o.started = len(j.Progress) > 0
@@ -148,6 +152,7 @@
 			}
 		}
 		o.steps[key] = s
+		o.account.Expect(now, s.Room.Times(len(s.waiting)))
 		d.pool(o.Service).open(s)
 	}
 }
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -6,6 +6,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackroom"
+	"auburntack/core/tackworkspace"
 )
 
 // pool is a service's workers and the steps that wait for them.
@@ -83,8 +84,10 @@
 	return sum
 }
 
-// Rebind moves the steps of jobs whose queue goes to another service now.
-func (d *Dispatcher) Rebind() {
+// Rebind takes in a catalog: steps move whose jobs' queue goes to another service now,
+// and the workspaces' caps are those that it gives.
+func (d *Dispatcher) Rebind(workspaces []tackworkspace.Workspace) {
+	d.quota.SetCaps(workspaces)
 	for _, p := range d.pools {
 		var moved []*openStep
 		for _, s := range p.steps {
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -24,7 +24,7 @@
 	}
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
-		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "foreign", "resize", "crasher",
+		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "foreign", "resize", "crasher", "caps",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -56,7 +56,7 @@
 		m.failing = true
 	case "reset":
 		w.forget()
-		w.d.Reset(w.now, w.term, &w.state.Jobs)
+		w.d.Reset(w.now, w.term, w.inherited())
 	case "upkeep":
 		w.takeDownRandom(m)
 	case "delay":
@@ -69,6 +69,8 @@
 		w.foreign(t, m)
 	case "resize":
 		m.resize(tackroom.Room{MilliCores: 1000 * rapid.IntRange(0, 16).Draw(t, "cores"), MemoryMB: 32768})
+	case "caps":
+		w.putRandomCaps(t)
 	case "crasher":
 		w.submitRandom(t, jobs)
 		item := tackjob.Item{Job: job(*jobs), Index: int32(rapid.IntRange(0, 11).Draw(t, "index"))}
@@ -109,13 +111,25 @@
 	*jobs++
 	count := rapid.IntRange(1, 12).Draw(t, "count")
 	estimate := tackclock.Duration(rapid.IntRange(100, 2000).Draw(t, "estimate"))
+	name := rapid.SampledFrom([]tackid.Workspace{"", "mairies", "postes"}).Draw(t, "workspace")
 	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
-		w.submit(job(*jobs), lasting(count, 1))
+		w.submitFor(name, job(*jobs), lasting(count, 1))
 		return
 	}
 	first := batch(count, 2, estimate)
 	first.Speculative = rapid.Bool().Draw(t, "speculative")
-	w.submit(job(*jobs), first, batch(2, 1, estimate, 0))
+	w.submitFor(name, job(*jobs), first, batch(2, 1, estimate, 0))
+}
+
+// putRandomCaps lowers and raises caps, from nothing to no bound.
+func (w *world) putRandomCaps(t *rapid.T) {
+	caps := make(map[tackid.Workspace]tackroom.Room)
+	for _, name := range []tackid.Workspace{"mairies", "postes"} {
+		caps[name] = tackroom.Room{
+			MilliCores: 500 * rapid.IntRange(0, 40).Draw(t, "cap cores"), MemoryMB: 1000 * rapid.IntRange(0, 20).Draw(t, "cap memory"),
+		}
+	}
+	w.putCaps(caps)
 }
 
 // takeDownRandom has a wave of one VM go as far as it goes at once.
@@ -135,6 +149,7 @@
 func TestRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 5)
+		w.putCaps(map[tackid.Workspace]tackroom.Room{"mairies": {MilliCores: 12_000}, "postes": {MilliCores: 9_000, MemoryMB: 5_000}})
 		jobs := 0
 		for range rapid.IntRange(1, 25).Draw(t, "acts") {
 			w.act(t, &jobs)
@@ -145,6 +160,7 @@
 			m.cut, m.hung, m.failing = false, false, false
 			m.resize(tackroom.Room{MilliCores: 16000, MemoryMB: 32768})
 		}
+		w.putCaps(map[tackid.Workspace]tackroom.Room{"mairies": {}, "postes": {}})
 		for n := range 4 {
 			w.addWorker(tackid.VM("fresh-"+string(rune('a'+n))), 7)
 		}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -132,7 +132,7 @@
 func (d *Dispatcher) startItems(now tackclock.Time, w *worker, s *openStep, sequence uint64, o *Orders) {
 	takes := s.Takes()
 	for len(s.waiting) > 0 && len(o.Start) < startsInAnswer && w.room().Fits(takes) {
-		if w.steps[s.key()] >= d.mostHere(now, w, s) {
+		if w.steps[s.key()] >= d.mostHere(now, w, s) || !d.withinCap(now, s, 1) {
 			return
 		}
 		next, ok := s.next(now, w)
@@ -143,6 +143,16 @@
 	}
 }
 
+// withinCap reports whether so many items of the step may start beside what its
+// workspace has running.
+func (d *Dispatcher) withinCap(now tackclock.Time, s *openStep, items int) bool {
+	if s.job.account.Allows(now, s.Room.Times(items)) {
+		return true
+	}
+	d.noteHeld(now, s)
+	return false
+}
+
 func (d *Dispatcher) startItem(now tackclock.Time, w *worker, s *openStep, next waitingItem, sequence uint64, o *Orders) {
 	r := d.makeRun(now, w, s, next)
 	r.sentIn = sequence
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		at := slices.IndexFunc(s.waiting, func(i waitingItem) bool { return d.mayTry(now, p, w, s, &i) })
-		if at < 0 {
+		if at < 0 || !d.withinCap(now, s, 1) {
 			continue
 		}
 		item := s.waiting[at]
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -8,6 +8,8 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackquota"
+	"auburntack/core/tackreplica"
 	"auburntack/core/tackroom"
 )
 
@@ -43,10 +45,11 @@
 	runs         map[tackjob.Item]*run
 	steps        map[stepKey]int
 	ends         ends
-	// strange is what it runs that the dispatcher wants stopped and has no
-	// run for.
-	strange tackroom.Room
-	stops   []Stop
+	// strange is what it runs that the dispatcher wants stopped and has no run for;
+	// strangers are the parts of it that count against a workspace.
+	strange   tackroom.Room
+	strangers []stranger
+	stops     []Stop
 	// planned are starts of gangs that wait for its next heartbeat.
 	planned []planned
 	// onTrial are runs beside which nothing else may start for now.
@@ -55,6 +58,14 @@
 	doubted bool
 }
 
+// stranger is something that runs and is not owed. It counts until it is not listed
+// any more.
+type stranger struct {
+	account *tackquota.Account
+	room    tackroom.Room
+	earlier bool
+}
+
 // rack is the worker's rack. Its labels are its kind and its rack, in this
 // order.
 func (w *worker) rack() string {
@@ -277,7 +288,7 @@
 
 // takeRunning compares what the worker lists with what it was told to run.
 func (d *Dispatcher) takeRunning(now tackclock.Time, w *worker, r *Report) {
-	w.strange = tackroom.Room{}
+	w.forgetStrange()
 	listed := make(map[tackjob.Item]bool, len(r.Running))
 	for i := range r.Running {
 		row := &r.Running[i]
@@ -335,11 +346,14 @@
 	if s == nil || !o.Has(row.Item) || o.Done(row.Item) || d.running[row.Item] != nil || w.runs[row.Item] != nil {
 		w.stops = append(w.stops, Stop{Item: row.Item, Run: row.Run})
 		d.note(Event{Kind: EventStrange, At: now, Worker: w.id, VM: w.vm, Item: row.Item, Run: row.Run})
-		w.strange = w.strange.Plus(d.takesOf(w, row.Item))
+		d.addStrange(w, row)
 		return nil
 	}
 	s.dropWaiting(row.Item.Index)
-	r := &run{item: row.Item, number: row.Run, worker: w, step: s, takes: s.Takes(), started: now, pace: 100}
+	r := &run{
+		item: row.Item, number: row.Run, worker: w, step: s, takes: s.Takes(), started: now, pace: fullPace,
+		earlier: d.byEarlier(row.Run),
+	}
 	r.listed, r.listedAt, r.from, r.percent = true, now, row.Percent, row.Percent
 	r.movedAt = now
 	d.place(r)
@@ -348,6 +362,34 @@
 	return r
 }
 
+// byEarlier reports whether another leader numbered the run.
+func (d *Dispatcher) byEarlier(n RunNumber) bool {
+	return tackreplica.Term(n>>runBits) != d.term
+}
+
+// addStrange counts what a worker runs and must stop.
+func (d *Dispatcher) addStrange(w *worker, row *Running) {
+	w.strange = w.strange.Plus(d.takesOf(w, row.Item))
+	if d.table == nil {
+		return
+	}
+	j := d.table.Get(row.Item.Job)
+	if j == nil || !j.Has(row.Item) || j.Workspace == "" {
+		return
+	}
+	x := stranger{account: d.quota.Account(j.Workspace), room: j.Steps[row.Item.Step].Room, earlier: d.byEarlier(row.Run)}
+	x.account.Start(x.room, x.earlier)
+	w.strangers = append(w.strangers, x)
+}
+
+// forgetStrange takes back what addStrange counted.
+func (w *worker) forgetStrange() {
+	for _, x := range w.strangers {
+		x.account.End(x.room, x.earlier)
+	}
+	w.strange, w.strangers = tackroom.Room{}, nil
+}
+
 // takesOf is what a run takes that is not owed any more. Jobs that were closed
 // are known for minutes. Of what is not known at all the worker is taken for full:
 // with less, it would be filled beyond what it has.
@@ -363,6 +405,7 @@
 // place puts a run on its worker.
 func (d *Dispatcher) place(r *run) {
 	w := r.worker
+	r.step.job.account.Start(r.step.Room, r.earlier)
 	w.runs[r.item] = r
 	w.used = w.used.Plus(r.takes)
 	if r.step.LongRunning {
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -1,8 +1,15 @@
 package tackdispatch
 
 import (
+	"cmp"
+	"slices"
+
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackroom"
+	"auburntack/core/tackwork"
+	"auburntack/core/tackworkspace"
 )
 
 func (w *world) noteFailure(item tackjob.Item, run RunNumber) {
@@ -25,6 +32,52 @@
 	}
 }
 
+// putCaps puts a catalog in force by which workspaces, whose only keys are their names,
+// have these caps.
+func (w *world) putCaps(caps map[tackid.Workspace]tackroom.Room) {
+	w.version++
+	c := &tackcatalog.Catalog{
+		Version: w.version, Queues: []tackcatalog.Queue{testQueue}, Services: []tackcatalog.Service{{Name: "names-api", Guards: true}},
+	}
+	for name, room := range caps {
+		c.Workspaces = append(c.Workspaces, tackworkspace.Workspace{
+			Name: name, Cap: room, Keys: []tackworkspace.Fingerprint{tackworkspace.Print(string(name))},
+		})
+	}
+	slices.SortFunc(c.Workspaces, func(a, b tackworkspace.Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	w.caps = caps
+	w.apply(tackwork.Change{Catalog: c})
+}
+
+// checkCap fails the test if with an item that starts its workspace has more running than
+// its cap, on all workers that are up, however it came to run there. An item that is
+// larger than the cap may run by itself.
+func (w *world) checkCap(j *tackjob.Job, item tackjob.Item) {
+	w.t.Helper()
+	limit, capped := w.caps[j.Workspace]
+	if j.Workspace == "" || !capped {
+		return
+	}
+	used := w.runningOf(j.Workspace)
+	total := used.Plus(j.Steps[item.Step].Room)
+	if !limit.Bounds(total) && used != (tackroom.Room{}) {
+		w.t.Fatalf("with %v %s has %v running of %v", item, j.Workspace, total, limit)
+	}
+}
+
+// runningOf is what a workspace has running on all workers that are up.
+func (w *world) runningOf(name tackid.Workspace) tackroom.Room {
+	var used tackroom.Room
+	for _, m := range w.workers {
+		for item, r := range m.runs {
+			if !m.dead && w.state.Jobs.Get(item.Job).Workspace == name {
+				used = used.Plus(r.step.Room)
+			}
+		}
+	}
+	return used
+}
+
 // checkOrder fails the test if an item starts before the steps that it waits for. A job
 // that the log closed by an end in the same heartbeat holds no progress any more; its
 // items are stopped by the next one.
--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -72,7 +72,7 @@
 // and gives its item one more start, as does one before the next leader has heard of
 // the run. See docs/incidents.
 func (w *world) forget() {
-	w.waiting, w.found = nil, tackjob.Findings{}
+	w.waiting, w.found, w.grants = nil, tackjob.Findings{}, nil
 	for item, n := range w.crashed {
 		j := w.state.Jobs.Get(item.Job)
 		if j == nil || j.Phase != tackjob.Open {
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -8,9 +8,11 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackquota"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackroom"
 	"auburntack/core/tackwork"
+	"auburntack/core/tackworkspace"
 )
 
 const (
@@ -56,6 +58,11 @@
 		// starts of it that followed the first three.
 		crashed, after map[tackjob.Item]int
 		reboots        []reboot
+		// caps are what each workspace may have running. What runs is not stopped when one
+		// is lowered.
+		caps    map[tackid.Workspace]tackroom.Room
+		version tackcatalog.Version
+		grants  []tackquota.Grant // that wait for the log
 		// unseen counts crashes under such an item that no leader saw.
 		unseen map[tackjob.Item]int
 		// away is for how long a VM is away after a crash; zero is worldReboot.
@@ -124,9 +131,7 @@
 		failed:  make(map[tackjob.Item]map[RunNumber]bool),
 		crashes: make(map[tackjob.Item]tackclock.Duration), crashed: make(map[tackjob.Item]int), after: make(map[tackjob.Item]int),
 		unseen: make(map[tackjob.Item]int)}
-	w.apply(tackwork.Change{Catalog: &tackcatalog.Catalog{
-		Version: 1, Queues: []tackcatalog.Queue{testQueue}, Services: []tackcatalog.Service{{Name: "names-api", Guards: true}},
-	}})
+	w.putCaps(nil)
 	w.newLeader()
 	for i := range workers {
 		w.addWorker(tackid.VM(fmt.Sprintf("m-%d", i)), i/4)
@@ -161,29 +166,43 @@
 	case c.Cancel != "":
 		w.d.Closed(w.now, c.Cancel)
 	}
+	if c.Catalog != nil {
+		w.d.Rebind(w.state.Catalog.Workspaces)
+	}
 	for _, e := range c.Ends {
 		w.d.Taken(w.now, e)
 	}
 	if c.Findings != nil {
 		w.d.Found(w.now, c.Findings)
 	}
+	w.d.Granted(c.Grants)
 	return out
 }
 
+// inherited is what a leader finds in the log.
+func (w *world) inherited() Inherited {
+	return Inherited{Jobs: &w.state.Jobs, Workspaces: w.state.Catalog.Workspaces, Grants: w.state.Grants}
+}
+
 // newLeader has another VM lead, which knows nothing but the log.
 func (w *world) newLeader() {
 	w.term++
 	w.forget()
 	w.d = New(Config{})
-	w.d.Reset(w.now, w.term, &w.state.Jobs)
+	w.d.Reset(w.now, w.term, w.inherited())
 }
 
 func (w *world) submit(id tackjob.ID, steps ...tackjob.Step) {
+	w.submitFor("", id, steps...)
+}
+
+// submitFor hands a job in with the key of a workspace, which is its name.
+func (w *world) submitFor(name tackid.Workspace, id tackjob.ID, steps ...tackjob.Step) {
 	spec := &tackjob.Spec{ID: id, Queue: testQueue.QueueKey, Text: "x", Steps: steps}
 	if err := spec.Validate(); err != nil {
 		w.t.Fatalf("job: %v", err)
 	}
-	w.apply(tackwork.Change{Submit: spec})
+	w.apply(tackwork.Change{Submit: spec, Key: tackworkspace.Print(string(name))})
 }
 
 func (w *world) phase(id tackjob.ID) tackjob.Phase {
@@ -198,11 +217,14 @@
 		w.d.EndsNoted(h.worker, h.ends)
 	}
 	w.waiting = nil
-	found := w.found
-	w.found = tackjob.Findings{}
+	found, grants := w.found, w.grants
+	w.found, w.grants = tackjob.Findings{}, nil
 	if !found.Empty() {
 		w.apply(tackwork.Change{Findings: &found})
 	}
+	if len(grants) > 0 {
+		w.apply(tackwork.Change{Grants: grants})
+	}
 }
 
 // run moves time on by d in steps of 25 ms.
@@ -215,7 +237,7 @@
 func (w *world) step() {
 	w.now = w.now.Add(25)
 	w.d.Tick(w.now)
-	w.found.Add(w.d.Findings())
+	w.collect()
 	if !w.held {
 		w.release()
 	}
@@ -229,6 +251,12 @@
 	w.check()
 }
 
+// collect takes what dispatch wants the log to hold.
+func (w *world) collect() {
+	w.found.Add(w.d.Findings())
+	w.grants = append(w.grants, w.d.Grants(w.now)...)
+}
+
 // work ends what is through, stopped, or without a lease.
 func (w *world) work(m *modelWorker) {
 	if m.dead {
@@ -323,7 +351,7 @@
 	if err != nil {
 		w.t.Fatalf("heartbeat of a sound worker: %v", err)
 	}
-	w.found.Add(w.d.Findings())
+	w.collect()
 	if len(finished) > 0 {
 		w.waiting = append(w.waiting, heldEnds{worker: r.Worker, ends: finished})
 	}
@@ -410,6 +438,7 @@
 		takes = w.actual(s.Item, step)
 	}
 	w.checkRoom(m, s.Item, step)
+	w.checkCap(j, s.Item)
 	w.started[s.Item]++
 	m.runs[s.Item] = &modelRun{
 		number: s.Run, step: step, began: w.now, pace: 100, endsAt: w.now.Add(takes * tackclock.Duration(max(1, m.slow))),
--- /dev/null
+++ b/core/tackquota/book_test.go
@@ -0,0 +1,334 @@
+package tackquota
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackroom"
+	"auburntack/core/tackworkspace"
+)
+
+const mairies = tackid.Workspace("mairies")
+
+func cores(n int) tackroom.Room {
+	return tackroom.Room{MilliCores: 1000 * n, MemoryMB: 1000 * n}
+}
+
+func capped(room tackroom.Room) []tackworkspace.Workspace {
+	return []tackworkspace.Workspace{{Name: mairies, Cap: room}}
+}
+
+// logged has the log hold what the book wants.
+func logged(b *Book, now tackclock.Time, grants Grants) {
+	list := b.Wanted(now)
+	for _, g := range list {
+		grants[g.Workspace] = g.Room
+	}
+	b.Granted(list)
+}
+
+// begun is a leader's account after the leases of earlier ones.
+func begun(caps tackroom.Room) (*Book, *Account, Grants) {
+	b, grants := new(Book), make(Grants)
+	b.Begin(0, capped(caps), grants)
+	logged(b, 0, grants)
+	return b, b.Account(mairies), grants
+}
+
+// assertMay asks twice: the first time may be too soon for the log's grant.
+func assertMay(t *testing.T, a *Account, now tackclock.Time, need tackroom.Room, want bool) {
+	t.Helper()
+	a.Allows(now, need)
+	logged(a.book, now, make(Grants))
+	assertAllows(t, a, now, need, want)
+}
+
+func assertAllows(t *testing.T, a *Account, now tackclock.Time, need tackroom.Room, want bool) {
+	t.Helper()
+	if got := a.Allows(now, need); got != want {
+		t.Errorf("%+v beside %+v of %+v: %v, want %v", need, a.Used(), a.Cap(), got, want)
+	}
+}
+
+func TestCap(t *testing.T) {
+	t.Run("holds in each kind of room", func(t *testing.T) {
+		_, a, _ := begun(tackroom.Room{MilliCores: 10_000, MemoryMB: 40_000})
+		a.Start(cores(7), false)
+		assertMay(t, a, 1, cores(3), true)
+		assertMay(t, a, 1, cores(4), false)
+		assertMay(t, a, 1, tackroom.Room{MemoryMB: 33_000}, true)
+		assertMay(t, a, 1, tackroom.Room{MemoryMB: 33_001}, false)
+		assertMay(t, a, 1, tackroom.Room{MilliCores: 1, GPUs: 8}, true)
+		a.End(cores(7), false)
+		assertMay(t, a, 2, cores(10), true)
+	})
+	t.Run("an item beyond it runs by itself", func(t *testing.T) {
+		_, a, _ := begun(cores(4))
+		assertMay(t, a, 1, cores(6), true)
+		a.Start(cores(6), false)
+		assertMay(t, a, 1, cores(1), false)
+	})
+	t.Run("none without a workspace", func(t *testing.T) {
+		var none *Account
+		assertNone := (&Book{}).Account("")
+		if assertNone != nil || !none.Allows(0, cores(1000)) || !none.Holds(cores(1000)) {
+			t.Error("a job of no workspace is bounded")
+		}
+		none.Start(cores(1), false)
+		none.End(cores(1), false)
+	})
+	t.Run("lowered below what runs", func(t *testing.T) {
+		b, a, _ := begun(cores(40))
+		a.Start(cores(30), false)
+		b.SetCaps(capped(cores(10)))
+		assertMay(t, a, 1, cores(1), false)
+		a.End(cores(21), false)
+		assertMay(t, a, 1, cores(1), true)
+		assertMay(t, a, 1, cores(2), false)
+	})
+	t.Run("none any more", func(t *testing.T) {
+		b, a, _ := begun(cores(4))
+		a.Start(cores(4), false)
+		b.SetCaps(nil)
+		assertMay(t, a, 1, cores(100), true)
+	})
+	t.Run("of a gang", func(t *testing.T) {
+		_, a, _ := begun(tackroom.Room{MilliCores: 10_000})
+		if !a.Holds(cores(10)) || a.Holds(cores(11)) || !a.Holds(tackroom.Room{GPUs: 50}) {
+			t.Error("what the cap holds at once is wrong")
+		}
+	})
+}
+
+// Symptom: a workspace has more running than its cap allows. Sequence: a leader starts
+// up to the cap; it is lost, and the next one starts as much again before it has heard
+// what runs. Cause: a new leader counted only what workers had listed.
+func TestNextLeaderStartsBesideTheGrant(t *testing.T) {
+	const sure = 3000
+	b, a, grants := begun(cores(40))
+	a.Start(cores(10), false)
+	logged(b, 1, grants)
+	granted := grants[mairies].MilliCores
+	if granted < 10_000 || granted > 25_000 {
+		t.Fatalf("granted %d for 10,000", granted)
+	}
+	next := new(Book)
+	next.Begin(sure, capped(cores(40)), grants)
+	a = next.Account(mairies)
+	beside := tackroom.Room{MilliCores: 40_000 - granted}
+	assertAllows(t, a, 100, beside.Plus(tackroom.Room{MilliCores: 1}), false)
+	t.Run("once the log grants it", func(t *testing.T) {
+		assertAllows(t, a, 100, beside, false)
+		logged(next, 100, grants)
+		assertAllows(t, a, 100, beside, true)
+	})
+	t.Run("whatever of it has been listed", func(t *testing.T) {
+		a.Start(cores(6), true)
+		assertAllows(t, a, 200, beside, true)
+		assertAllows(t, a, 200, beside.Plus(tackroom.Room{MilliCores: 1}), false)
+		a.End(cores(6), true)
+		assertAllows(t, a, 200, beside.Plus(tackroom.Room{MilliCores: 1}), false)
+	})
+	t.Run("and by what runs in the end", func(t *testing.T) {
+		a.Start(cores(8), true)
+		a.Allows(sure, cores(32))
+		logged(next, sure, grants)
+		assertAllows(t, a, sure, cores(32), true)
+		assertAllows(t, a, sure, cores(33), false)
+	})
+}
+
+// A workspace that the log grants nothing may have run without a cap until now.
+func TestNextLeaderKnowsNothingOfWhatHadNoCap(t *testing.T) {
+	b := new(Book)
+	b.Begin(3000, capped(cores(40)), nil)
+	a := b.Account(mairies)
+	assertAllows(t, a, 2999, cores(1), false)
+	logged(b, 3000, make(Grants))
+	assertAllows(t, a, 3000, cores(1), true)
+}
+
+func TestGrantFollowsWhatRuns(t *testing.T) {
+	b, a, grants := begun(cores(80))
+	for range 70 {
+		if !a.Allows(1, cores(1)) {
+			t.Fatalf("start beside %+v waits for the log, which grants %+v", a.Used(), grants[mairies])
+		}
+		a.Start(cores(1), false)
+		logged(b, 1, grants)
+	}
+	if got := grants[mairies]; got.MilliCores > 80_000 || got.MemoryMB > 80_000 {
+		t.Errorf("granted %+v, beyond the cap", got)
+	}
+	a.End(cores(60), false)
+	logged(b, 5000, grants)
+	if got := grants[mairies].MilliCores; got > 30_000 {
+		t.Errorf("granted %d while 10,000 run", got)
+	}
+	assertAllows(t, a, 5000, cores(5), true)
+}
+
+// fleet is workers that run on whoever leads, and a log that loses what is under way
+// when a leader is lost.
+type fleet struct {
+	cap      tackroom.Room
+	grants   Grants
+	runs     []tackroom.Room // what really runs
+	heard    []bool          // by the present leader
+	early    []bool          // started by an earlier one
+	inFlight [][]Grant
+	book     *Book
+	now      tackclock.Time
+}
+
+func (f *fleet) lead() {
+	f.book = new(Book)
+	f.inFlight = nil
+	f.book.Begin(f.now.Add(1000), capped(f.cap), f.grants)
+	f.forget()
+}
+
+// again has the leader begin anew, with its proposals still on their way.
+func (f *fleet) again() {
+	f.book.BeginAgain(f.now.Add(1000), capped(f.cap), f.grants)
+	f.forget()
+}
+
+func (f *fleet) forget() {
+	for i := range f.runs {
+		f.heard[i], f.early[i] = false, true
+	}
+}
+
+func (f *fleet) commit() {
+	if len(f.inFlight) == 0 {
+		return
+	}
+	for _, g := range f.inFlight[0] {
+		f.grants[g.Workspace] = g.Room
+	}
+	f.book.Granted(f.inFlight[0])
+	f.inFlight = f.inFlight[1:]
+}
+
+// end ends a run; one that the leader has not heard of ends for it unheard.
+func (f *fleet) end(i int) {
+	if f.heard[i] {
+		f.book.Account(mairies).End(f.runs[i], f.early[i])
+	}
+	last := len(f.runs) - 1
+	f.runs[i], f.heard[i], f.early[i] = f.runs[last], f.heard[last], f.early[last]
+	f.runs, f.heard, f.early = f.runs[:last], f.heard[:last], f.early[:last]
+}
+
+func (f *fleet) total() tackroom.Room {
+	var sum tackroom.Room
+	for _, r := range f.runs {
+		sum = sum.Plus(r)
+	}
+	return sum
+}
+
+// TestRandomLeaders checks, over random starts, ends, reports, losses of the leader and
+// of what is on its way into the log, that what runs is within the grant that the log
+// holds, and within the cap.
+func TestRandomLeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{cap: cores(40), grants: make(Grants)}
+		f.lead()
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			f.now = f.now.Add(tackclock.Duration(rapid.IntRange(1, 400).Draw(t, "wait")))
+			a := f.book.Account(mairies)
+			switch rapid.SampledFrom([]string{"start", "start", "start", "end", "hear", "commit", "commit", "want", "lose", "again", "lost"}).Draw(t, "act") {
+			case "start":
+				need := tackroom.Room{MilliCores: rapid.IntRange(1, 8).Draw(t, "cores") * 1000, MemoryMB: rapid.IntRange(0, 9).Draw(t, "memory") * 1000}
+				for a.Allows(f.now, need) && rapid.IntRange(0, 4).Draw(t, "again") > 0 {
+					a.Start(need, false)
+					f.runs, f.heard, f.early = append(f.runs, need), append(f.heard, true), append(f.early, false)
+				}
+			case "end":
+				if len(f.runs) > 0 {
+					f.end(rapid.IntRange(0, len(f.runs)-1).Draw(t, "run"))
+				}
+			case "hear":
+				f.hear(t)
+			case "want":
+				if list := f.book.Wanted(f.now); len(list) > 0 {
+					f.inFlight = append(f.inFlight, list)
+				}
+			case "commit":
+				f.commit()
+			case "lose":
+				for range rapid.IntRange(0, len(f.inFlight)).Draw(t, "committed") {
+					f.commit()
+				}
+				f.lead()
+			case "again":
+				f.again()
+			case "lost":
+				f.inFlight = f.inFlight[:rapid.IntRange(0, len(f.inFlight)).Draw(t, "kept")]
+				f.again()
+			}
+			// The leases of what no worker has listed to this leader are over by now.
+			if f.now >= f.book.sure {
+				for i := len(f.runs) - 1; i >= 0; i-- {
+					if !f.heard[i] {
+						f.end(i)
+					}
+				}
+			}
+			f.assertGoesOn(t)
+			if total := f.total(); !f.grants[mairies].Fits(total) || !f.cap.Fits(total) {
+				t.Fatalf("%+v runs, granted %+v, cap %+v", total, f.grants[mairies], f.cap)
+			}
+		}
+	})
+}
+
+// assertGoesOn fails the test if nothing runs, and nothing ever may.
+func (f *fleet) assertGoesOn(t *rapid.T) {
+	if len(f.runs) > 0 || f.now < f.book.sure || len(f.inFlight) > 0 {
+		return
+	}
+	a := f.book.Account(mairies)
+	if a.Allows(f.now, cores(1)) {
+		return
+	}
+	f.inFlight = append(f.inFlight, f.book.Wanted(f.now))
+	f.commit()
+	if !a.Allows(f.now, cores(1)) {
+		t.Fatalf("nothing may start, and nothing runs: %v", a)
+	}
+}
+
+// hear has the leader hear of some runs of earlier ones.
+func (f *fleet) hear(t *rapid.T) {
+	for i := range f.runs {
+		if !f.heard[i] && rapid.Bool().Draw(t, "heard") {
+			f.heard[i] = true
+			f.book.Account(mairies).Start(f.runs[i], true)
+		}
+	}
+}
+
+// BenchmarkStart is a start and an end in a book of 45 workspaces.
+func BenchmarkStart(b *testing.B) {
+	var list []tackworkspace.Workspace
+	for i := range 45 {
+		list = append(list, tackworkspace.Workspace{Name: tackid.Workspace(rune('A' + i)), Cap: cores(100)})
+	}
+	book := new(Book)
+	book.Begin(0, list, nil)
+	book.Granted(book.Wanted(1))
+	a := book.Account("A")
+	b.ReportAllocs()
+	for b.Loop() {
+		if a.Allows(1, cores(1)) {
+			a.Start(cores(1), false)
+			a.End(cores(1), false)
+		}
+	}
+}
--- a/core/tackroom/room.go
+++ b/core/tackroom/room.go
@@ -2,6 +2,8 @@
 // or a workspace has.
 package tackroom
 
+import "fmt"
+
 // Room is an amount of each kind of resource.
 type Room struct {
 	// MilliCores are thousandths of a core.
@@ -10,6 +12,11 @@
 	GPUs       int `cbor:"3,keyasint,omitempty"`
 }
 
+// String returns the room in cores, gigabytes and GPUs, as it stands in log lines.
+func (r Room) String() string {
+	return fmt.Sprintf("%.1f cores, %.1f GB, %d GPUs", float64(r.MilliCores)/1000, float64(r.MemoryMB)/1024, r.GPUs)
+}
+
 // Fits reports whether r has room for need.
 func (r Room) Fits(need Room) bool {
 	return need.MilliCores <= r.MilliCores && need.MemoryMB <= r.MemoryMB && need.GPUs <= r.GPUs
@@ -36,3 +43,35 @@
 		MilliCores: max(r.MilliCores, o.MilliCores), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPUs: max(r.GPUs, o.GPUs),
 	}
 }
+
+// Min returns the lesser of both of each kind.
+func (r Room) Min(o Room) Room {
+	return Room{
+		MilliCores: min(r.MilliCores, o.MilliCores), MemoryMB: min(r.MemoryMB, o.MemoryMB), GPUs: min(r.GPUs, o.GPUs),
+	}
+}
+
+// Within returns r where it is no more than limit, and limit elsewhere; a part of limit
+// that is zero is no bound.
+func (r Room) Within(limit Room) Room {
+	part := func(n, limit int) int {
+		if limit == 0 {
+			return n
+		}
+		return min(n, limit)
+	}
+	return Room{
+		MilliCores: part(r.MilliCores, limit.MilliCores), MemoryMB: part(r.MemoryMB, limit.MemoryMB), GPUs: part(r.GPUs, limit.GPUs),
+	}
+}
+
+// Over returns the part of r that is one in n.
+func (r Room) Over(n int) Room {
+	return Room{MilliCores: r.MilliCores / n, MemoryMB: r.MemoryMB / n, GPUs: r.GPUs / n}
+}
+
+// Bounds reports whether need is within r, of which a part that is zero is no bound.
+func (r Room) Bounds(need Room) bool {
+	within := func(need, limit int) bool { return limit == 0 || need <= limit }
+	return within(need.MilliCores, r.MilliCores) && within(need.MemoryMB, r.MemoryMB) && within(need.GPUs, r.GPUs)
+}
--- a/core/tackwork/state.go
+++ b/core/tackwork/state.go
@@ -12,6 +12,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackquota"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackupkeep"
 	"auburntack/core/tackworkspace"
@@ -35,6 +36,8 @@
 		Catalog tackcatalog.Catalog
 		Jobs    tackjob.Table
 		Waves   tackupkeep.Table
+		// Grants are what workspaces may have running, as the leaders asked for it.
+		Grants tackquota.Grants
 
 		// holders follows from Catalog.
 		holders tackworkspace.Holders
@@ -57,6 +60,8 @@
 		// Key is what a job is handed in with, beside Submit; empty if its queue
 		// needs none.
 		Key tackworkspace.Fingerprint `cbor:"9,keyasint,omitempty"`
+		// Grants may stand beside Ends as well.
+		Grants []tackquota.Grant `cbor:"10,keyasint,omitempty"`
 	}
 
 	// UpkeepBegun notes that the platform has taken a VM down for a wave.
@@ -83,6 +88,7 @@
 		Jobs    []*tackjob.Job      `cbor:"2,keyasint"`
 		Waves   []*tackupkeep.Wave  `cbor:"3,keyasint"`
 		Expired tackclock.Time      `cbor:"4,keyasint"`
+		Grants  tackquota.Grants    `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -132,6 +138,7 @@
 	if c.Findings != nil {
 		s.Jobs.Find(c.Findings, e.Time)
 	}
+	s.grant(c.Grants)
 	return Outcome{}
 }
 
@@ -183,6 +190,15 @@
 	return s.holders.Of(key)
 }
 
+func (s *State) grant(list []tackquota.Grant) {
+	if s.Grants == nil && len(list) > 0 {
+		s.Grants = make(tackquota.Grants)
+	}
+	for _, g := range list {
+		s.Grants[g.Workspace] = g.Room
+	}
+}
+
 func (s *State) expire(now tackclock.Time) {
 	if now.Sub(s.expired) < expireEvery {
 		return
@@ -193,7 +209,7 @@
 
 // Snapshot returns the state in the form that Restore reads.
 func (s *State) Snapshot() ([]byte, error) {
-	return cbor.Marshal(snapshot{Catalog: s.Catalog, Jobs: s.Jobs.All(), Waves: s.Waves.All(), Expired: s.expired})
+	return cbor.Marshal(snapshot{Catalog: s.Catalog, Jobs: s.Jobs.All(), Waves: s.Waves.All(), Expired: s.expired, Grants: s.Grants})
 }
 
 // Restore replaces the state by that of a snapshot.
@@ -205,6 +221,6 @@
 	s.Catalog, s.holders = snap.Catalog, tackworkspace.HoldersOf(snap.Catalog.Workspaces)
 	s.Jobs.Restore(snap.Jobs)
 	s.Waves.Restore(snap.Waves)
-	s.expired = snap.Expired
+	s.expired, s.Grants = snap.Expired, snap.Grants
 	return nil
 }
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -16,6 +16,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackpool"
+	"auburntack/core/tackquota"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackdisk"
@@ -104,7 +105,8 @@
 		dispatch   *tackdispatch.Dispatcher
 		dispatched tackreplica.Term // the term that dispatch was reset for
 		ends       []workerEnd
-		found      tackjob.Findings // that wait for the log beside ends
+		found      tackjob.Findings  // that wait for the log beside ends
+		grants     []tackquota.Grant // that wait for it as well
 		upkeep     upkeep
 		orders     orders
 	}
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -113,8 +113,8 @@
 	if !leads {
 		if c.dispatched != 0 && c.status.Load().Role != tackreplica.Leader {
 			c.dispatched = 0
-			c.dispatch.Reset(now, 0, nil)
-			c.ends, c.found = nil, tackjob.Findings{}
+			c.dispatch.Reset(now, 0, tackdispatch.Inherited{})
+			c.ends, c.found, c.grants = nil, tackjob.Findings{}, nil
 		}
 		return
 	}
@@ -122,8 +122,10 @@
 		return
 	}
 	c.dispatched = term
-	c.ends, c.found = nil, tackjob.Findings{}
-	c.dispatch.Reset(now, term, &c.state.Jobs)
+	c.ends, c.found, c.grants = nil, tackjob.Findings{}, nil
+	c.dispatch.Reset(now, term, tackdispatch.Inherited{
+		Jobs: &c.state.Jobs, Workspaces: c.state.Catalog.Workspaces, Grants: c.state.Grants,
+	})
 	c.dispatch.ExcuseBy(func(now tackclock.Time, vm tackid.VM) bool {
 		return c.orders.byEarlier(now, term, vm, c.cfg.Handover+orderTakes)
 	})
@@ -141,7 +143,7 @@
 	case change.Cancel != "":
 		c.dispatch.Closed(now, change.Cancel)
 	case change.Catalog != nil:
-		c.dispatch.Rebind()
+		c.dispatch.Rebind(c.state.Catalog.Workspaces)
 	}
 	for _, e := range change.Ends {
 		c.dispatch.Taken(now, e)
@@ -149,20 +151,22 @@
 	if change.Findings != nil {
 		c.dispatch.Found(now, change.Findings)
 	}
+	c.dispatch.Granted(change.Grants)
 }
 
-// queueEnds has ends, and what dispatch found out since the last call, written to the
-// log with the next sync. The caller holds mu.
+// queueEnds has ends, and what dispatch found out and wants granted since the last call,
+// written to the log with the next sync. The caller holds mu.
 func (c *Control) queueEnds(worker tackdispatch.WorkerID, ends []tackjob.End) {
-	found := c.dispatch.Findings()
-	if len(ends) == 0 && found.Empty() {
+	found, grants := c.dispatch.Findings(), c.dispatch.Grants(c.clock.Now())
+	if len(ends) == 0 && found.Empty() && len(grants) == 0 {
 		return
 	}
-	first := len(c.ends) == 0 && c.found.Empty()
+	first := len(c.ends) == 0 && c.found.Empty() && len(c.grants) == 0
 	for _, e := range ends {
 		c.ends = append(c.ends, workerEnd{worker: worker, end: e})
 	}
 	c.found.Add(found)
+	c.grants = append(c.grants, grants...)
 	if first {
 		go c.loop.Post(context.Background(), c.flushEnds)
 	}
@@ -171,14 +175,14 @@
 // flushEnds is called by the loop.
 func (c *Control) flushEnds() {
 	c.mu.Lock()
-	waiting, found := c.ends, c.found
-	c.ends, c.found = nil, tackjob.Findings{}
+	waiting, found, grants := c.ends, c.found, c.grants
+	c.ends, c.found, c.grants = nil, tackjob.Findings{}, nil
 	term := c.dispatched
 	c.mu.Unlock()
-	if len(waiting) == 0 && found.Empty() {
+	if len(waiting) == 0 && found.Empty() && len(grants) == 0 {
 		return
 	}
-	change := tackwork.Change{Ends: make([]tackjob.End, 0, len(waiting))}
+	change := tackwork.Change{Ends: make([]tackjob.End, 0, len(waiting)), Grants: grants}
 	if !found.Empty() {
 		change.Findings = &found
 	}
