Refuse at the door what a workspace's cap does not let through in time

Cause: a job was admitted by its pool's backlog alone. A workspace that sends ten times what its cap allows would have all of it accepted, to end far too late, and a gang wider than the cap would wait for good. Now the work that the workspace has accepted, over the cores of its cap, bounds it as well; a cap gets no VMs of other pools, so it is held to the objective itself. A gang wider than the cap is refused with a word that says so, to come back in a minute, since an operator must have changed something.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -3,6 +3,7 @@
 import (
 	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 )
 
@@ -10,47 +11,91 @@
 	// shortestComeBack is the least time after which a refused caller is
 	// asked to come back.
 	shortestComeBack = 500 * tackclock.Millisecond
+	// capComeBack is when to come back with what no cap allows: an operator must have
+	// raised it.
+	capComeBack = tackclock.Minute
 	// defaultAdmitPercent is above 100 since idle VMs of other pools come within
 	// two seconds, so the backlog is done sooner than the pool's cores say. Net
 	// gain under faults: 0.48 at 100, 0.49 at 125, 0.51 at 160 (two fleets of 49 VMs).
 	defaultAdmitPercent = 160
 )
 
-// Admit decides whether a job is accepted. It returns when to come back if it
-// is not.
+type (
+	// Admission says whether a job is accepted.
+	Admission struct {
+		Accepted bool
+		// ComeBack is when a refused caller should come back, Reason why he is refused.
+		ComeBack tackclock.Duration
+		Reason   string
+	}
+
+	// owed is work that is accepted and not done, in milliseconds of thousandths of a
+	// core, by the estimates.
+	owed struct {
+		pool      int64
+		workspace int64
+	}
+)
+
+// Admit decides whether a job is accepted that is handed in for a workspace.
 //
 // Load pattern: a queue asks five times its mean for some seconds, more than
-// its pool holds. A job that waits behind more work than the pool does within
-// the job's own objective would only be late and make those behind it late
-// too. So the end is predicted from the work that is accepted and not done.
-func (d *Dispatcher) Admit(now tackclock.Time, q *tackcatalog.Queue, spec *tackjob.Spec) (tackclock.Duration, bool) {
+// its pool holds, or a workspace more than its cap allows it. A job that waits
+// behind more work than is done within the job's own objective would only be
+// late and make those behind it late too. So the end is predicted from the work
+// that is accepted and not done.
+func (d *Dispatcher) Admit(now tackclock.Time, q *tackcatalog.Queue, spec *tackjob.Spec, workspace tackid.Workspace) Admission {
+	account := d.quota.Account(workspace)
+	for i := range spec.Steps {
+		// Its members start together or not at all, so it would wait for good.
+		if s := &spec.Steps[i]; s.Gang && !account.Holds(s.Room.Times(s.Count)) {
+			return Admission{ComeBack: capComeBack, Reason: "a gang wider than the cap of its workspace"}
+		}
+	}
 	if spec.LongRunning() || spec.Repeats > 0 {
-		return 0, true
+		return Admission{Accepted: true}
 	}
 	p := d.pool(q.Service)
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
-	wait := d.backlog(q)
-	if (wait+chain)*100 <= allowed*tackclock.Duration(d.cfg.AdmitPercent) {
-		p.arrived(now, spec, false)
-		return 0, true
+	work := d.owedWork(q.Service, workspace)
+	if takes := timeFor(work.pool, p.capacity().MilliCores) + chain; takes*100 > allowed*tackclock.Duration(d.cfg.AdmitPercent) {
+		p.arrived(now, spec, true)
+		return Admission{ComeBack: max(takes-allowed, shortestComeBack), Reason: "would end too late"}
 	}
-	p.arrived(now, spec, true)
-	return max(wait+chain-allowed, shortestComeBack), false
+	// A pool may get VMs of others. A cap stays what it is.
+	if takes := timeFor(work.workspace, account.Cap().MilliCores) + chain; takes > allowed {
+		return Admission{ComeBack: max(takes-allowed, shortestComeBack), Reason: "would end too late by the cap of its workspace"}
+	}
+	p.arrived(now, spec, false)
+	return Admission{Accepted: true}
 }
 
-// backlog is how long the service's pool takes for the work that is accepted
-// and not done.
-func (d *Dispatcher) backlog(q *tackcatalog.Queue) tackclock.Duration {
-	p := d.pools[q.Service]
-	if p == nil {
+// timeFor is how long so many thousandths of a core take for the work; nothing where
+// there are none, since nothing is known then.
+func timeFor(work int64, milliCores int) tackclock.Duration {
+	if milliCores == 0 {
 		return 0
 	}
-	cores := int64(p.capacity().MilliCores)
-	if cores == 0 {
-		return 0
+	return tackclock.Duration(work / int64(milliCores))
+}
+
+// owedWork is what is accepted and not done of a service, and of a workspace.
+func (d *Dispatcher) owedWork(service tackid.Service, workspace tackid.Workspace) owed {
+	var sum owed
+	for _, o := range d.jobs {
+		if !o.ends() || o.Service != service && (workspace == "" || o.Workspace != workspace) {
+			continue
+		}
+		left := o.workLeft()
+		if o.Service == service {
+			sum.pool += left
+		}
+		if workspace != "" && o.Workspace == workspace {
+			sum.workspace += left
+		}
 	}
-	return tackclock.Duration(d.backlogWork(q.Service) / cores)
+	return sum
 }
 
 // workLeft is the job's work that is not done, in milliseconds of thousandths
--- /dev/null
+++ b/core/tackdispatch/admit_test.go
@@ -0,0 +1,90 @@
+package tackdispatch
+
+import (
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+)
+
+// offer hands jobs of one step in until one is refused, at most so many; it returns how
+// many were accepted and the refusal.
+func (w *world) offer(name tackid.Workspace, first, most int, step tackjob.Step) (int, Admission) {
+	for n := range most {
+		spec := &tackjob.Spec{ID: job(first + n), Queue: testQueue.QueueKey, Steps: []tackjob.Step{step}}
+		if a := w.d.Admit(w.now, &testQueue, spec, name); !a.Accepted {
+			return n, a
+		}
+		w.submitFor(name, job(first+n), step)
+	}
+	return most, Admission{}
+}
+
+// assertRefusal fails the test if the caller is not told truly when to come back: not
+// before what was accepted is done in time for one more job, by the cores that do it.
+func assertRefusal(t *testing.T, a Admission, reason string, least, most tackclock.Duration) {
+	t.Helper()
+	if a.Accepted || a.Reason != reason || a.ComeBack < least || a.ComeBack > most {
+		t.Errorf("%+v, want refused as %q, to come back after %d to %d ms", a, reason, least, most)
+	}
+}
+
+// Load pattern: a queue asks several times what its pool holds, within a second.
+func TestBurstBeyondThePoolIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 4) // 64 cores
+	w.run(200)
+	const estimate = 1000 // of which 1.6 times and 3.6 s are allowed, 8.32 s at most
+	n, refusal := w.offer("", 1, 100, batch(8, 2, estimate))
+	if n < 25 || n > 35 { // 16 core-seconds each: 33 take 8.25 s
+		t.Errorf("%d jobs accepted, want about as many as are done in time", n)
+	}
+	assertRefusal(t, refusal, "would end too late", 2000, 8000)
+	w.run(20 * tackclock.Second)
+	t.Run("and what was accepted is done", func(t *testing.T) {
+		for k := range n {
+			assertPhase(t, w, job(k+1), tackjob.Complete)
+		}
+	})
+}
+
+// Load pattern: one workspace sends ten times what its cap allows, on a pool with room.
+func TestBurstBeyondACapIsRefusedAtOnce(t *testing.T) {
+	w := newCapped(t, 8, 8) // 8 of 128 cores
+	n, refusal := w.offer("mairies", 1, 100, batch(8, 2, 1000))
+	if n < 2 || n > 4 { // 16 core-seconds take two seconds of the cap, and 5.2 s are allowed
+		t.Errorf("%d jobs accepted, want as many as the cap lets through in time", n)
+	}
+	assertRefusal(t, refusal, "would end too late by the cap of its workspace", 500, 4000)
+	t.Run("others are accepted beside it", func(t *testing.T) {
+		if n, _ := w.offer("", 200, 20, batch(8, 2, 1000)); n != 20 {
+			t.Errorf("%d of 20 jobs accepted", n)
+		}
+	})
+	w.run(12 * tackclock.Second)
+	t.Run("and what was accepted is done", func(t *testing.T) {
+		for k := range n {
+			assertPhase(t, w, job(k+1), tackjob.Complete)
+		}
+	})
+}
+
+// Symptom: a job was accepted and waited for good. Its gang needs more at once than its
+// workspace may have running.
+func TestGangBeyondACapIsRefused(t *testing.T) {
+	w := newCapped(t, 8, 20)
+	gang := batch(11, 2, 1000)
+	gang.Gang = true
+	_, refusal := w.offer("mairies", 1, 1, gang)
+	assertRefusal(t, refusal, "a gang wider than the cap of its workspace", tackclock.Minute, tackclock.Minute)
+	gang.Count = 10
+	if n, a := w.offer("mairies", 2, 1, gang); n != 1 {
+		t.Errorf("a gang within the cap: %+v", a)
+	}
+	if n, _ := w.offer("mairies", 3, 1, batch(40, 1, 100)); n != 1 {
+		t.Error("a step wider than the cap, whose items need not run together, is refused")
+	}
+	w.run(8 * tackclock.Second)
+	assertPhase(t, w, job(2), tackjob.Complete)
+	assertPhase(t, w, job(3), tackjob.Complete)
+}
--- a/core/tackdispatch/backlog.go
+++ b/core/tackdispatch/backlog.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackid"
 )
 
 // backlog is accepted work that is not done, in milliseconds of thousandths of a
@@ -28,20 +27,9 @@
 	leastSlack = 1500 * tackclock.Millisecond
 )
 
-// backlogWork is all that is accepted and not done of a service.
-func (d *Dispatcher) backlogWork(service tackid.Service) int64 {
-	var work int64
-	for _, o := range d.jobs {
-		if o.owes(service) {
-			work += o.workLeft()
-		}
-	}
-	return work
-}
-
-// owes reports whether the job is work that ends of the service.
-func (o *openJob) owes(service tackid.Service) bool {
-	return o.Service == service && !o.LongRunning() && o.Repeats == 0
+// ends reports whether the job is work that ends, and is due at once.
+func (o *openJob) ends() bool {
+	return !o.LongRunning() && o.Repeats == 0
 }
 
 // backlogOf looks at each job's deadline: with jobs taken by their deadlines, what
@@ -59,7 +47,7 @@
 	var b backlog
 	var dues []due
 	for _, o := range d.jobs {
-		if !o.owes(p.service) {
+		if o.Service != p.service || !o.ends() {
 			continue
 		}
 		work := max(0, o.workLeft()-done[o])
--- a/core/tackdispatch/demand_test.go
+++ b/core/tackdispatch/demand_test.go
@@ -224,7 +224,7 @@
 	}
 	for n := range 4 {
 		spec := &tackjob.Spec{ID: job(n), Queue: testQueue.QueueKey, Steps: []tackjob.Step{batch(16, 2, 500)}}
-		w.d.Admit(w.now, &testQueue, spec)
+		w.d.Admit(w.now, &testQueue, spec, "")
 	}
 	own := tackpool.Pool{Service: "names-api", Demands: w.d.demands(w.now, w.d.pool("names-api"))}
 	for _, m := range w.workers {
--- a/core/tackquota/book.go
+++ b/core/tackquota/book.go
@@ -286,7 +286,12 @@
 func (a *Account) Used() tackroom.Room { return a.used }
 
 // Cap is what may run; a part that is zero is no bound.
-func (a *Account) Cap() tackroom.Room { return a.cap }
+func (a *Account) Cap() tackroom.Room {
+	if a == nil {
+		return tackroom.Room{}
+	}
+	return a.cap
+}
 
 // String says what runs and what may, for logs.
 func (a *Account) String() string {
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -7,6 +7,7 @@
 
 	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
+	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
 	"auburntack/core/tackwork"
@@ -177,10 +178,9 @@
 	}
 	c.mu.Lock()
 	known := c.state.Jobs.Get(k.id)
-	var wait tackclock.Duration
-	admitted := true
+	var admission tackdispatch.Admission
 	if known == nil {
-		wait, admitted = c.dispatch.Admit(c.clock.Now(), &k.queue, &spec)
+		admission = c.dispatch.Admit(c.clock.Now(), &k.queue, &spec, k.workspace)
 	}
 	c.mu.Unlock()
 	switch {
@@ -188,8 +188,8 @@
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: idTaken}
 	case known != nil:
 		return tackwork.Answer{Reason: "known"}
-	case !admitted:
-		return tackwork.Answer{Verdict: tackwork.Refused, RetryAfter: wait, Reason: "would end too late"}
+	case !admission.Accepted:
+		return tackwork.Answer{Verdict: tackwork.Refused, RetryAfter: admission.ComeBack, Reason: admission.Reason}
 	}
 	p := c.propose(ctx, tackwork.Change{Submit: &spec, Key: k.key})
 	switch {
