Start and admit by workspaces' shares when workers are busy

Cause: among jobs that wait, deadlines alone decided, and a pool's backlog alone admitted, whoever had sent it. One workspace that sends ten jobs a second beside nineteen with one every second or two had one in ten of the others' jobs refused or late (426 of 475 in time on the model; TestBurstOfOneWorkspaceLeavesTheOthersTheirShare). It changes nothing where all send as usual, and keeps others' service in a burst.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -32,8 +32,9 @@
 	// owed is work that is accepted and not done, in milliseconds of thousandths of a
 	// core, by the estimates.
 	owed struct {
-		pool      int64
-		workspace int64
+		pool      int64 // of the pool
+		workspace int64 // of the workspace, in all pools
+		both      int64 // of the workspace, in this pool
 	}
 )
 
@@ -59,7 +60,12 @@
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
 	work := d.owedWork(q.Service, workspace)
-	if takes := timeFor(work.pool, p.capacity().MilliCores) + chain; takes*100 > allowed*tackclock.Duration(d.cfg.AdmitPercent) {
+	cores := p.capacity().MilliCores
+	takes := timeFor(work.pool, cores) + chain
+	// What a workspace's share of the pool does in time need not wait for what others sent.
+	share := int(float64(cores) * account.Share())
+	byShare := share > 0 && timeFor(work.both, share)+chain <= allowed
+	if takes*100 > allowed*tackclock.Duration(d.cfg.AdmitPercent) && !byShare {
 		p.arrived(now, spec, true)
 		return Admission{ComeBack: max(takes-allowed, shortestComeBack), Reason: "would end too late"}
 	}
@@ -93,6 +99,9 @@
 		}
 		if workspace != "" && o.Workspace == workspace {
 			sum.workspace += left
+			if o.Service == service {
+				sum.both += left
+			}
 		}
 	}
 	return sum
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	// lateFor is for how long late heartbeats of a life are told from new ones. What
 	// a partition holds up arrives within seconds of its end.
 	lateFor = tackclock.Minute
+	// measureEvery spaces out the sums over all workers.
+	measureEvery = 250 * tackclock.Millisecond
 	// endsInReport is how many ends a worker lists at a time. A list of this
 	// length may leave some out.
 	endsInReport = 500
@@ -79,9 +81,10 @@
 	Dispatcher struct {
 		cfg Config
 		// quota is what workspaces have running.
-		quota tackquota.Book
-		term  tackreplica.Term
-		runs  uint64
+		quota     tackquota.Book
+		measureAt tackclock.Time // when the room of all workers is added up again
+		term      tackreplica.Term
+		runs      uint64
 		// fresh is the term of jobs that were accepted before Reset and that nobody
 		// can have started; zero if there is none.
 		fresh tackreplica.Term
@@ -201,7 +204,7 @@
 func (d *Dispatcher) Reset(now tackclock.Time, term tackreplica.Term, log Inherited) {
 	// A worker counts its lease from when it sent the heartbeat, which was
 	// before the earlier leader's own lease ended.
-	d.began, d.sure = now, d.leaseEnd(now)
+	d.began, d.sure, d.measureAt = now, d.leaseEnd(now), now
 	if term != d.term {
 		d.term, d.runs, d.fresh = term, 0, term
 		d.quota.Begin(d.sure, log.Workspaces, log.Grants)
@@ -291,6 +294,20 @@
 		d.openDue(now, j)
 	}
 	d.forget(now)
+	d.measure(now)
+}
+
+// measure takes in the room of all workers together.
+func (d *Dispatcher) measure(now tackclock.Time) {
+	if now < d.measureAt {
+		return
+	}
+	d.measureAt = now.Add(measureEvery)
+	var all tackroom.Room
+	for _, p := range d.pools {
+		all = all.Plus(p.capacity())
+	}
+	d.quota.SetRoom(all)
 }
 
 // unheard are the workers that are silent, in the order of their ids, so that the same
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -22,6 +22,8 @@
 	// keeps workers free for them.
 	trials bool
 	clear  clearing
+	// mostOver is how far the workspaces of waiting steps are over their shares at most.
+	mostOver int
 	// arrivals are the jobs that were handed in lately.
 	arrivals []arrival
 	reserved reservation
@@ -61,11 +63,12 @@
 
 // tidy drops the steps with nothing waiting.
 func (p *pool) tidy() {
-	p.labelled, p.trials = false, false
+	p.labelled, p.trials, p.mostOver = false, false, 0
 	p.steps = slices.DeleteFunc(p.steps, func(s *openStep) bool {
 		if len(s.waiting) > 0 {
 			p.labelled = p.labelled || s.Requires != ""
 			p.trials = p.trials || len(s.restraints) > 0
+			p.mostOver = max(p.mostOver, s.job.account.Over())
 			return false
 		}
 		s.pooled = false
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -56,21 +56,29 @@
 		if turn.labelled && !p.labelled {
 			continue
 		}
-		for _, s := range p.steps {
-			if !turn.has(now, s) || !d.mayStart(now, w, s) {
-				continue
-			}
-			if d.cordon[w.vm] && !d.stranded(now, p, s) || p.reserved.holds(now, w) && !s.LongRunning {
-				continue
-			}
-			d.startItems(now, w, s, sequence, o)
-			if len(o.Start) >= startsInAnswer {
-				return
-			}
+		for over := range p.mostOver + 1 {
+			d.startTurn(now, p, w, turn, over, sequence, o)
 		}
 	}
 }
 
+// startTurn starts items of the turn's steps, of workspaces that are so far over their
+// shares.
+func (d *Dispatcher) startTurn(now tackclock.Time, p *pool, w *worker, turn turn, over int, sequence uint64, o *Orders) {
+	for _, s := range p.steps {
+		if len(o.Start) >= startsInAnswer {
+			return
+		}
+		if !turn.has(now, s) || p.mostOver > 0 && s.job.account.Over() != over || !d.mayStart(now, w, s) {
+			continue
+		}
+		if d.cordon[w.vm] && !d.stranded(now, p, s) || p.reserved.holds(now, w) && !s.LongRunning {
+			continue
+		}
+		d.startItems(now, w, s, sequence, o)
+	}
+}
+
 func (t turn) has(now tackclock.Time, s *openStep) bool {
 	return (s.Requires != "") == t.labelled && s.late(now) == t.late
 }
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -35,18 +35,27 @@
 // putCaps puts a catalog in force by which workspaces, whose only keys are their names,
 // have these caps.
 func (w *world) putCaps(caps map[tackid.Workspace]tackroom.Room) {
-	w.version++
-	c := &tackcatalog.Catalog{
-		Version: w.version, Queues: []tackcatalog.Queue{testQueue}, Services: []tackcatalog.Service{{Name: "names-api", Guards: true}},
-	}
+	var list []tackworkspace.Workspace
 	for name, room := range caps {
-		c.Workspaces = append(c.Workspaces, tackworkspace.Workspace{
+		list = append(list, tackworkspace.Workspace{
 			Name: name, Cap: room, Keys: []tackworkspace.Fingerprint{tackworkspace.Print(string(name))},
 		})
 	}
-	slices.SortFunc(c.Workspaces, func(a, b tackworkspace.Workspace) int { return cmp.Compare(a.Name, b.Name) })
-	w.caps = caps
-	w.apply(tackwork.Change{Catalog: c})
+	slices.SortFunc(list, func(a, b tackworkspace.Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	w.putWorkspaces(list)
+}
+
+// putWorkspaces puts a catalog in force that has these workspaces.
+func (w *world) putWorkspaces(list []tackworkspace.Workspace) {
+	w.version++
+	w.caps = make(map[tackid.Workspace]tackroom.Room)
+	for i := range list {
+		w.caps[list[i].Name] = list[i].Cap
+	}
+	w.apply(tackwork.Change{Catalog: &tackcatalog.Catalog{
+		Version: w.version, Queues: []tackcatalog.Queue{testQueue}, Workspaces: list,
+		Services: []tackcatalog.Service{{Name: "names-api", Guards: true}},
+	}})
 }
 
 // checkCap fails the test if with an item that starts its workspace has more running than
--- a/core/tackquota/book.go
+++ b/core/tackquota/book.go
@@ -52,6 +52,8 @@
 		// worker has listed.
 		sure    tackclock.Time
 		asking  []*Account // whose grants the log is to change
+		all     tackroom.Room
+		weights float64 // of all workspaces together
 		lowerAt tackclock.Time
 	}
 
@@ -60,6 +62,8 @@
 		book *Book
 		name tackid.Workspace
 		cap  tackroom.Room // a part that is zero is no bound
+		// weight is its share of all, against that of the others; zero if it has none.
+		weight float64
 		// used is what is known to run, and earlier the part of it that earlier leaders
 		// started.
 		used    tackroom.Room
@@ -106,11 +110,13 @@
 // SetCaps takes in the workspaces of a catalog. One that it does not name has no cap.
 func (b *Book) SetCaps(workspaces []tackworkspace.Workspace) {
 	for _, a := range b.accounts {
-		a.cap = tackroom.Room{}
+		a.cap, a.weight = tackroom.Room{}, 0
 	}
+	b.weights = 0
 	for i := range workspaces {
 		a := b.Account(workspaces[i].Name)
-		a.cap = workspaces[i].Cap
+		a.cap, a.weight = workspaces[i].Cap, workspaces[i].Weight
+		b.weights += a.weight
 		a.prefetch()
 	}
 }
