--- a/core/tackquota/book.go
+++ b/core/tackquota/book.go
@@ -291,6 +291,10 @@
 // Used is what is known to run.
 func (a *Account) Used() tackroom.Room { return a.used }
 
+// Granted is what may run until the log grants more. Of what has no cap it is beyond all
+// that there is.
+func (a *Account) Granted() tackroom.Room { return a.granted }
+
 // Cap is what may run; a part that is zero is no bound.
 func (a *Account) Cap() tackroom.Room {
 	if a == nil {
--- a/io/tackcli/print.go
+++ b/io/tackcli/print.go
@@ -22,11 +22,16 @@
 	if err != nil {
 		return err
 	}
+	return t.print(a, "the VM that answered is cut off")
+}
+
+// print prints an answer; unconfirmed says why one may be that is not confirmed.
+func (t *Tool) print(a tackclient.Answer, unconfirmed string) error {
 	if t.output == outputJSON {
 		return printJSON(t.Stdout, a)
 	}
 	if !a.Confirmed {
-		fmt.Fprintf(t.Stderr, "auburntack: not confirmed: the VM that answered is cut off and knows up to revision %d\n", a.Revision)
+		fmt.Fprintf(t.Stderr, "auburntack: not confirmed: %s and knows up to revision %d\n", unconfirmed, a.Revision)
 	}
 	return printTable(t.Stdout, a)
 }
--- a/io/tackcli/tool.go
+++ b/io/tackcli/tool.go
@@ -92,7 +92,7 @@
 	flags.StringSliceVar(&t.client.Entries, "entry", []string{defaultEntry}, "operator ports to try in turn, `ADDR[,ADDR]`")
 	flags.Var(&t.output, "output", "form of the answer, table or json")
 	flags.IntVar(&t.timeout, "timeout-ms", int(tackclient.DefaultTimeout), "how long to try in all, in `MS`")
-	root.AddCommand(t.askCommand(), t.doCommand(), t.reportCommand(), t.demoCommand(), t.versionCommand())
+	root.AddCommand(t.askCommand(), t.doCommand(), t.reportCommand(), t.workspaceCommand(), t.demoCommand(), t.versionCommand())
 	return root
 }
 
--- a/io/tackclient/client.go
+++ b/io/tackclient/client.go
@@ -89,7 +89,7 @@
 	var found bool
 	call := call{method: http.MethodPost, path: "/ask", body: query}
 	err := c.run(ctx, call, func(body []byte) (bool, error) {
-		a, err := decodeAnswer(body)
+		a, err := DecodeAnswer(body)
 		if err != nil {
 			return false, err
 		}
@@ -128,9 +128,9 @@
 	return got, err
 }
 
-// decodeAnswer keeps numbers as they were written: a revision or token beyond
+// DecodeAnswer keeps numbers as they were written: a revision or token beyond
 // 2^53 would come out changed as a float64, and "--expect" with it be refused.
-func decodeAnswer(body []byte) (Answer, error) {
+func DecodeAnswer(body []byte) (Answer, error) {
 	var a Answer
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.UseNumber()
--- a/io/tackcontrol/keys_test.go
+++ b/io/tackcontrol/keys_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -104,6 +106,26 @@
 		c.stop(c.leader())
 		check()
 	})
+	t.Run("operators see fingerprints alone", func(t *testing.T) {
+		page := func(query string) (int, string) {
+			w := httptest.NewRecorder()
+			c.running[c.leader()].control.WorkspacesPage().ServeHTTP(w, httptest.NewRequest("GET", "/workspaces"+query, nil))
+			return w.Code, w.Body.String()
+		}
+		_, list := page("")
+		_, one := page("?name=postes")
+		for _, want := range []string{`"confirmed":true`, `"mairies",1,`, `"postes",2,`} {
+			if !strings.Contains(list, want) {
+				t.Errorf("listed %s, want %s in it", list, want)
+			}
+		}
+		if short := tackworkspace.Print("p2").Short(); !strings.Contains(one, short) || strings.Contains(list+one, `"p2"`) {
+			t.Errorf("shown %s and %s, want %s and no key", list, one, short)
+		}
+		if code, body := page("?name=nobody"); code != http.StatusNotFound {
+			t.Errorf("%d, %s for one that there is not", code, body)
+		}
+	})
 	t.Run("a workspace without any gets nothing", func(t *testing.T) {
 		c.put(keyed(8, nil), tackwork.Done)
 		for _, key := range []string{"m1", "m2", "p1", "p2"} {
--- /dev/null
+++ b/io/tackcontrol/workspaces.go
@@ -0,0 +1,120 @@
+package tackcontrol
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"auburntack/core/tackdispatch"
+	"auburntack/core/tackid"
+	"auburntack/core/tackroom"
+	"auburntack/core/tackworkspace"
+)
+
+const (
+	// WorkspacesPath is where a control VM tells operators of the workspaces; with
+	// WorkspaceName, of one in full.
+	WorkspacesPath = "/workspaces"
+	// WorkspaceName is the query parameter that names a workspace.
+	WorkspaceName = "name"
+)
+
+type (
+	// answerBody is an answer in the form that the operators' client reads.
+	answerBody struct {
+		// Confirmed is false on a VM that does not lead: what it knows may be old, and it
+		// does not know what runs.
+		Confirmed bool            `json:"confirmed"`
+		Revision  tackid.Revision `json:"revision"`
+		Columns   []string        `json:"columns"`
+		Rows      [][]any         `json:"rows"`
+	}
+
+	// workspace is one workspace and how it stands.
+	workspace struct {
+		*tackworkspace.Workspace
+		tackdispatch.Standing
+	}
+)
+
+// WorkspacesPage answers operators' questions about workspaces. Keys are shown by the
+// first digits of their fingerprints.
+func (c *Control) WorkspacesPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		list, confirmed := c.workspaces()
+		a := answerBody{Confirmed: confirmed, Revision: c.status.Load().Applied, Rows: [][]any{}}
+		if name := r.URL.Query().Get(WorkspaceName); name == "" {
+			a.list(list)
+		} else if !a.show(list, tackid.Workspace(name)) {
+			w.WriteHeader(http.StatusNotFound)
+			writeAnswer(c, w, map[string]any{"error": map[string]string{"code": "not_found", "message": "no such workspace"}})
+			return
+		}
+		writeAnswer(c, w, a)
+	})
+}
+
+func writeAnswer(c *Control, w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		c.log.WithError(err).Debug("answer not sent")
+	}
+}
+
+// workspaces returns those of the catalog, and whether this VM leads.
+func (c *Control) workspaces() ([]workspace, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	term, leads := c.leads(c.clock.Now())
+	leads = leads && c.dispatched == term
+	catalog := c.state.Catalog.Workspaces
+	list := make([]workspace, len(catalog))
+	for i := range catalog {
+		list[i].Workspace = &catalog[i]
+		if leads {
+			list[i].Standing = c.dispatch.Standing(catalog[i].Name)
+		}
+	}
+	return list, leads
+}
+
+func (a *answerBody) list(list []workspace) {
+	a.Columns = []string{"workspace", "keys", "weight", "jobs", "waiting", "running_cores", "cap_cores", "running_gb", "cap_gb", "running_gpus", "cap_gpus"}
+	for i := range list {
+		w := &list[i]
+		a.Rows = append(a.Rows, []any{
+			w.Name, len(w.Keys), w.Weight, w.Jobs, w.Waiting, cores(w.Running), bound(cores(w.Cap)),
+			gigabytes(w.Running), bound(gigabytes(w.Cap)), w.Running.GPUs, bound(float64(w.Cap.GPUs)),
+		})
+	}
+}
+
+// show tells all of one workspace; false if there is none of that name.
+func (a *answerBody) show(list []workspace, name tackid.Workspace) bool {
+	a.Columns = []string{"field", "value"}
+	for i := range list {
+		w := &list[i]
+		if w.Name != name {
+			continue
+		}
+		a.Rows = [][]any{
+			{"workspace", w.Name}, {"weight", w.Weight}, {"share_percent", 100 * w.Share}, {"priority", w.Priority},
+			{"jobs", w.Jobs}, {"waiting", w.Waiting}, {"running", w.Running.String()}, {"cap", w.Cap.String()},
+		}
+		for _, key := range w.Keys {
+			a.Rows = append(a.Rows, []any{"key", key.Short()})
+		}
+		return true
+	}
+	return false
+}
+
+func cores(r tackroom.Room) float64     { return float64(r.MilliCores) / 1000 }
+func gigabytes(r tackroom.Room) float64 { return float64(r.MemoryMB) / 1024 }
+
+// bound is what a table shows of a cap, of which zero is none.
+func bound(n float64) any {
+	if n == 0 {
+		return ""
+	}
+	return n
+}
