Call VMs back from rest as soon as their move there is over

Cause: a VM that was sent to the standby pool counted as on its way for five seconds, since nothing reports from there and only a move that has surely failed was given up. Before: TestVMAtRestCanBeCalledBack fails; after: it can be called 0.3 s after the time that a move takes, from when the platform consented. A move whose fate is unknown is waited for as before.

--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -12,6 +12,9 @@
 	// moveSlack is for how much longer than a move takes a VM is waited for that
 	// was sent to another pool and has not reported from there.
 	moveSlack = 3500 * tackclock.Millisecond
+	// restSlack is for how much longer than a move takes a VM is left alone that was sent
+	// to the standby pool. Nothing reports from there.
+	restSlack = 300 * tackclock.Millisecond
 	// reportsMean is how many reports of a worker show that it has nothing to do.
 	// The first to a new leader may have been under way for seconds.
 	reportsMean = 2
@@ -39,6 +42,8 @@
 		labels []string
 		since  tackclock.Time
 		life   WorkerID // the life that the move ended
+		// doneAt is when the platform consented, zero before.
+		doneAt tackclock.Time
 	}
 )
 
@@ -57,6 +62,7 @@
 // ordered about stay where they are.
 func (d *Dispatcher) Pools(now tackclock.Time, c *tackcatalog.Catalog, free func(tackid.VM) bool) []tackpool.Pool {
 	var pools []tackpool.Pool
+	d.endMoves(now, c)
 	for _, s := range c.Services {
 		p := tackpool.Pool{Service: s.Name, Standby: s.Standby}
 		if s.Standby {
@@ -65,9 +71,7 @@
 			d.fillPool(now, &p, free)
 		}
 		for vm, m := range d.moves {
-			if now.Sub(m.since) > d.cfg.Move+moveSlack {
-				d.giveUpMove(vm, m)
-			} else if m.to == s.Name {
+			if m.to == s.Name {
 				p.Coming = append(p.Coming, tackpool.VM{Name: vm, Room: m.room, Labels: m.labels})
 			}
 		}
@@ -76,6 +80,22 @@
 	return pools
 }
 
+// endMoves ends moves that take no longer: to the standby pool once it is time, and those
+// that nobody knows to have happened. A VM whose rest is not known to have begun cannot
+// be called back, however much it is needed.
+func (d *Dispatcher) endMoves(now tackclock.Time, c *tackcatalog.Catalog) {
+	for vm, m := range d.moves {
+		if now.Sub(m.since) > d.cfg.Move+moveSlack {
+			d.giveUpMove(vm, m)
+			continue
+		}
+		to := c.Service(m.to)
+		if to != nil && to.Standby && m.doneAt != 0 && now.Sub(m.doneAt) > d.cfg.Move+restSlack {
+			delete(d.moves, vm)
+		}
+	}
+}
+
 // giveUpMove forgets a move that nobody knows to have happened. Without it the
 // VM would get no work for good.
 func (d *Dispatcher) giveUpMove(vm tackid.VM, m *moving) {
@@ -192,6 +212,7 @@
 		parked := d.standby[vm]
 		parked.VM, parked.Service, parked.Capacity, parked.Labels = vm, m.to, m.room, m.labels
 		d.standby[vm] = parked
+		m.doneAt = now
 	case refused:
 		if here {
 			w.leaving = false
--- /dev/null
+++ b/core/tackdispatch/pools_test.go
@@ -0,0 +1,46 @@
+package tackdispatch
+
+import (
+	"testing"
+
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackid"
+	"auburntack/core/tackpool"
+)
+
+var withStandby = tackcatalog.Catalog{
+	Version: 1, Services: []tackcatalog.Service{{Name: "names-api", Guards: true}, {Name: "backoffice", Standby: true}},
+}
+
+// standingIn counts a pool's VMs and those on their way there.
+func (w *world) standingIn(name tackid.Service) (vms, coming int) {
+	for _, p := range w.d.Pools(w.now, &withStandby, func(tackid.VM) bool { return true }) {
+		if p.Service == name {
+			return len(p.VMs), len(p.Coming)
+		}
+	}
+	return 0, 0
+}
+
+// Symptom: a pool that is short of VMs gets none of those that went to rest two seconds
+// before. Sequence: a VM is sent to the standby pool; the platform consents; nothing
+// reports from there. Cause: its move was taken to last until it had surely failed.
+func TestVMAtRestCanBeCalledBack(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(300)
+	m := w.workers[0]
+	w.d.Moving(w.now, tackpool.Move{VM: m.vm, From: "names-api", To: "backoffice"})
+	m.dead = true
+	assert := func(vms, coming int) {
+		t.Helper()
+		if v, c := w.standingIn("backoffice"); v != vms || c != coming {
+			t.Errorf("%d VMs rest and %d are on their way, want %d and %d", v, c, vms, coming)
+		}
+	}
+	w.run(200)
+	w.d.Moved(w.now, m.vm, true, false)
+	w.run(defaultMove)
+	assert(0, 1)
+	w.run(restSlack + 50)
+	assert(1, 0)
+}
