Check what starts carry, and starts that come late under the next leader

The model of workers checked neither text nor checkpoint, made no checkpoints, and knew late starts under the same leader only. Ruled out: a fault in dispatch. With the checks, all tests and random schedules pass on the code as it was. That the checks bite was tried: with another checkpoint put into requeue and planGang both new cases fail, with stops of runs that are not owed left out TestCancelStopsLateStartsOfARemovedLeader fails.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -82,6 +82,53 @@
 	assertRuns(t, w, job(1), 0)
 }
 
+// Guards against an item of a cancelled job that runs on: its worker starts it late, after
+// the leader that ordered it was removed, and the job was cancelled under the next leader.
+func TestCancelStopsLateStartsOfARemovedLeader(t *testing.T) {
+	w := newWorld(t, 1)
+	m := w.workers[0]
+	w.run(100)
+	w.submit(job(1), batch(2, 1, 20*tackclock.Second))
+	late := w.receive(m.report(w))
+	m.cut = true
+	w.newLeader()
+	w.apply(tackwork.Change{Cancel: job(1)})
+	w.run(5 * tackclock.Second)
+	m.cut = false
+	w.obey(m, w.now, &late)
+	assertRuns(t, w, job(1), 2)
+	w.run(600)
+	assertRuns(t, w, job(1), 0)
+}
+
+// Guards against starts that carry another item's checkpoint, or none though one was made:
+// items that make checkpoints are stopped, lost with their worker, and taken over by
+// another leader.
+func TestStartsResumeFromTheItemsOwnCheckpoint(t *testing.T) {
+	long := batch(8, 2, 6*tackclock.Second)
+	long.Checkpoints = true
+	gang := batch(4, 2, 6*tackclock.Second)
+	gang.Gang, gang.Checkpoints = true, true
+	for name, step := range map[string]tackjob.Step{"items": long, "a gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.submit(job(1), step)
+			w.run(2500)
+			w.workers[0].dead = true
+			w.addWorker(w.workers[0].vm, 0)
+			w.run(2500)
+			w.newLeader()
+			w.run(2500)
+			w.workers[1].draining = true
+			w.run(20 * tackclock.Second)
+			assertPhase(t, w, job(1), tackjob.Complete)
+			if w.resumed == 0 {
+				t.Error("no start carried a checkpoint")
+			}
+		})
+	}
+}
+
 // Symptom: an item that failed too often leaves its siblings running.
 func TestFailedJobStopsWhatRuns(t *testing.T) {
 	w := newWorld(t, 2)
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -124,6 +124,7 @@
 	}
 	first := batch(count, 2, estimate)
 	first.Speculative = rapid.Bool().Draw(t, "speculative")
+	first.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
 	w.submitFor(name, job(*jobs), first, batch(2, 1, estimate, 0))
 }
 
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"auburntack/core/tackcatalog"
@@ -102,6 +103,46 @@
 	}
 }
 
+// save has a run make a checkpoint, if its step makes any.
+func (w *world) save(item tackjob.Item, r *modelRun) {
+	if !r.step.Checkpoints {
+		return
+	}
+	r.saved = fmt.Sprintf("%v at %d", item, w.now)
+	if w.saved[item] == nil {
+		w.saved[item] = make(map[string]bool)
+	}
+	w.saved[item][r.saved] = true
+}
+
+// textOf is the text that a job is handed in with. The log drops it with the end of the job.
+func textOf(id tackjob.ID) string {
+	return "text of " + string(id)
+}
+
+// checkContent fails the test if a start carries another text than its job's, or a
+// checkpoint that no run of the item has made. Of a gang any member's will do.
+func (w *world) checkContent(j *tackjob.Job, s *Start) {
+	w.t.Helper()
+	if want := textOf(j.ID); s.Text != want {
+		w.t.Fatalf("%v starts with the text %q, its job has %q", s.Item, s.Text, want)
+	}
+	if s.Checkpoint == "" {
+		return
+	}
+	w.resumed++
+	if w.saved[s.Item][s.Checkpoint] {
+		return
+	}
+	for item, saved := range w.saved {
+		sameStep := item.Job == s.Item.Job && item.Occurrence == s.Item.Occurrence && item.Step == s.Item.Step
+		if sameStep && j.Steps[item.Step].Gang && saved[s.Checkpoint] {
+			return
+		}
+	}
+	w.t.Fatalf("%v starts from %q, which no run of it has made", s.Item, s.Checkpoint)
+}
+
 // countCrashing fails the test if an item goes on being started that has crashed
 // worker after worker.
 func (w *world) countCrashing(item tackjob.Item) {
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -48,6 +48,10 @@
 		started map[tackjob.Item]int
 		// noted are items whose end a worker was allowed to forget.
 		noted map[tackjob.Item]bool
+		// saved are the checkpoints that runs of each item have made.
+		saved map[tackjob.Item]map[string]bool
+		// resumed counts the starts that carried one.
+		resumed int
 		// failed are runs whose failure a worker was allowed to forget.
 		failed map[tackjob.Item]map[RunNumber]bool
 		// actual is how long an item runs; nil is its estimate.
@@ -123,6 +127,7 @@
 		endsAt tackclock.Time
 		stopAt tackclock.Time // zero if no stop was ordered
 		pace   int
+		saved  string
 	}
 )
 
@@ -134,6 +139,7 @@
 func newWorld(t failer, workers int) *world {
 	w := &world{t: t, now: 1_000_000, started: make(map[tackjob.Item]int), noted: make(map[tackjob.Item]bool),
 		failed:  make(map[tackjob.Item]map[RunNumber]bool),
+		saved:   make(map[tackjob.Item]map[string]bool),
 		crashes: make(map[tackjob.Item]tackclock.Duration), crashed: make(map[tackjob.Item]int), after: make(map[tackjob.Item]int),
 		unseen: make(map[tackjob.Item]int)}
 	w.putCaps(nil)
@@ -207,7 +213,7 @@
 
 // submitFor hands a job in with the key of a workspace, which is its name.
 func (w *world) submitFor(name tackid.Workspace, id tackjob.ID, steps ...tackjob.Step) {
-	spec := &tackjob.Spec{ID: id, Queue: testQueue.QueueKey, Text: "x", Steps: steps}
+	spec := &tackjob.Spec{ID: id, Queue: testQueue.QueueKey, Text: textOf(id), Steps: steps}
 	if err := spec.Validate(); err != nil {
 		w.t.Fatalf("job: %v", err)
 	}
@@ -281,6 +287,9 @@
 	}
 	for _, item := range sorted(m.runs) {
 		r := m.runs[item]
+		if w.now.Sub(r.began)%worldSave == 0 {
+			w.save(item, r)
+		}
 		switch {
 		case w.now >= m.lease:
 			w.end(m, item, EndLapsed)
@@ -310,7 +319,10 @@
 	delete(m.runs, item)
 	m.number++
 	m.highest[item] = max(m.highest[item], r.number)
-	m.ended = append(m.ended, Ended{Number: m.number, Item: item, Run: r.number, How: how})
+	if how == EndStopped {
+		w.save(item, r)
+	}
+	m.ended = append(m.ended, Ended{Number: m.number, Item: item, Run: r.number, How: how, Checkpoint: r.saved})
 	m.beatAt = min(m.beatAt, w.now.Add(beatAfterEnd))
 }
 
@@ -321,7 +333,8 @@
 		Sequence: m.sequence, Draining: m.draining, Ended: slices.Clone(m.ended),
 	}
 	for _, item := range sorted(m.runs) {
-		r.Running = append(r.Running, Running{Item: item, Run: m.runs[item].number, Percent: m.percent(w, item)})
+		run := m.runs[item]
+		r.Running = append(r.Running, Running{Item: item, Run: run.number, Percent: m.percent(w, item), Checkpoint: run.saved})
 	}
 	return r
 }
@@ -442,6 +455,7 @@
 		w.t.Fatalf("%v starts after %d runs failed", s.Item, failed)
 	}
 	w.checkOrder(j, s.Item)
+	w.checkContent(j, &s)
 	w.countCrashing(s.Item)
 	takes := step.Estimate
 	if w.actual != nil {
@@ -451,7 +465,7 @@
 	w.checkCap(j, s.Item)
 	w.started[s.Item]++
 	m.runs[s.Item] = &modelRun{
-		number: s.Run, step: step, began: w.now, pace: 100, endsAt: w.now.Add(takes * tackclock.Duration(max(1, m.slow))),
+		number: s.Run, step: step, began: w.now, pace: 100, saved: s.Checkpoint, endsAt: w.now.Add(takes * tackclock.Duration(max(1, m.slow))),
 	}
 }
 
