Links, looks and rest by what a large fleet needs; a tool that loads real processes

It asks the leader, and five others only if that one does not answer. - Control VMs that do not vote connect to those that vote, not to each other. - Workers that run nothing in a pool of many ask less often. - VMs beyond a reserve rest at once (core/tackpool/reserve.go).

--- a/cmd/tackmeasure/main.go
+++ b/cmd/tackmeasure/main.go
@@ -12,6 +12,7 @@
 
 	"auburntack/io/tackmeasure"
 	"auburntack/io/tacktimeline"
+	"auburntack/platform/tackload"
 
 	"github.com/spf13/cobra"
 )
@@ -58,7 +59,7 @@
 	cmd.Flags().IntSliceVar(&daemons, "daemons", nil, "numbers of daemons, each a cluster")
 	cmd.Flags().IntSliceVar(&sizes, "vms", nil, "numbers of VMs, ascending")
 	cmd.MarkFlagRequired("daemon")
-	cmd.AddCommand(timelineCommand())
+	cmd.AddCommand(timelineCommand(), platformCommand())
 	return cmd
 }
 
@@ -86,6 +87,53 @@
 	}
 }
 
+func platformCommand() *cobra.Command {
+	cfg := tackload.Config{Out: os.Stdout}
+	var sizes []int
+	cmd := &cobra.Command{
+		Use:   "platform --daemon PATH",
+		Short: "Load control VMs and entry VMs with stand-in workers, and show what each uses",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, cfg.Workers = range sizes {
+				if err := runLoad(cmd.Context(), cfg); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.Binary, "daemon", "", "path of a built auburntackd")
+	f.IntSliceVar(&sizes, "workers", []int{349, 1500, 6000}, "numbers of workers, one run each")
+	f.IntVar(&cfg.Controls, "controls", 5, "control VMs")
+	f.IntVar(&cfg.Entries, "entries", 2, "entry VMs")
+	f.Float64Var(&cfg.Rate, "rate", 12, "jobs a second for each thousand workers")
+	f.DurationVar(&cfg.For, "for", 24*time.Second, "how long the load lasts")
+	f.BoolVar(&cfg.Kill, "kill", false, "kill the leader afterwards, and show how long it is missed")
+	f.StringVar(&cfg.Profile, "profile", "", "file for a processor profile of the leader")
+	f.StringVar(&cfg.Folder, "folder", "", "where the processes' logs and data are kept; left out, they are removed")
+	f.Uint8Var(&cfg.Network, "network", 40, "second byte of the loopback addresses")
+	cmd.MarkFlagRequired("daemon")
+	return cmd
+}
+
+func runLoad(ctx context.Context, cfg tackload.Config) error {
+	if cfg.Folder == "" {
+		folder, err := os.MkdirTemp("", "tackload")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
+		cfg.Folder = folder
+	}
+	result, err := tackload.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	result.Write(cfg.Out)
+	return nil
+}
+
 // run measures in a folder of its own, which it removes.
 func run(ctx context.Context, plan tackmeasure.Plan) error {
 	folder, err := os.MkdirTemp("", "tackmeasure")
--- a/core/tackdispatch/retry.go
+++ b/core/tackdispatch/retry.go
@@ -8,6 +8,11 @@
 	roomEvery = 20 * tackclock.Millisecond
 	// countEvery spaces out the counts of a pool's workers with room.
 	countEvery = 100 * tackclock.Millisecond
+	// idleEvery is how often a pool should hear of a worker that runs nothing, and
+	// idleMost how long each of them waits at most: with the quarter by which waits are
+	// changed it stays below silentAfter.
+	idleEvery = tackclock.Millisecond
+	idleMost  = 1200 * tackclock.Millisecond
 	// roomParts is the part of a worker's cores that must be free for it to count as
 	// one with room.
 	roomParts = 8
@@ -15,10 +20,10 @@
 
 // retry is when the worker should ask again.
 //
-// Load pattern: a pool of hundreds of VMs whose turn is over. Were all that have room
-// to ask as often as those of a small pool, the leader would be busy with answers that
-// order nothing. What matters to an item that comes is how soon any of them asks. The
-// leader of 3,006 workers takes 56.8 % of a core for 62.9 (one run of each).
+// Load pattern: a pool of hundreds of VMs whose turn is over, or of a thousand of which a
+// turn takes a part. Were all that have room to ask as often as those of a small pool, the
+// leader would be busy with answers that order nothing. What matters to an item that comes
+// is how soon any of them asks.
 func (d *Dispatcher) retry(now tackclock.Time, w *worker) tackclock.Duration {
 	if len(w.ends.pending) > 0 {
 		return d.cfg.Retry
@@ -30,7 +35,11 @@
 	if len(p.steps) > 0 {
 		return d.cfg.Retry // something waits
 	}
-	wait := min(d.cfg.RetryBusy, roomEvery*tackclock.Duration(p.withRoom(now)))
+	others := tackclock.Duration(p.withRoom(now))
+	wait := min(d.cfg.RetryBusy, roomEvery*others)
+	if w.runsNothing() {
+		wait = max(wait, min(idleMost, idleEvery*others))
+	}
 	return max(d.cfg.Retry, w.dither(wait))
 }
 
--- a/core/tackpool/free.go
+++ b/core/tackpool/free.go
@@ -101,17 +101,36 @@
 	return list
 }
 
-// park sends VMs that have been idle for long to the standby pool.
-func (p *Planner) park(pools []Pool, free []freeVM, limit int) []Move {
+// park sends VMs to the standby pool: those that have been idle for long, and those
+// beyond the reserve. The latter leave half of the moves to what is needed meanwhile.
+func (p *Planner) park(pools []Pool, free []freeVM, spare map[tackid.Service]int, limit int) []Move {
 	at := slices.IndexFunc(pools, func(p Pool) bool { return p.Standby })
 	if at < 0 {
 		return nil
 	}
 	var moves []Move
+	surplus := 0
 	for _, vm := range free {
-		if len(moves) < limit && !vm.standby && !vm.needed && !vm.kept && vm.Idle >= p.ParkAfter {
-			moves = append(moves, Move{VM: vm.Name, From: vm.from, To: pools[at].Service})
+		if len(moves) >= limit {
+			break
 		}
+		if vm.standby || vm.needed || vm.kept {
+			continue
+		}
+		if vm.Idle < p.ParkAfter {
+			if surplus >= limit/2 || !p.isSurplus(&vm, spare[vm.from]) {
+				continue
+			}
+			surplus++
+		}
+		spare[vm.from] -= vm.Room.MilliCores
+		moves = append(moves, Move{VM: vm.Name, From: vm.from, To: pools[at].Service})
 	}
 	return moves
 }
+
+// isSurplus reports whether a pool that has so many thousandths of a core to spare has
+// its reserve without the VM.
+func (p *Planner) isSurplus(vm *freeVM, spare int) bool {
+	return p.Reserve > 0 && vm.Idle >= surplusAfter && spare-vm.Room.MilliCores >= p.Reserve
+}
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"auburntack/core/tackclock"
@@ -66,6 +67,10 @@
 		// KeepPercent is the part of a pool's VMs that stays however idle they
 		// are, so that the first jobs of a turn start at once.
 		KeepPercent int
+		// Reserve is how many thousandths of a core each pool has at hand beside what it
+		// is to do. VMs beyond it rest at once. Zero says that it is not known. See the
+		// type Reserve.
+		Reserve int
 	}
 
 	// VM is a worker's VM in a pool, or on its way to one.
@@ -192,8 +197,8 @@
 		}
 	}
 	return Plan{
-		Moves:   append(moves, p.park(pools, free, limit-len(moves))...),
-		Emptied: p.empty(pools, needs, spare),
+		Emptied: p.empty(pools, needs, maps.Clone(spare)),
+		Moves:   append(moves, p.park(pools, free, spare, limit-len(moves))...),
 	}
 }
 
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -66,17 +66,30 @@
 	})
 }
 
-// relink links this VM with all members, with the seeds, and with those that
-// it was told of.
+// relink links this VM with all members, with the seeds, and with those that it was told
+// of.
 func (c *Control) relink() {
-	var peers []tackpeer.Peer
+	c.links.SetPeers(c.peers(c.node.Members()))
+}
+
+// peers are the control VMs that this one is linked with. Of two members that do not vote
+// neither leads, and they have nothing to tell each other: were they connected, the
+// connections would grow with the square of the control VMs. One that came to vote behind
+// this VM's back connects, and is answered.
+func (c *Control) peers(members []tackreplica.Member) []tackpeer.Peer {
+	learns := make(map[tackid.Peer]bool)
+	for _, m := range members {
+		learns[m.Peer] = !m.Voter
+	}
+	var list []tackpeer.Peer
+	added := map[tackid.Peer]bool{c.cfg.Self: true}
 	add := func(p tackid.Peer, address string) {
-		known := slices.ContainsFunc(peers, func(o tackpeer.Peer) bool { return o.ID == p })
-		if p != c.cfg.Self && !known {
-			peers = append(peers, tackpeer.Peer{ID: p, Address: address})
+		if !added[p] {
+			added[p] = true
+			list = append(list, tackpeer.Peer{ID: p, Address: address, Answering: learns[c.cfg.Self] && learns[p]})
 		}
 	}
-	for _, m := range c.node.Members() {
+	for _, m := range members {
 		add(m.Peer, m.Address)
 	}
 	for _, p := range c.cfg.Seeds() {
@@ -85,7 +98,7 @@
 	for p := range c.members.known {
 		add(p, c.linkAddress(p))
 	}
-	c.links.SetPeers(peers)
+	return list
 }
 
 // tendMembers has the leader take one step towards the membership it wants:
--- /dev/null
+++ b/io/tackcontrol/members_test.go
@@ -0,0 +1,55 @@
+package tackcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
+)
+
+func controlVM(n int) tackid.Peer {
+	return tackid.Peer(fmt.Sprintf("10.0.0.%d", n))
+}
+
+// connects is how many control VMs the one of that number connects to, of so many of which
+// the first voters vote.
+func connects(self, members, voters int) int {
+	seeds := func() []tackid.Peer { return []tackid.Peer{controlVM(0), controlVM(1), controlVM(2)} }
+	c := &Control{cfg: Config{Self: controlVM(self), Seeds: seeds}}
+	var list []tackreplica.Member
+	for n := range members {
+		list = append(list, tackreplica.Member{Peer: controlVM(n), Voter: n < voters})
+	}
+	n := 0
+	for _, p := range c.peers(list) {
+		if !p.Answering {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against links that grow with the square of the control VMs: what a VM without a
+// vote connects to does not depend on how many there are.
+func TestLinksBoundOfVMsWithoutAVote(t *testing.T) {
+	const voters = 5
+	for _, members := range []int{6, 24, 96} {
+		if got := connects(members-1, members, voters); got != voters {
+			t.Errorf("one of %d connects to %d, want the %d that vote", members, got, voters)
+		}
+		if got := connects(0, members, voters); got != members-1 {
+			t.Errorf("one of %d that votes connects to %d, want all others", members, got)
+		}
+	}
+}
+
+func TestLinksBeforeMembership(t *testing.T) {
+	seeds := func() []tackid.Peer { return []tackid.Peer{controlVM(0), controlVM(1)} }
+	c := &Control{cfg: Config{Self: controlVM(9), Seeds: seeds}}
+	for _, p := range c.peers([]tackreplica.Member{{Peer: controlVM(0), Voter: true}, {Peer: controlVM(5)}}) {
+		if p.Answering {
+			t.Errorf("a VM that is no member yet does not connect to %s", p.ID)
+		}
+	}
+}
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -30,6 +30,7 @@
 	upkeeps    metrics.Counter
 	leads      metrics.Gauge
 	restAfter  metrics.Gauge
+	reserve    metrics.Gauge
 	jobs       metrics.Gauge
 	decided    metrics.Histogram
 	committed  metrics.Histogram
@@ -60,6 +61,7 @@
 		upkeeps:    counter("vm_upkeeps"),
 		leads:      gauge("control_leads"),
 		restAfter:  gauge("vm_rest_after_ms"),
+		reserve:    gauge("vm_reserve_millicores"),
 		jobs:       gauge("jobs_known"),
 		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
 		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -96,18 +96,23 @@
 	return max(movesAtOnce, vms/movesPart)
 }
 
-// planner is the planner of moves with the time before rest that the load calls for.
+// planner is the planner of moves with the time before rest and the reserve that the load
+// calls for.
 // The caller holds mu.
 func (c *Control) planner(now tackclock.Time, pools []tackpool.Pool) tackpool.Planner {
 	p := c.cfg.Moves.WithDefaults()
-	c.upkeep.rest.Observe(now, pools)
-	p.ParkAfter = c.upkeep.rest.After(now, p.ParkAfter)
-	if p.ParkAfter != c.upkeep.restAfter {
+	u := &c.upkeep
+	u.rest.Observe(now, pools)
+	u.reserve.Observe(now, p, pools)
+	p.ParkAfter, p.Reserve = u.rest.After(now, p.ParkAfter), u.reserve.MilliCores(now)
+	if p.ParkAfter != u.restAfter || p.Reserve != u.reserved {
 		c.log.WithFields(logrus.Fields{
-			"after_ms": int64(p.ParkAfter), "before_ms": int64(c.upkeep.restAfter), "idle_times": c.upkeep.rest.Known(),
+			"after_ms": int64(p.ParkAfter), "before_ms": int64(u.restAfter), "idle_times": u.rest.Known(),
+			"reserve_millicores": p.Reserve, "reserve_before": u.reserved,
 		}).Info("rest judged")
-		c.upkeep.restAfter = p.ParkAfter
+		u.restAfter, u.reserved = p.ParkAfter, p.Reserve
 		c.meters.restAfter.Update(int64(p.ParkAfter))
+		c.meters.reserve.Update(int64(p.Reserve))
 	}
 	return p
 }
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -59,6 +59,10 @@
 		rest tackpool.Rest
 		// restAfter is what it judged last.
 		restAfter tackclock.Duration
+		// reserve judges how much each pool has at hand, reserved is what it judged last,
+		// in thousandths of a core.
+		reserve  tackpool.Reserve
+		reserved int
 	}
 )
 
@@ -71,6 +75,7 @@
 	u.from, u.lookAt = now, now
 	u.calls = make(map[tackid.VM]bool)
 	u.rest, u.restAfter = tackpool.Rest{}, 0
+	u.reserve, u.reserved = tackpool.Reserve{}, 0
 }
 
 // StartWave accepts a wave of upkeep.
--- a/io/tackforward/watch.go
+++ b/io/tackforward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,12 @@
 	// time without an answer of one a look is made. Traffic makes most needless.
 	watchEvery = 200 * time.Millisecond
 	quietAfter = 400 * tackclock.Millisecond
+	// lookAtOnce bounds how many control VMs one look asks while the leader is not
+	// known. Each that is within reach names it.
+	lookAtOnce = 5
+	// lookHedge is how long the leader may take to answer a look before others are asked
+	// as well. One that lost its power answers nothing.
+	lookHedge = 100 * time.Millisecond
 	// cutOffAfter is after which time without a leader a VM is cut off. An
 	// election takes one to two seconds, and callers are better off waiting for
 	// its end than being sent away.
@@ -57,16 +64,13 @@
 	return c.clock.Now().Sub(c.heard)
 }
 
-// look asks all control VMs at the same time who leads. Those that are cut off
-// answer nothing for as long as a call may take, so one after the other would
-// find a leader seconds late. quiet is how long none had answered before. A VM
-// that was frozen meanwhile must look again before it takes itself for cut off.
+// look asks the leader whether it leads, and others who does if none answers or none is
+// known. quiet is how long none had answered before. A VM that was frozen meanwhile must
+// look again before it takes itself for cut off.
 func (c *Client) look(ctx context.Context, quiet tackclock.Duration) {
-	var group sync.WaitGroup
-	for _, p := range c.order() {
-		group.Go(func() { c.lookAt(ctx, p) })
+	if !c.lookAtLeader(ctx) {
+		c.lookAtSome(ctx)
 	}
-	group.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if quiet > cutOffAfter && c.clock.Now().Sub(c.heard) >= quiet {
@@ -74,16 +78,58 @@
 	}
 }
 
-func (c *Client) lookAt(ctx context.Context, p tackid.Peer) {
+// Leader is the control VM that is taken for the leader; empty if none is.
+func (c *Client) Leader() tackid.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// lookAtLeader reports whether the leader, if one is known, soon says that it leads.
+func (c *Client) lookAtLeader(ctx context.Context) bool {
+	leader := c.Leader()
+	if leader == "" {
+		return false
+	}
+	leads := make(chan bool, 1)
+	go func() { leads <- c.lookAt(ctx, leader) }()
+	select {
+	case yes := <-leads:
+		return yes
+	case <-time.After(lookHedge):
+		return false
+	}
+}
+
+// lookAtSome asks some control VMs at the same time who leads. Those that are cut off
+// answer nothing for as long as a call may take, so one after the other would find a
+// leader seconds late.
+//
+// Load pattern: the leader is lost, and hundreds of entry VMs look for the next one in the
+// same instant. Were each to ask all control VMs, the calls would grow with the product of
+// both.
+func (c *Client) lookAtSome(ctx context.Context) {
+	peers := c.order()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var group sync.WaitGroup
+	for _, p := range peers[:min(len(peers), lookAtOnce)] {
+		group.Go(func() { c.lookAt(ctx, p) })
+	}
+	group.Wait()
+}
+
+// lookAt asks a control VM who leads, and reports whether it does itself.
+func (c *Client) lookAt(ctx context.Context, p tackid.Peer) bool {
 	var a tackwork.Answer
 	if err := c.post(ctx, p, leaderPath, nil, &a); err != nil {
 		c.log.WithField("peer", p).WithError(err).Debug("control VM not reached")
-		return
+		return false
 	}
 	if a.NotLeader {
 		p = a.Leader
 	}
 	c.follow(p, a)
+	return !a.NotLeader
 }
 
 // setCutOff notes a change. The caller holds mu.
--- a/io/tackpeer/link.go
+++ b/io/tackpeer/link.go
@@ -57,7 +57,7 @@
 // run keeps a connection to the peer until ctx ends.
 func (k *link) run(ctx context.Context) {
 	backoff := minBackoff
-	for ctx.Err() == nil {
+	for k.awaitPeer(ctx) {
 		began := time.Now()
 		err := k.connect(ctx)
 		if ctx.Err() != nil {
@@ -72,6 +72,25 @@
 	}
 }
 
+// awaitPeer waits until there is reason to connect to the peer; false once ctx has ended.
+func (k *link) awaitPeer(ctx context.Context) bool {
+	for k.peer.Answering && !k.isAccepted() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-k.kick:
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// isAccepted reports whether the peer is connected to this VM.
+func (k *link) isAccepted() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.accepted != nil
+}
+
 // report logs why the link is down, aloud where it is for another reason than
 // the time before.
 func (k *link) report(err error) {
--- a/io/tackpeer/links.go
+++ b/io/tackpeer/links.go
@@ -46,6 +46,9 @@
 		DataCentre tackid.DataCentre
 		// Address is an IP number with a port.
 		Address string
+		// Answering says that this VM connects to the peer only while the peer is
+		// connected to this VM.
+		Answering bool
 	}
 
 	// Config says who this VM is and whom it talks to. Zero durations and
--- a/io/tackpeer/links_test.go
+++ b/io/tackpeer/links_test.go
@@ -118,3 +118,31 @@
 		}
 	})
 }
+
+// Guards against peers that connect to each other without need, and against one that is
+// connected to and cannot answer.
+func TestAnsweringPeers(t *testing.T) {
+	noLeaks(t)
+	pair := func(t *testing.T, answering ...bool) []*node {
+		listeners := []net.Listener{listen(t), listen(t)}
+		var nodes []*node
+		for i, answers := range answering {
+			other := Peer{ID: tackid.Peer(fmt.Sprintf("vm-%d", 1-i)), Address: listeners[1-i].Addr().String(), Answering: answers}
+			n := serve(Config{Self: tackid.Peer(fmt.Sprintf("vm-%d", i)), Listener: listeners[i], Peers: []Peer{other}})
+			t.Cleanup(n.stop)
+			nodes = append(nodes, n)
+		}
+		return nodes
+	}
+	t.Run("one connects, the other answers", func(t *testing.T) {
+		nodes := pair(t, false, true)
+		eventually(t, "both are up", func() bool { return nodes[0].up("vm-1") && nodes[1].up("vm-0") })
+	})
+	t.Run("neither connects", func(t *testing.T) {
+		nodes := pair(t, true, true)
+		time.Sleep(4 * minBackoff.Std())
+		if nodes[0].up("vm-1") || nodes[1].up("vm-0") {
+			t.Error("one of two peers that only answer has connected")
+		}
+	})
+}
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -103,8 +103,9 @@
 
 	// Log says what is logged and how. Level is a logrus level's name.
 	Log struct {
-		Level  string
-		Format LogFormat
+		Level     string
+		Format    LogFormat
+		Profiling bool
 	}
 
 	// Replica holds the times of the replicated log.
--- a/io/tacksettings/table.go
+++ b/io/tacksettings/table.go
@@ -130,6 +130,9 @@
 	{section: "log", key: "format", kind: kindChoice, initial: "text", choices: []string{"text", "json"},
 		doc:   "form of a log line",
 		field: func(s *Settings, _ *member) any { return &s.Log.Format }},
+	{section: "log", key: "profiling", kind: kindBool, initial: "false",
+		doc:   "whether processor and memory profiles are served under `/debug/pprof/` beside the metrics",
+		field: func(s *Settings, _ *member) any { return &s.Log.Profiling }},
 
 	{section: "replica", key: "heartbeat_ms", kind: kindMillis, initial: "200", low: 10, high: 10_000,
 		doc:   "how often the leader calls on each peer",
--- a/io/tackstandin/daemon.go
+++ b/io/tackstandin/daemon.go
@@ -335,7 +335,13 @@
 // CPU returns how many milliseconds of processor time the process has used,
 // and its resident memory in KiB.
 func (d *Daemon) CPU() (ms int64, residentKiB int64, err error) {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
+	return ProcessUse(d.PID())
+}
+
+// ProcessUse returns how many milliseconds of processor time a process has used,
+// and its resident memory in KiB.
+func ProcessUse(pid int) (ms int64, residentKiB int64, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, 0, err
 	}
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -12,6 +12,7 @@
 	"auburntack/io/tackhttp"
 	"auburntack/io/tackloop"
 	"auburntack/io/tackoperator"
+	"auburntack/io/tackprofile"
 	"auburntack/io/tacksettings"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +61,9 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	operator := tackoperator.NewServer(v, v.registry, v.log)
+	if v.cfg.Log.Profiling {
+		operator.Handler = tackprofile.Beside(operator.Handler)
+	}
 	supervisor := v.supervise(ports, caller, operator)
 	ended := supervisor.ServeBackground(serving)
 	go v.watchReady(serving)
