Readmit the last backend server of a service, though it was ejected

Sequence: of two candidates one fails and is ejected since the other does better; the other leaves the table. Cause: ejections were judged against candidates that are none any more, and nothing looked at them again, so the service answered nothing for up to 16 s. Ruled out: the bound on ejections when they are made (TestNeverEjectsAll passes). Before: TestLastCandidateIsReadmitted fails with a capacity of 0; after: one request on probation. 3,000 random machines pass.

--- a/core/tackroute/chooser.go
+++ b/core/tackroute/chooser.go
@@ -158,6 +158,20 @@
 			c.leave(s)
 		}
 	}
+	c.readmit()
+}
+
+// readmit puts all candidates on probation if each has been ejected since it last answered.
+// They were ejected since others did better, and those are no candidates any more.
+func (c *Chooser) readmit() {
+	for _, s := range c.servers {
+		if s.record.until == 0 {
+			return
+		}
+	}
+	for _, s := range c.servers {
+		s.record.until = 0
+	}
 }
 
 // Pick chooses a backend server and takes one of its slots, which Done gives
--- a/core/tackroute/outcome_test.go
+++ b/core/tackroute/outcome_test.go
@@ -186,3 +186,23 @@
 	}
 	return best
 }
+
+// Guards against a service that answers nothing although a backend server serves: it was
+// ejected since others did better, and those have left since.
+func TestLastCandidateIsReadmitted(t *testing.T) {
+	var c tackroute.Chooser
+	table := candidates(here, 2)
+	c.SetCandidates(table)
+	others := tackroute.Ask{Home: here, Exclude: []tackid.BackendServer{table[0].BackendServer}}
+	for range 5 {
+		got, _ := c.Pick(0, others)
+		c.Done(0, got, tackroute.Outcome{Result: tackroute.Silent})
+	}
+	if got := c.Capacity(0, others); got != table[0].Slots {
+		t.Fatalf("capacity of %d, want that of the other alone, %d", got, table[0].Slots)
+	}
+	c.SetCandidates(table[1:])
+	if got := c.Capacity(0, tackroute.Ask{Home: here}); got != 1 {
+		t.Errorf("capacity of %d with the ejected one alone, want a request on probation", got)
+	}
+}
--- a/core/tackroute/record.go
+++ b/core/tackroute/record.go
@@ -57,6 +57,7 @@
 	if r.probation == 0 {
 		return
 	}
+	r.until = 0
 	r.probation *= 2
 	if r.probation > share {
 		r.probation, r.ejected = 0, 0
