Find what a worker has room for without a walk over its pool

Cause: each heartbeat walked all steps that wait in its pool four times and, for a worker that runs nothing, all workers of the pool; with gangs that wait all workers for eight of them; each job handed in walked all open jobs; each tick of 25 ms walked all workers and all lives that are over. All of these grow with the fleet, and so does their number. Change: steps wait in core/tackqueue, ordered by rank and parted by size and by what may start now; pools keep sums of what their workers have and an index by free cores; owed work and jobs not begun are kept up with each job; a heap says which worker may have fallen silent. The world of the tests checks the sums against the workers at each step.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -28,14 +28,6 @@
 		ComeBack tackclock.Duration
 		Reason   string
 	}
-
-	// owed is work that is accepted and not done, in milliseconds of thousandths of a
-	// core, by the estimates.
-	owed struct {
-		pool      int64 // of the pool
-		workspace int64 // of the workspace, in all pools
-		both      int64 // of the workspace, in this pool
-	}
 )
 
 // Admit decides whether a job is accepted that is handed in for a workspace.
@@ -59,8 +51,8 @@
 	p := d.pool(q.Service)
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
-	work := d.owedWork(q.Service, workspace)
-	cores := p.capacity().MilliCores
+	work := d.owed.of(owner{service: q.Service, workspace: workspace})
+	cores := p.sums.capacity.MilliCores
 	takes := timeFor(work.pool, cores) + chain
 	// What a workspace's share of the pool does in time need not wait for what others sent.
 	share := int(float64(cores) * account.Share())
@@ -85,39 +77,3 @@
 	}
 	return tackclock.Duration(work / int64(milliCores))
 }
-
-// owedWork is what is accepted and not done of a service, and of a workspace.
-func (d *Dispatcher) owedWork(service tackid.Service, workspace tackid.Workspace) owed {
-	var sum owed
-	for _, o := range d.jobs {
-		if !o.ends() || o.Service != service && (workspace == "" || o.Workspace != workspace) {
-			continue
-		}
-		left := o.workLeft()
-		if o.Service == service {
-			sum.pool += left
-		}
-		if workspace != "" && o.Workspace == workspace {
-			sum.workspace += left
-			if o.Service == service {
-				sum.both += left
-			}
-		}
-	}
-	return sum
-}
-
-// workLeft is the job's work that is not done, in milliseconds of thousandths
-// of a core, by its estimates.
-func (o *openJob) workLeft() int64 {
-	var left int64
-	for i := range o.Steps {
-		s := &o.Steps[i]
-		n := s.Count
-		if p, ok := o.Progress[0]; ok {
-			n -= p.Steps[i].Count
-		}
-		left += s.Work(n)
-	}
-	return left
-}
--- a/core/tackdispatch/advice.go
+++ b/core/tackdispatch/advice.go
@@ -47,7 +47,7 @@
 // in rank and has no ticket that is valid; false if there is none.
 func (d *Dispatcher) AdviceWanted(now tackclock.Time) (AdviceRequest, bool) {
 	for _, p := range d.pools {
-		for _, s := range p.steps {
+		for s := range p.steps.All() {
 			if !s.job.Advised || len(s.waiting) == 0 || s.advice.asked || now < s.advice.askAt || s.advice.valid(now) {
 				continue
 			}
--- /dev/null
+++ b/core/tackdispatch/cost_test.go
@@ -0,0 +1,185 @@
+package tackdispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
+)
+
+// crowd is a pool of workers that do what they are told and never end anything, without
+// the checks of a world.
+type crowd struct {
+	now     tackclock.Time
+	d       *Dispatcher
+	jobs    tackjob.Table
+	reports []*Report
+}
+
+func newCrowd(workers int) *crowd {
+	c := &crowd{now: 1_000_000, d: New(Config{})}
+	c.d.Reset(c.now, 1, Inherited{Jobs: &c.jobs})
+	for n := range workers {
+		c.reports = append(c.reports, &Report{
+			Worker: WorkerID(fmt.Sprintf("i-%d", n)), VM: tackid.VM(fmt.Sprintf("m-%d", n)), Service: "names-api",
+			Labels: []string{"a", fmt.Sprintf("r-%d", n/12)}, Capacity: tackroom.Room{MilliCores: 16_000, MemoryMB: 32_768},
+		})
+	}
+	return c
+}
+
+func (c *crowd) submit(n int, steps ...tackjob.Step) {
+	spec := tackjob.Spec{ID: job(n), Queue: testQueue.QueueKey, Steps: steps}
+	j := &tackjob.Job{Spec: spec, Service: "names-api", Attempts: 2, Stretch: 1.6, Objective: tackclock.Hour}
+	c.d.Accepted(c.now, c.jobs.Accept(j, 1, c.now))
+}
+
+// round has every worker send a heartbeat within the time after which busy workers send
+// theirs, and returns what each made the dispatcher look at, and how many items were
+// started.
+func (c *crowd) round() (looked float64, started int) {
+	const tick = 25
+	before := c.d.Looked()
+	for i, r := range c.reports {
+		if i%max(1, len(c.reports)*tick/int(defaultRetryBusy)) == 0 {
+			c.now = c.now.Add(tick)
+			c.d.Tick(c.now)
+		}
+		r.Sequence++
+		o, _, _ := c.d.Heartbeat(c.now, r)
+		started += len(o.Start)
+		for _, s := range o.Start {
+			r.Running = append(r.Running, Running{Item: s.Item, Run: s.Run, Percent: 1})
+		}
+	}
+	return float64(c.d.Looked()-before) / float64(len(c.reports)), started
+}
+
+// assertFlat fails the test if the figure at the large size is over twice that at the
+// small one.
+func assertFlat(t *testing.T, what string, small, large float64) {
+	t.Helper()
+	t.Logf("%s: %.2f and %.2f", what, small, large)
+	if large > 2*max(small, 1) {
+		t.Errorf("%s: %.2f at the large size for %.2f at the small one", what, large, small)
+	}
+}
+
+// Guards against heartbeats whose cost grows with the workers of their pool and with what
+// waits there: a fleet of twice the size would cost its leader four times as much.
+func TestHeartbeatCostBound(t *testing.T) {
+	const small, large = 349, 6000
+	long := func(count int, cores float64) tackjob.Step { return batch(count, cores, tackclock.Hour) }
+	for _, test := range []struct {
+		name string
+		fill func(c *crowd, workers int)
+	}{
+		{"idle workers", func(*crowd, int) {}},
+		{"full workers, and as many jobs that wait", func(c *crowd, workers int) {
+			for n := range 2 * workers {
+				c.submit(n, long(8, 2))
+			}
+		}},
+		{"workers with room too small for the jobs that wait", func(c *crowd, workers int) {
+			for n := range workers {
+				c.submit(n, long(1, 13))
+			}
+			for n := range workers {
+				c.submit(workers+n, long(4, 5))
+			}
+		}},
+		{"idle workers beside some that do", func(c *crowd, workers int) {
+			for n := range workers / 8 {
+				c.submit(n, long(4, 1))
+			}
+		}},
+		{"gangs that wait", func(c *crowd, workers int) {
+			for n := range workers {
+				c.submit(n, long(8, 2))
+			}
+			gang := long(8, 4)
+			gang.Gang = true
+			for n := range workers / 4 {
+				c.submit(workers+n, gang)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var looked [2]float64
+			for i, workers := range []int{small, large} {
+				c := newCrowd(workers)
+				test.fill(c, workers)
+				for range 3 {
+					c.round()
+				}
+				looked[i], _ = c.round()
+			}
+			assertFlat(t, "looked at for a heartbeat", looked[0], looked[1])
+		})
+	}
+}
+
+// Guards against a request whose cost grows with the jobs that are open.
+func TestAdmissionCostBound(t *testing.T) {
+	allocations := func(jobs int) float64 {
+		c := newCrowd(4)
+		c.round()
+		for n := range jobs {
+			c.submit(n, batch(8, 2, tackclock.Second))
+		}
+		spec := &tackjob.Spec{ID: job(jobs), Queue: testQueue.QueueKey, Steps: []tackjob.Step{batch(8, 2, tackclock.Second)}}
+		before := c.d.Looked()
+		c.d.Admit(c.now, &testQueue, spec, "")
+		c.d.Pending(testQueue.QueueKey)
+		return float64(c.d.Looked() - before)
+	}
+	assertFlat(t, "looked at for a request", allocations(100), allocations(10_000))
+}
+
+// Guards against sums of a pool, kept up with each change, that drift from what its
+// workers have.
+func assertSums(t failer, d *Dispatcher, now tackclock.Time) {
+	t.Helper()
+	for _, p := range d.pools {
+		var want sums
+		for at, w := range p.workers {
+			if w.at != at {
+				t.Fatalf("worker %s stands at %d, and says %d", w.id, at, w.at)
+			}
+			want.add(&w.counted)
+			if !w.draining && w.counted.capacity != w.capacity {
+				t.Fatalf("worker %s counts with %v of %v", w.id, w.counted.capacity, w.capacity)
+			}
+			if x := w.free; !x.indexed || p.free.bySize[x.size][x.at] != w {
+				t.Fatalf("worker %s is not where the index of free cores has it", w.id)
+			}
+		}
+		if want != p.sums {
+			t.Fatalf("the pool's sums are %+v, its workers have %+v", p.sums, want)
+		}
+	}
+	var work owedWork
+	for _, o := range d.jobs {
+		if o.ends() {
+			work.change(owner{service: o.Service, workspace: o.Workspace}, o.workLeft())
+		}
+	}
+	for service, left := range d.owed.services {
+		if work.services[service] != left {
+			t.Fatalf("%s is owed %d, its jobs %d", service, left, work.services[service])
+		}
+	}
+	for queue, n := range d.unbegun {
+		for _, o := range d.jobs {
+			if o.Queue == queue && !o.started {
+				n--
+			}
+		}
+		if n != 0 {
+			t.Fatalf("the count of jobs of %v that have not begun is off by %d", queue, n)
+		}
+	}
+}
--- a/core/tackdispatch/demand.go
+++ b/core/tackdispatch/demand.go
@@ -70,7 +70,7 @@
 	b := d.backlogOf(now, p)
 	list := []tackpool.Demand{{Backlog: b.inTime + refused, Pressing: b.pressing, Soon: refused, Late: b.late, Arriving: arriving}}
 	at := make(map[string]int) // of a label in list
-	for _, s := range p.steps {
+	for s := range p.steps.All() {
 		if len(s.waiting) == 0 {
 			continue
 		}
--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -454,8 +454,8 @@
 	w.submit(job(3), batch(4, 4, 400))
 	for _, s := range w.d.jobs[job(2)].steps {
 		w.d.pool("names-api").closeStep(s)
-		s.rank.priority = 1
-		w.d.pool("names-api").open(s)
+		s.rank.Priority = 1
+		w.d.open(w.now, w.d.pool("names-api"), s)
 	}
 	w.run(1300)
 	assertPhase(t, w, job(3), tackjob.Complete)
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 
+	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
@@ -35,6 +36,8 @@
 	// lateFor is for how long late heartbeats of a life are told from new ones. What
 	// a partition holds up arrives within seconds of its end.
 	lateFor = tackclock.Minute
+	// forgetEvery spaces out the looks for lives that are to be forgotten.
+	forgetEvery = tackclock.Second
 	// measureEvery spaces out the sums over all workers.
 	measureEvery = 250 * tackclock.Millisecond
 	// endsInReport is how many ends a worker lists at a time. A list of this
@@ -105,6 +108,14 @@
 		pools   map[tackid.Service]*pool
 		jobs    map[tackjob.ID]*openJob
 		running map[tackjob.Item]*run
+		// owed is the work of jobs, unbegun how many of each queue have not begun.
+		owed    owedWork
+		unbegun map[tackcatalog.QueueKey]int
+		// checks says when a worker may have fallen silent.
+		checks   checks
+		forgetAt tackclock.Time
+		// looked counts the workers and jobs that decisions have passed.
+		looked uint64
 		// timed are jobs with occurrences that are not due yet.
 		timed   map[tackjob.ID]*openJob
 		cordon  map[tackid.VM]bool
@@ -204,7 +215,7 @@
 func (d *Dispatcher) Reset(now tackclock.Time, term tackreplica.Term, log Inherited) {
 	// A worker counts its lease from when it sent the heartbeat, which was
 	// before the earlier leader's own lease ended.
-	d.began, d.sure, d.measureAt = now, d.leaseEnd(now), now
+	d.began, d.sure, d.measureAt, d.forgetAt = now, d.leaseEnd(now), now, now
 	if term != d.term {
 		d.term, d.runs, d.fresh = term, 0, term
 		d.quota.Begin(d.sure, log.Workspaces, log.Grants)
@@ -222,6 +233,7 @@
 	d.pools = make(map[tackid.Service]*pool)
 	d.jobs = make(map[tackjob.ID]*openJob)
 	d.running = make(map[tackjob.Item]*run)
+	d.owed, d.unbegun, d.checks = owedWork{}, make(map[tackcatalog.QueueKey]int), nil
 	d.timed = make(map[tackjob.ID]*openJob)
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
@@ -253,6 +265,16 @@
 	d.quota.Granted(list)
 }
 
+// Looked counts the steps, workers and jobs that decisions have passed since the start. It
+// shows what a heartbeat or a request costs, whatever the machine.
+func (d *Dispatcher) Looked() uint64 {
+	looked := d.looked
+	for _, p := range d.pools {
+		looked += p.steps.Looked
+	}
+	return looked
+}
+
 // Owes reports whether a job is owed by the service.
 func (d *Dispatcher) Owes(service tackid.Service) bool {
 	for _, o := range d.jobs {
@@ -285,6 +307,7 @@
 			d.lapse(now, w)
 			continue
 		}
+		d.recount(now, w)
 		d.copySilent(now, w)
 		if !most && now.Sub(w.heardAt) >= doubtAfter {
 			d.doubt(now, w)
@@ -305,26 +328,17 @@
 	d.measureAt = now.Add(measureEvery)
 	var all tackroom.Room
 	for _, p := range d.pools {
-		all = all.Plus(p.capacity())
+		all = all.Plus(p.sums.capacity)
 	}
 	d.quota.SetRoom(all)
 }
 
-// unheard are the workers that are silent, in the order of their ids, so that the same
-// faults bring the same outcome.
-func (d *Dispatcher) unheard(now tackclock.Time) []*worker {
-	var list []*worker
-	for _, w := range d.workers {
-		if now.Sub(w.heardAt) >= min(doubtAfter, d.cfg.CopyAfter) || now >= w.leaseUntil {
-			list = append(list, w)
-		}
-	}
-	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
-	return list
-}
-
 // forget drops what is kept of lives only to tell late heartbeats.
 func (d *Dispatcher) forget(now tackclock.Time) {
+	if now < d.forgetAt {
+		return
+	}
+	d.forgetAt = now.Add(forgetEvery)
 	for _, x := range d.silences.Expire(now.Add(-lateFor)) {
 		d.dismiss(&x)
 	}
@@ -386,6 +400,9 @@
 		d.requeue(now, r)
 	}
 	w.forgetStrange()
+	if p := d.pools[w.service]; p != nil {
+		p.remove(w)
+	}
 	delete(d.workers, w.id)
 	if d.names[w.id.Name()] == w {
 		delete(d.names, w.id.Name())
@@ -393,9 +410,6 @@
 	if d.lives[w.vm] == w {
 		delete(d.lives, w.vm)
 	}
-	if p := d.pools[w.service]; p != nil {
-		p.remove(w)
-	}
 	d.noteWorker(now, EventLost, w, reason)
 }
 
@@ -441,6 +455,7 @@
 	if r.copied != "" {
 		r.step.copies = slices.DeleteFunc(r.step.copies, func(o *run) bool { return o == r })
 	}
+	d.recount(now, w)
 }
 
 // requeue makes the item of a run that is over wait again.
@@ -450,7 +465,7 @@
 		return
 	}
 	s.wait(now, r.item.Index, r.checkpoint)
-	d.pool(s.job.Service).open(s)
+	d.open(now, d.pool(s.job.Service), s)
 }
 
 func (d *Dispatcher) pool(name tackid.Service) *pool {
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"math"
 	"slices"
 
 	"auburntack/core/tackclock"
@@ -68,7 +70,7 @@
 	if r.taken(now) || now.Sub(s.waiting[0].since) < reserveAfter {
 		return
 	}
-	hosts := d.hostsFor(now, p, s, (*worker).forWork)
+	hosts := d.hostsFor(now, p, s, slices.Values(p.workers), (*worker).forWork)
 	if hosts == nil {
 		return
 	}
@@ -90,11 +92,11 @@
 		d.tryGang(now, p, s)
 	}
 	tries := 0
-	for _, s := range p.steps {
+	for s := range p.steps.Fitting(math.MaxInt, func(shelf int) bool { return shelf&shelfGang != 0 }) {
 		if tries == gangTries {
 			return
 		}
-		if !s.Gang || s == p.reserved.gang || now < s.tryAt || !d.gangWaits(now, s) {
+		if s == p.reserved.gang || now < s.tryAt || !d.gangWaits(now, s) {
 			continue
 		}
 		s.tryAt = now.Add(tryAgain)
@@ -126,21 +128,24 @@
 	if d.mustBeAlone(now, s) {
 		room = (*worker).roomAlone
 	}
-	if hosts := d.hostsFor(now, p, s, room); hosts != nil {
+	if hosts := d.hostsFor(now, p, s, p.free.atLeast(s.Takes().MilliCores), room); hosts != nil {
 		d.planGang(now, s, hosts)
 		return
 	}
 	d.reserve(now, p, s)
 }
 
-// hostsFor returns a worker for each waiting item of the gang, or nil if the
-// room that workers have by the given measure does not do. Workers of one rack
-// are taken first.
-func (d *Dispatcher) hostsFor(now tackclock.Time, p *pool, s *openStep, room func(*worker) tackroom.Room) []*worker {
+// hostsFor returns one of the given workers for each waiting item of the gang, or nil if
+// the room that they have by the given measure does not do. Workers of one rack are taken
+// first.
+func (d *Dispatcher) hostsFor(
+	now tackclock.Time, p *pool, s *openStep, workers iter.Seq[*worker], room func(*worker) tackroom.Room,
+) []*worker {
 	racks := make(map[string][]*worker)
 	var all []*worker
 	stranded := d.stranded(now, p, s)
-	for _, w := range p.workers {
+	for w := range workers {
+		d.looked++
 		if !d.hosts(now, w, s, stranded) || !s.ticketed(now, w) {
 			continue
 		}
@@ -219,7 +224,7 @@
 			item: s.item(item.index), number: number, worker: hosts[i], step: s, takes: s.Takes(),
 			started: now, movedAt: now, sentIn: notSent, checkpoint: checkpoint, pace: fullPace,
 		}
-		d.place(r)
+		d.place(now, r)
 		unlogged := d.try(now, r)
 		hosts[i].planned = append(hosts[i].planned, planned{run: r, until: now.Add(d.cfg.GangWait * gangHoldPercent / 100), unlogged: unlogged})
 	}
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -1,11 +1,12 @@
 package tackdispatch
 
 import (
-	"cmp"
 	"slices"
 
+	"auburntack/core/tackcatalog"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackqueue"
 	"auburntack/core/tackquota"
 )
 
@@ -19,7 +20,10 @@
 		opened  int
 		started bool
 		closed  bool
-		fresh   bool // nobody before this dispatcher can have started any of it
+		// owedTo and owedWork are what owedWork.add has taken in of it.
+		owedTo   owner
+		owedWork int64
+		fresh    bool // nobody before this dispatcher can have started any of it
 		// deadline is when the job should be through to be of full worth.
 		deadline tackclock.Time
 	}
@@ -45,7 +49,9 @@
 		tryAt   tackclock.Time // when room is looked for again, for a gang
 		// heldAgain is when it is next noted that the workspace's cap holds items back.
 		heldAgain tackclock.Time
-		rank      rank
+		rank      tackqueue.Rank
+		// shelf is where it stands in its pool's queue.
+		shelf int
 		// restraints are those of the waiting items that may not start like the others.
 		restraints map[int32]restraint
 		// blamed counts the workers that crashed under each item, or may have, as far as
@@ -60,21 +66,12 @@
 		checkpoint string
 		since      tackclock.Time
 	}
-
-	// rank orders the steps of a pool; lower goes first.
-	rank struct {
-		class    int
-		priority int // the queue's, 0 first
-		deadline tackclock.Time
-		id       tackjob.ID
-	}
 )
 
-const (
-	rankServes = iota
-	rankBatch
-	rankFills
-)
+// QueueKey implements tackqueue.Entry.
+func (s *openStep) QueueKey() tackqueue.Key {
+	return tackqueue.Key{Rank: s.rank, MilliCores: s.Takes().MilliCores, Shelf: s.shelf}
+}
 
 func (s *openStep) key() stepKey {
 	return stepKey{job: s.job.ID, occurrence: s.occ, step: s.number}
@@ -98,13 +95,6 @@
 	return len(s.waiting) < before
 }
 
-func (r rank) compare(o rank) int {
-	return cmp.Or(
-		cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority),
-		cmp.Compare(r.deadline, o.deadline), cmp.Compare(r.id, o.id),
-	)
-}
-
 // Accepted takes in a job that the log has accepted, or holds since an earlier
 // leader.
 func (d *Dispatcher) Accepted(now tackclock.Time, j *tackjob.Job) {
@@ -120,7 +110,11 @@
 	chain := j.Chain()
 	o.deadline = j.Accepted.Add(tackclock.Duration(j.Stretch*float64(chain)) + j.Objective)
 	o.started = len(j.Progress) > 0
+	if !o.started {
+		d.unbegun[o.Queue]++
+	}
 	d.jobs[j.ID] = o
+	d.owed.add(o)
 	d.openDue(now, o)
 }
 
@@ -153,21 +147,29 @@
 		}
 		o.steps[key] = s
 		o.account.Expect(now, s.Room.Times(len(s.waiting)))
-		d.pool(o.Service).open(s)
+		d.open(now, d.pool(o.Service), s)
 	}
 }
 
-func (s *openStep) makeRank() rank {
-	r := rank{class: rankBatch, priority: s.job.Priority, deadline: s.job.deadline, id: s.job.ID}
+func (s *openStep) makeRank() tackqueue.Rank {
+	r := tackqueue.Rank{Class: tackqueue.Batch, Priority: s.job.Priority, Deadline: s.job.deadline, Job: s.job.ID}
 	switch {
 	case s.Fills:
-		r.class = rankFills
+		r.Class = tackqueue.Fills
 	case s.LongRunning:
-		r.class = rankServes
+		r.Class = tackqueue.Serves
 	}
 	return r
 }
 
+// begin takes in that something of a job has begun.
+func (d *Dispatcher) begin(o *openJob) {
+	if !o.started {
+		o.started = true
+		d.unbegun[o.Queue]--
+	}
+}
+
 // Closed takes in that a job is not owed any more. What runs of it is stopped
 // with the next heartbeats of its workers.
 func (d *Dispatcher) Closed(now tackclock.Time, id tackjob.ID) {
@@ -176,6 +178,8 @@
 		return
 	}
 	o.closed = true
+	d.owed.take(o)
+	d.begin(o) // it waits no more
 	delete(d.jobs, id)
 	delete(d.timed, id)
 	for _, s := range o.steps {
@@ -210,11 +214,13 @@
 	if s.ending > 0 {
 		s.ending--
 	}
+	d.owed.take(o)
+	d.owed.add(o)
 	if e.Failed {
 		if d.running[e.Item] == nil && !o.Done(e.Item) {
 			s.dropWaiting(e.Item.Index)
 			s.wait(now, e.Item.Index, "")
-			d.pool(o.Service).open(s)
+			d.open(now, d.pool(o.Service), s)
 		}
 		return
 	}
@@ -235,12 +241,6 @@
 }
 
 // Pending counts the jobs of a queue of which nothing has begun.
-func (d *Dispatcher) Pending(match func(*tackjob.Job) bool) int {
-	n := 0
-	for _, o := range d.jobs {
-		if !o.started && match(o.Job) {
-			n++
-		}
-	}
-	return n
+func (d *Dispatcher) Pending(queue tackcatalog.QueueKey) int {
+	return d.unbegun[queue]
 }
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -86,7 +86,7 @@
 func (d *Dispatcher) endMoves(now tackclock.Time, c *tackcatalog.Catalog) {
 	for vm, m := range d.moves {
 		if now.Sub(m.since) > d.cfg.Move+moveSlack {
-			d.giveUpMove(vm, m)
+			d.giveUpMove(now, vm, m)
 			continue
 		}
 		to := c.Service(m.to)
@@ -98,10 +98,11 @@
 
 // giveUpMove forgets a move that nobody knows to have happened. Without it the
 // VM would get no work for good.
-func (d *Dispatcher) giveUpMove(vm tackid.VM, m *moving) {
+func (d *Dispatcher) giveUpMove(now tackclock.Time, vm tackid.VM, m *moving) {
 	delete(d.moves, vm)
 	if w := d.lives[vm]; w != nil && w.id == m.life {
 		w.leaving = false
+		d.recount(now, w)
 	}
 }
 
@@ -170,6 +171,7 @@
 			d.noteWorker(now, EventEmptied, w, "")
 		}
 		w.emptiedUntil = now.Add(emptyFor)
+		d.recount(now, w)
 	}
 }
 
@@ -185,6 +187,7 @@
 	next := &moving{to: m.To, since: now}
 	if w := d.lives[m.VM]; w != nil {
 		w.leaving = true
+		d.recount(now, w)
 		next.life, next.room, next.labels = w.id, w.capacity, w.labels
 		d.noteWorker(now, EventMove, w, "to "+string(m.To))
 	} else {
@@ -216,6 +219,7 @@
 	case refused:
 		if here {
 			w.leaving = false
+			d.recount(now, w)
 		}
 		delete(d.moves, vm)
 	}
--- a/core/tackdispatch/retry.go
+++ b/core/tackdispatch/retry.go
@@ -6,8 +6,6 @@
 	// roomEvery is how often a pool should hear of a worker with room. An item that
 	// comes waits for the next one to ask, about as long as for its commit.
 	roomEvery = 20 * tackclock.Millisecond
-	// countEvery spaces out the counts of a pool's workers with room.
-	countEvery = 100 * tackclock.Millisecond
 	// idleEvery is how often a pool should hear of a worker that runs nothing, and
 	// idleMost how long each of them waits at most: with the quarter by which waits are
 	// changed it stays below silentAfter.
@@ -32,10 +30,10 @@
 		return d.cfg.RetryBusy
 	}
 	p := d.pools[w.service]
-	if len(p.steps) > 0 {
+	if p.some() {
 		return d.cfg.Retry // something waits
 	}
-	others := tackclock.Duration(p.withRoom(now))
+	others := tackclock.Duration(max(p.sums.roomy, 0))
 	wait := min(d.cfg.RetryBusy, roomEvery*others)
 	if w.runsNothing() {
 		wait = max(wait, min(idleMost, idleEvery*others))
@@ -59,17 +57,3 @@
 func (w *worker) roomy() bool {
 	return w.room().MilliCores >= w.capacity.MilliCores/roomParts
 }
-
-// withRoom is how many of the pool's workers have room, as counted lately.
-func (p *pool) withRoom(now tackclock.Time) int {
-	if now < p.countAt {
-		return p.roomy
-	}
-	p.countAt, p.roomy = now.Add(countEvery), 0
-	for _, w := range p.workers {
-		if w.roomy() && w.takesNew(now) {
-			p.roomy++
-		}
-	}
-	return p.roomy
-}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"auburntack/core/tackclock"
-	"auburntack/core/tackroom"
 )
 
 const (
@@ -26,61 +25,76 @@
 	packPatience = 300 * tackclock.Millisecond
 )
 
-// turn picks steps that are started before those of later turns.
-type turn struct {
-	late, labelled bool
-}
-
-// turns are in which order steps start on a worker: what can still be in time
-// before what is late, and of each first what only workers with a label can
-// run. Others would fill those few workers, since they wait for any.
-var turns = [...]turn{{labelled: true}, {}, {late: true, labelled: true}, {late: true}}
-
-// start fills the worker's room with items that wait: first of jobs that can
-// still be in time, by their deadlines, then of those that are late.
+// start fills the worker's room with items that wait: first of jobs that can still be in
+// time, by their deadlines, then of those that are late; and of each first what only
+// workers with a label can run. Others would fill those few workers, since they wait for
+// any.
 func (d *Dispatcher) start(now tackclock.Time, w *worker, sequence uint64, o *Orders) {
 	if !w.takesNew(now) {
 		return
 	}
 	p := d.pools[w.service]
-	p.tidy()
+	d.review(now, p)
 	d.clearFor(now, p)
 	if d.startTrials(now, p, w) {
 		return
 	}
 	d.placeGangs(now, p)
-	if len(w.runs) == 0 && d.othersSuffice(now, p, w) {
+	if len(w.runs) == 0 && d.othersSuffice(now, p) {
 		return
 	}
-	for _, turn := range turns {
-		if turn.labelled && !p.labelled {
-			continue
-		}
-		for over := range p.mostOver + 1 {
-			d.startTurn(now, p, w, turn, over, sequence, o)
-		}
+	for _, turn := range [...]int{shelfLabelled, 0, shelfLabelled | shelfLate, shelfLate} {
+		d.startTurn(now, p, w, turn, sequence, o)
 	}
 }
 
-// startTurn starts items of the turn's steps, of workspaces that are so far over their
-// shares.
-func (d *Dispatcher) startTurn(now tackclock.Time, p *pool, w *worker, turn turn, over int, sequence uint64, o *Orders) {
-	for _, s := range p.steps {
+// startsNow returns what tells whether the steps of a shelf may start: until all leases of
+// earlier leaders are over, what they may have started does not, but in copies.
+func (d *Dispatcher) startsNow(now tackclock.Time) func(shelf int) bool {
+	copies := now.Sub(d.began) > d.cfg.CopyAfter
+	return func(shelf int) bool {
+		return shelf&shelfGang == 0 && (shelf&shelfInherited == 0 || shelf&shelfCopied != 0 && copies)
+	}
+}
+
+// startTurn starts items of the steps that are labelled, or late, as the turn says: first
+// of workspaces that have no more than their shares, then of those that are further and
+// further over them.
+func (d *Dispatcher) startTurn(now tackclock.Time, p *pool, w *worker, turn int, sequence uint64, o *Orders) {
+	starts := d.startsNow(now)
+	has := func(shelf int) bool { return shelf&(shelfLabelled|shelfLate) == turn && starts(shelf) }
+	var over [][]*openStep // by how far their workspaces are over their shares
+	for s := range p.steps.Fitting(w.room().MilliCores, has) {
 		if len(o.Start) >= startsInAnswer {
 			return
 		}
-		if !turn.has(now, s) || p.mostOver > 0 && s.job.account.Over() != over || !d.mayStart(now, w, s) {
+		if n := s.job.account.Over(); n > 0 && p.waiting.mostOver > 0 {
+			for len(over) <= n {
+				over = append(over, nil)
+			}
+			over[n] = append(over[n], s)
 			continue
 		}
-		if d.cordon[w.vm] && !d.stranded(now, p, s) || p.reserved.holds(now, w) && !s.LongRunning {
-			continue
+		if d.startStep(now, p, w, s, sequence, o); !p.steps.Fits(w.room().MilliCores, has) {
+			break
+		}
+	}
+	for _, steps := range over {
+		for _, s := range steps {
+			d.startStep(now, p, w, s, sequence, o)
 		}
-		d.startItems(now, w, s, sequence, o)
 	}
 }
 
-func (t turn) has(now tackclock.Time, s *openStep) bool {
-	return (s.Requires != "") == t.labelled && s.late(now) == t.late
+// startStep starts items of one step, if they may start on the worker.
+func (d *Dispatcher) startStep(now tackclock.Time, p *pool, w *worker, s *openStep, sequence uint64, o *Orders) {
+	if len(s.waiting) == 0 || !w.room().Fits(s.Takes()) || !d.mayStart(now, w, s) {
+		return
+	}
+	if d.cordon[w.vm] && !d.stranded(now, p, s) || p.reserved.holds(now, w) && !s.LongRunning {
+		return
+	}
+	d.startItems(now, w, s, sequence, o)
 }
 
 // takesNew reports whether the worker may get new items. One that is emptied for a
@@ -89,27 +103,15 @@
 	return !w.draining && !w.leaving && now >= w.suspicion.until && now >= w.emptiedUntil && !w.trying()
 }
 
-// othersSuffice reports whether the pool's workers that run something anyway
-// have room for all that waits. A worker that stays empty can be moved to
-// another pool, or go to the standby pool. Workers that get nothing new don't
-// count, whatever room they have: what waits would be left to them for good.
-func (d *Dispatcher) othersSuffice(now tackclock.Time, p *pool, w *worker) bool {
-	var waiting, room tackroom.Room
-	for _, s := range p.steps {
-		if s.LongRunning || s.MaxPerWorker > 0 || s.Requires != "" || s.Gang || s.job.Advised || s.Affinity != "" {
-			return false
-		}
-		if now.Sub(s.waiting[0].since) > packPatience {
-			return false
-		}
-		waiting = waiting.Plus(s.Room.Times(len(s.waiting)))
-	}
-	for _, o := range p.workers {
-		if o != w && len(o.runs) > 0 && o.takesNew(now) && !o.silent(now) && !d.cordon[o.vm] {
-			room = room.Plus(o.room())
-		}
+// othersSuffice reports whether the pool's workers that run something anyway have room for
+// all that waits. A worker that stays empty can be moved to another pool, or go to the
+// standby pool. Workers that get nothing new don't count, whatever room they have: what
+// waits would be left to them for good.
+func (d *Dispatcher) othersSuffice(now tackclock.Time, p *pool) bool {
+	if !p.waiting.simple || now.Sub(p.waiting.since) > packPatience {
+		return false
 	}
-	return room.MilliCores > 0 && room.Fits(waiting.Times(packFactor))
+	return p.sums.besides.MilliCores > 0 && p.sums.besides.Fits(p.waiting.room.Times(packFactor))
 }
 
 // stranded reports whether the step's items must start on any worker, also one
@@ -128,10 +130,7 @@
 }
 
 func (d *Dispatcher) mayStart(now tackclock.Time, w *worker, s *openStep) bool {
-	if !s.job.fresh && !d.Sure(now) && !(s.Speculative && now.Sub(d.began) > d.cfg.CopyAfter) {
-		return false
-	}
-	if s.Gang || !w.has(s.Requires) || !s.ticketed(now, w) {
+	if !w.has(s.Requires) || !s.ticketed(now, w) {
 		return false
 	}
 	return s.Affinity == "" || w.has(s.Affinity) || now.Sub(s.job.Accepted) > awayFromData
@@ -164,7 +163,7 @@
 func (d *Dispatcher) startItem(now tackclock.Time, w *worker, s *openStep, next waitingItem, sequence uint64, o *Orders) {
 	r := d.makeRun(now, w, s, next)
 	r.sentIn = sequence
-	d.place(r)
+	d.place(now, r)
 	d.noteRun(now, EventStarted, r, "")
 	o.Start = append(o.Start, Start{
 		Item: r.item, Run: r.number, Text: s.job.Text, Checkpoint: next.checkpoint, Ticket: s.ticket(w),
--- a/core/tackdispatch/suspect.go
+++ b/core/tackdispatch/suspect.go
@@ -51,6 +51,7 @@
 	}
 	s.lasted = min(suspectMost, max(suspectFor, 2*s.lasted))
 	s.until = now.Add(s.lasted)
+	d.recount(now, w)
 	d.noteWorker(now, EventSuspected, w, reason)
 }
 
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -142,10 +142,10 @@
 // takes them along, and each of them is suspected with it; a pool of thirty VMs loses
 // one a second.
 func (d *Dispatcher) startTrials(now tackclock.Time, p *pool, w *worker) bool {
-	if !p.trials {
+	if !p.waiting.trials {
 		return false
 	}
-	for _, s := range p.steps {
+	for s := range p.steps.Fitting(w.room().MilliCores, d.startsNow(now)) {
 		if len(s.restraints) == 0 || s.Gang || !d.mayStart(now, w, s) || d.cordon[w.vm] && !d.stranded(now, p, s) || !w.room().Fits(s.Takes()) {
 			continue
 		}
@@ -166,7 +166,7 @@
 func (d *Dispatcher) planTrial(now tackclock.Time, w *worker, s *openStep, item waitingItem) {
 	r := d.makeRun(now, w, s, item)
 	r.sentIn = notSent
-	d.place(r)
+	d.place(now, r)
 	unlogged := d.try(now, r)
 	w.planned = append(w.planned, planned{run: r, until: now.Add(trialPlanned), unlogged: unlogged})
 }
@@ -214,7 +214,7 @@
 // clearFor keeps as many of the pool's workers free as items wait for a trial, within
 // bounds, and gives back those that are not needed.
 func (d *Dispatcher) clearFor(now tackclock.Time, p *pool) {
-	if now < p.clear.at || !p.trials && len(p.clear.workers) == 0 {
+	if now < p.clear.at || !p.waiting.trials && len(p.clear.workers) == 0 {
 		return
 	}
 	p.clear.at = now.Add(clearEvery)
@@ -235,7 +235,7 @@
 // trialsDue counts the items of the pool that have waited for a trial for a while.
 func (p *pool) trialsDue(now tackclock.Time) int {
 	n := 0
-	for _, s := range p.steps {
+	for s := range p.steps.All() {
 		for i := range s.waiting {
 			item := &s.waiting[i]
 			if len(s.restraints) == 0 {
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -33,7 +33,7 @@
 
 // silent reports whether the worker may be gone, though its lease runs on.
 func (w *worker) silent(now tackclock.Time) bool {
-	return now.Sub(w.heardAt) > silentAfter
+	return now.Sub(w.heardAt) > silentAfter+w.patience
 }
 
 // upkeepState is what the leader knows of one VM of a wave.
@@ -66,12 +66,13 @@
 		st := d.upkeepOf(vm)
 		if st.drainedFrom == 0 {
 			st.drainedFrom = now
-			d.cordon[vm] = true
+			d.setCordon(now, vm, true)
 		}
 		if now >= st.callFrom && d.mayTakeDown(now, vm, st, w) {
 			st.surely = w.Term == d.term && !st.unclear
 			if life := d.lives[vm]; life != nil {
 				life.leaving = true
+				d.recount(now, life)
 				d.noteWorker(now, EventUpkeep, life, "")
 			}
 			next = append(next, vm)
@@ -127,7 +128,7 @@
 				life.leaving = false // it is still there, so no call was carried out
 			}
 			st.calledAt = 0
-			delete(d.cordon, vm)
+			d.setCordon(now, vm, false)
 			continue
 		}
 		n++
@@ -272,6 +273,7 @@
 	if refused && !done {
 		if life := d.lives[vm]; life != nil {
 			life.leaving = false
+			d.recount(now, life)
 		}
 		return
 	}
@@ -310,5 +312,5 @@
 	}
 	st.doubtAt, st.calledAt = 0, 0
 	w.leaving = false
-	delete(d.cordon, w.vm)
+	d.setCordon(now, w.vm, false)
 }
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -52,6 +52,14 @@
 	onTrial []*run
 	// doubted says that its silence has put its runs in doubt.
 	doubted bool
+	// patience is by how much longer its heartbeats are waited for than those of others,
+	// since it was told to ask less often.
+	patience tackclock.Duration
+	// at is its place in its pool, counted what it adds to the pool's sums, and free
+	// where it stands in the index of free cores.
+	at      int
+	counted sums
+	free    freePlace
 }
 
 // stranger is something that runs and is not owed. It counts until it is not listed
@@ -114,6 +122,8 @@
 	o.Pace = d.pace(now, w)
 	o.Noted = w.ends.noted()
 	o.Retry = d.retry(now, w)
+	w.patience = max(0, o.Retry-d.cfg.RetryBusy)
+	d.recount(now, w)
 	return o, finished, nil
 }
 
@@ -183,6 +193,7 @@
 		d.lives[w.vm] = w
 	}
 	d.pool(w.service).add(w)
+	d.checks.add(w, d.silentAt(w))
 	return w
 }
 
@@ -252,7 +263,7 @@
 	}
 	s.dropWaiting(e.Item.Index)
 	s.ending++
-	o.started = true
+	d.begin(o)
 	return tackjob.End{Item: e.Item, Failed: e.How == EndFailed, Gang: s.Gang, Run: uint64(e.Run)}, true
 }
 
@@ -343,7 +354,7 @@
 	}
 	r.listed, r.listedAt, r.from, r.percent = true, now, row.Percent, row.Percent
 	r.movedAt = now
-	d.place(r)
+	d.place(now, r)
 	d.try(now, r)
 	d.noteRun(now, EventAdopted, r, "")
 	return r
@@ -390,7 +401,7 @@
 }
 
 // place puts a run on its worker.
-func (d *Dispatcher) place(r *run) {
+func (d *Dispatcher) place(now tackclock.Time, r *run) {
 	w := r.worker
 	r.step.job.account.Start(r.step.Room, r.earlier)
 	w.runs[r.item] = r
@@ -401,7 +412,8 @@
 	w.steps[r.step.key()]++
 	d.running[r.item] = r
 	r.step.running++
-	r.step.job.started = true
+	d.begin(r.step.job)
+	d.recount(now, w)
 }
 
 func (w *worker) has(label string) bool {
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -160,6 +160,7 @@
 func (w *world) check() {
 	w.t.Helper()
 	w.checkBlame()
+	assertSums(w.t, w.d, w.now)
 	on := make(map[tackjob.Item]WorkerID)
 	for _, m := range w.workers {
 		if m.dead {
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -182,7 +182,7 @@
 		w.d.Closed(w.now, c.Cancel)
 	}
 	if c.Catalog != nil {
-		w.d.Rebind(w.state.Catalog.Workspaces)
+		w.d.Rebind(w.now, w.state.Catalog.Workspaces)
 	}
 	for _, e := range c.Ends {
 		w.d.Taken(w.now, e)
--- a/core/tackqueue/queue.go
+++ b/core/tackqueue/queue.go
@@ -20,9 +20,11 @@
 const (
 	// halves is into how many parts each power of two of a size is divided.
 	halves = 2
-	// sizes bounds the sizes: enough for four million cores, and as many as a mask of
+	// Sizes bounds the sizes: enough for four million cores, and as many as a mask of
 	// them has bits.
-	sizes = 64
+	Sizes = 64
+	// Shelves bounds the shelves of a queue.
+	Shelves = 32
 )
 
 const (
@@ -70,7 +72,7 @@
 		Looked uint64
 	}
 
-	// shelf is the entries of one shelf by their sizes. A bit of full stands for each
+	// shelf is the entries of one shelf by their Sizes. A bit of full stands for each
 	// size that has some.
 	shelf[E Entry] struct {
 		bySize map[int]*bucket[E]
@@ -83,9 +85,6 @@
 	}
 )
 
-// Shelves bounds the shelves of a queue.
-const Shelves = 8
-
 // Compare orders ranks.
 func (r Rank) Compare(o Rank) int {
 	return cmp.Or(
@@ -94,15 +93,15 @@
 	)
 }
 
-// size is the class of a size. Entries of a class take at least as much as those of all
-// classes before it.
-func size(milliCores int) int {
+// Size is the class of a size in thousandths of a core, below Sizes. What is of one class
+// is no smaller than what is of those before it.
+func Size(milliCores int) int {
 	if milliCores <= 1 {
 		return 0
 	}
 	power := bits.Len(uint(milliCores)) - 1
 	half := milliCores >> (power - 1) & 1
-	return min(power*halves+half, sizes-1)
+	return min(power*halves+half, Sizes-1)
 }
 
 // Len is how many entries are queued.
@@ -112,7 +111,7 @@
 
 // bucket returns the bucket of a key, or nil if nothing was ever put there.
 func (q *Queue[E]) bucket(k Key) *bucket[E] {
-	return q.shelves[k.Shelf].bySize[size(k.MilliCores)]
+	return q.shelves[k.Shelf].bySize[Size(k.MilliCores)]
 }
 
 // Insert puts an entry in its place.
@@ -125,10 +124,10 @@
 		if s.bySize == nil {
 			s.bySize = make(map[int]*bucket[E])
 		}
-		s.bySize[size(key.MilliCores)] = b
+		s.bySize[Size(key.MilliCores)] = b
 	}
 	b.entries = slices.Insert(b.entries, b.place(key.Rank), e)
-	q.shelves[key.Shelf].full |= 1 << size(key.MilliCores)
+	q.shelves[key.Shelf].full |= 1 << Size(key.MilliCores)
 	q.n++
 }
 
@@ -158,7 +157,7 @@
 func (q *Queue[E]) removed(k Key, b *bucket[E], n int) {
 	q.n -= n
 	if len(b.entries) == 0 {
-		q.shelves[k.Shelf].full &^= 1 << size(k.MilliCores)
+		q.shelves[k.Shelf].full &^= 1 << Size(k.MilliCores)
 	}
 }
 
@@ -168,6 +167,7 @@
 		s := &q.shelves[i]
 		for at, b := range s.bySize {
 			before := len(b.entries)
+			q.Looked += uint64(before)
 			b.entries = slices.DeleteFunc(b.entries, f)
 			q.n -= before - len(b.entries)
 			if len(b.entries) == 0 {
@@ -186,7 +186,7 @@
 // core. Those that are surely too large are left out. The queue must not change meanwhile.
 func (q *Queue[E]) Fitting(milliCores int, has func(shelf int) bool) iter.Seq[E] {
 	return func(yield func(E) bool) {
-		var space [sizes][]E
+		var space [Sizes][]E
 		heads := q.heads(space[:0], milliCores, has)
 		for len(heads) > 0 {
 			first := lowest(heads)
@@ -202,9 +202,24 @@
 	}
 }
 
+// Fits reports whether any entry of the shelves may fit so many thousandths of a core.
+func (q *Queue[E]) Fits(milliCores int, has func(shelf int) bool) bool {
+	for i := range q.shelves {
+		if q.shelves[i].full&fitting(milliCores) != 0 && has(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// fitting is the mask of the sizes that may fit so many thousandths of a core.
+func fitting(milliCores int) uint64 {
+	return uint64(1)<<(Size(max(milliCores, 0))+1) - 1
+}
+
 // heads appends the entries of each bucket that may fit.
 func (q *Queue[E]) heads(to [][]E, milliCores int, has func(shelf int) bool) [][]E {
-	fits := uint64(1)<<(size(max(milliCores, 0))+1) - 1
+	fits := fitting(milliCores)
 	for i := range q.shelves {
 		s := &q.shelves[i]
 		if s.full&fits == 0 || !has(i) {
--- /dev/null
+++ b/core/tackqueue/queue_test.go
@@ -0,0 +1,120 @@
+package tackqueue
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"auburntack/core/tackclock"
+)
+
+type entry struct {
+	key Key
+}
+
+func (e *entry) QueueKey() Key { return e.key }
+
+func every(int) bool { return true }
+
+func assertOrder(t *testing.T, got []*entry, want []*entry) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("%d entries, want %d, or in another order", len(got), len(want))
+	}
+}
+
+// random returns entries of all shelves and many sizes, by rank.
+func random(n int) []*entry {
+	r := rand.New(rand.NewPCG(1, 2))
+	var list []*entry
+	for i := range n {
+		list = append(list, &entry{key: Key{
+			Rank:       Rank{Class: Class(r.IntN(3)), Priority: r.IntN(2), Deadline: tackclock.Time(i)},
+			MilliCores: r.IntN(20_000), Shelf: r.IntN(Shelves),
+		}})
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return a.key.Rank.Compare(b.key.Rank) })
+	return list
+}
+
+func filled(list []*entry) *Queue[*entry] {
+	q := &Queue[*entry]{}
+	for _, i := range rand.New(rand.NewPCG(3, 4)).Perm(len(list)) {
+		q.Insert(list[i])
+	}
+	return q
+}
+
+func TestOrder(t *testing.T) {
+	list := random(500)
+	q := filled(list)
+	t.Run("of all", func(t *testing.T) { assertOrder(t, slices.Collect(q.All()), list) })
+	t.Run("of what fits", func(t *testing.T) {
+		var want []*entry
+		for _, e := range list {
+			if Size(e.key.MilliCores) <= Size(5000) && e.key.Shelf < 3 {
+				want = append(want, e)
+			}
+		}
+		assertOrder(t, slices.Collect(q.Fitting(5000, func(shelf int) bool { return shelf < 3 })), want)
+	})
+	t.Run("after some were taken out", func(t *testing.T) {
+		kept := slices.Clone(list)
+		for _, e := range list[100:200] {
+			q.Remove(e)
+			q.Remove(e) // once is enough
+		}
+		q.RemoveFunc(func(e *entry) bool { return e.key.Shelf == 1 })
+		kept = slices.DeleteFunc(slices.Delete(kept, 100, 200), func(e *entry) bool { return e.key.Shelf == 1 })
+		assertOrder(t, slices.Collect(q.All()), kept)
+		if q.Len() != len(kept) {
+			t.Errorf("length %d, want %d", q.Len(), len(kept))
+		}
+	})
+}
+
+// Guards against entries that are left out though they would fit.
+func TestSizes(t *testing.T) {
+	for _, small := range []int{0, 1, 2, 3, 5, 999, 1000, 16_000, math.MaxInt32} {
+		for _, more := range []int{0, 1, 7, 1000} {
+			if Size(small) > Size(small+more) || Size(small) >= Sizes {
+				t.Errorf("%d is of class %d, %d of class %d", small, Size(small), small+more, Size(small+more))
+			}
+		}
+	}
+}
+
+func TestFits(t *testing.T) {
+	q := filled([]*entry{{key: Key{MilliCores: 4000, Shelf: 2}}})
+	for _, test := range []struct {
+		milliCores int
+		has        func(int) bool
+		want       bool
+	}{
+		{4000, every, true}, {100, every, false}, {-1, every, false},
+		{4000, func(shelf int) bool { return shelf != 2 }, false},
+	} {
+		if got := q.Fits(test.milliCores, test.has); got != test.want {
+			t.Errorf("something fits %d: %v, want %v", test.milliCores, got, test.want)
+		}
+	}
+	var empty Queue[*entry]
+	if empty.Fits(1000, every) || empty.Len() != 0 {
+		t.Error("something fits of an empty queue")
+	}
+}
+
+// Guards against looks for what fits that pass what does not.
+func TestLookedBound(t *testing.T) {
+	q := &Queue[*entry]{}
+	for range 10_000 {
+		q.Insert(&entry{key: Key{MilliCores: 8000}})
+	}
+	for range q.Fitting(2000, every) {
+		t.Fatal("an entry of 8 cores fits 2")
+	}
+	if q.Looked != 0 {
+		t.Errorf("%d entries were passed", q.Looked)
+	}
+}
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -98,6 +98,8 @@
 		reopenAt tackclock.Time
 
 		status atomic.Pointer[tackreplica.Status]
+		// moving has a place for each move that the platform is called for at once.
+		moving chan struct{}
 
 		// mu guards what follows. Only the loop writes state.
 		mu         sync.Mutex
@@ -135,6 +137,7 @@
 		loop:     tackloop.New(eventQueue),
 		waiters:  make(map[tackid.Revision]waiter),
 		dispatch: tackdispatch.New(cfg.Dispatch),
+		moving:   make(chan struct{}, movesInFlight),
 	}
 	c.state.KeepClosed = cfg.KeepClosed
 	c.orders.perSecond = cfg.CallsPerSecond
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -138,8 +138,7 @@
 func (c *Control) pending(k *call) tackwork.Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.dispatch.Pending(func(j *tackjob.Job) bool { return j.Queue == k.queue.QueueKey })
-	return tackwork.Answer{Queue: true, Pending: n}
+	return tackwork.Answer{Queue: true, Pending: c.dispatch.Pending(k.queue.QueueKey)}
 }
 
 func (c *Control) lookup(k *call) tackwork.Answer {
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -29,9 +29,10 @@
 		c.queueEnds("", nil)
 	}
 	events, left := c.dispatch.Events()
-	known := c.state.Jobs.Len()
+	known, looked := c.state.Jobs.Len(), c.dispatch.Looked()
 	c.mu.Unlock()
 	c.updateGauges(now, known)
+	c.meters.looked.Update(int64(looked))
 	c.logEvents(events, left)
 }
 
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -32,6 +32,7 @@
 	restAfter  metrics.Gauge
 	reserve    metrics.Gauge
 	jobs       metrics.Gauge
+	looked     metrics.Gauge
 	decided    metrics.Histogram
 	committed  metrics.Histogram
 }
@@ -63,6 +64,7 @@
 		restAfter:  gauge("vm_rest_after_ms"),
 		reserve:    gauge("vm_reserve_millicores"),
 		jobs:       gauge("jobs_known"),
+		looked:     gauge("dispatch_looked"),
 		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
 		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
 	}
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -148,11 +148,15 @@
 	}
 	announced := c.announce(ctx, vms...)
 	for _, m := range moves {
-		if announced {
-			go c.callMove(ctx, order, m)
-		} else {
+		if !announced {
 			c.moved(order, m, &CloudError{Reason: "not announced"})
+			continue
 		}
+		c.moving <- struct{}{}
+		go func() {
+			defer func() { <-c.moving }()
+			c.callMove(ctx, order, m)
+		}()
 	}
 }
 
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -143,7 +143,7 @@
 	case change.Cancel != "":
 		c.dispatch.Closed(now, change.Cancel)
 	case change.Catalog != nil:
-		c.dispatch.Rebind(c.state.Catalog.Workspaces)
+		c.dispatch.Rebind(now, c.state.Catalog.Workspaces)
 	}
 	for _, e := range change.Ends {
 		c.dispatch.Taken(now, e)
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -22,6 +22,9 @@
 	cloudLimit = time.Second
 	// callsAtOnce bounds the calls to the platform that wait for an answer.
 	callsAtOnce = 8
+	// movesInFlight bounds the moves that the platform is called for at once. A rest of
+	// hundreds of VMs would else open as many connections in one instant.
+	movesInFlight = 64
 )
 
 type (
