Pass workers' reports on through control VMs that do not lead

Cause: each worker sends its heartbeats to the leader on a connection of its own. Change: from a thousand workers on ([job] relay_from) the leader's answers name a control VM of the worker's data centre, which takes the reports and passes them on over its link, many in a message. Random schedules hold reports and answers up to a second with leaders changing in between; a model of the relay loses, doubles and refuses.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -255,6 +255,11 @@
 	return d.workers[id] != nil
 }
 
+// Workers is how many workers report.
+func (d *Dispatcher) Workers() int {
+	return len(d.workers)
+}
+
 // Grants returns what the log is to let workspaces have running, since the last call.
 func (d *Dispatcher) Grants(now tackclock.Time) []tackquota.Grant {
 	return d.quota.Wanted(now)
--- a/core/tackdispatch/message.go
+++ b/core/tackdispatch/message.go
@@ -32,84 +32,84 @@
 	// How says how a run ended.
 	How uint8
 
-	// Report is a heartbeat of a worker.
+	// Report is a heartbeat of a worker. Control VMs pass it on to each other in CBOR.
 	Report struct {
-		Worker WorkerID
-		VM     tackid.VM
+		Worker WorkerID  `cbor:"1,keyasint,omitempty"`
+		VM     tackid.VM `cbor:"2,keyasint,omitempty"`
 		// Fixed says that the platform gives the worker's VM no name, so that nobody
 		// can order it about. VM is the worker's address then: another life that
 		// reports from there shows that the one before is over.
-		Fixed    bool
-		Service  tackid.Service
-		Zone     tackid.DataCentre
-		Labels   []string
-		Capacity tackroom.Room
+		Fixed    bool              `cbor:"3,keyasint,omitempty"`
+		Service  tackid.Service    `cbor:"4,keyasint,omitempty"`
+		Zone     tackid.DataCentre `cbor:"5,keyasint,omitempty"`
+		Labels   []string          `cbor:"6,keyasint,omitempty"`
+		Capacity tackroom.Room     `cbor:"7,keyasint,omitempty"`
 		// Sequence rises with every heartbeat of one life.
-		Sequence uint64
-		Draining bool
+		Sequence uint64 `cbor:"8,keyasint,omitempty"`
+		Draining bool   `cbor:"9,keyasint,omitempty"`
 		// Remaining is how long a draining worker stays at least.
-		Remaining tackclock.Duration
-		Running   []Running
-		Ended     []Ended
+		Remaining tackclock.Duration `cbor:"10,keyasint,omitempty"`
+		Running   []Running          `cbor:"11,keyasint,omitempty"`
+		Ended     []Ended            `cbor:"12,keyasint,omitempty"`
 	}
 
 	// Running is a run that the worker lists.
 	Running struct {
-		Item       tackjob.Item
-		Run        RunNumber
-		Checkpoint string
+		Item       tackjob.Item `cbor:"1,keyasint,omitempty"`
+		Run        RunNumber    `cbor:"2,keyasint,omitempty"`
+		Checkpoint string       `cbor:"3,keyasint,omitempty"`
 		// Percent is how far the run is; of an item that lasts, 100 says that
 		// it is at work.
-		Percent int
+		Percent int `cbor:"4,keyasint,omitempty"`
 		// Tail is the tail latency in milliseconds of an item that serves;
 		// for others the worker gives the processor in use here.
-		Tail int
+		Tail int `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Ended is a run that is over. Number rises within one life of a worker.
 	Ended struct {
-		Number     uint64
-		Item       tackjob.Item
-		Run        RunNumber
-		How        How
-		Checkpoint string
+		Number     uint64       `cbor:"1,keyasint,omitempty"`
+		Item       tackjob.Item `cbor:"2,keyasint,omitempty"`
+		Run        RunNumber    `cbor:"3,keyasint,omitempty"`
+		How        How          `cbor:"4,keyasint,omitempty"`
+		Checkpoint string       `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Orders answer a heartbeat. Without a Hold the worker's lease is not
 	// extended and nothing is started.
 	Orders struct {
-		Hold tackclock.Duration
+		Hold tackclock.Duration `cbor:"1,keyasint,omitempty"`
 		// Noted is the highest number up to which the worker may forget ends.
-		Noted uint64
-		Fence uint64
-		Start []Start
-		Stop  []Stop
-		Pace  []Pace
+		Noted uint64  `cbor:"2,keyasint,omitempty"`
+		Fence uint64  `cbor:"3,keyasint,omitempty"`
+		Start []Start `cbor:"4,keyasint,omitempty"`
+		Stop  []Stop  `cbor:"5,keyasint,omitempty"`
+		Pace  []Pace  `cbor:"6,keyasint,omitempty"`
 		// Retry is when the worker should send its next heartbeat.
-		Retry tackclock.Duration
+		Retry tackclock.Duration `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Start orders a run.
 	Start struct {
-		Item       tackjob.Item
-		Run        RunNumber
-		Text       string
-		Checkpoint string
+		Item       tackjob.Item `cbor:"1,keyasint,omitempty"`
+		Run        RunNumber    `cbor:"2,keyasint,omitempty"`
+		Text       string       `cbor:"3,keyasint,omitempty"`
+		Checkpoint string       `cbor:"4,keyasint,omitempty"`
 		// Ticket is the placement advisor's leave, where the queue needs one.
-		Ticket string
+		Ticket string `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Stop ends a run.
 	Stop struct {
-		Item tackjob.Item
-		Run  RunNumber
+		Item tackjob.Item `cbor:"1,keyasint,omitempty"`
+		Run  RunNumber    `cbor:"2,keyasint,omitempty"`
 	}
 
 	// Pace lets an item that fills work at a share of its speed, in percent.
 	Pace struct {
-		Item    tackjob.Item
-		Run     RunNumber
-		Percent int
+		Item    tackjob.Item `cbor:"1,keyasint,omitempty"`
+		Run     RunNumber    `cbor:"2,keyasint,omitempty"`
+		Percent int          `cbor:"3,keyasint,omitempty"`
 	}
 )
 
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -24,7 +24,7 @@
 	}
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
-		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "foreign", "resize", "crasher", "caps", "restart",
+		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "relay", "foreign", "resize", "crasher", "caps", "restart",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -71,6 +71,8 @@
 		w.arrive()
 	case "double":
 		w.receive(w.delay(m))
+	case "relay":
+		w.relayRandom(t, m)
 	case "foreign":
 		w.foreign(t, m)
 	case "resize":
@@ -84,6 +86,30 @@
 	}
 }
 
+// relayRandom has a heartbeat and its answer be under way for a while, as through a relay,
+// within the second after which the worker gives the answer up. Another leader may come to
+// lead before or after the one that answers.
+func (w *world) relayRandom(t *rapid.T, m *modelWorker) {
+	if m.cut || m.dead || m.born == 0 && m.sequence < freshSequence {
+		return
+	}
+	const givenUp = 1000
+	sent, report := w.now, m.report(w)
+	m.beatAt = w.now.Add(givenUp)
+	w.run(tackclock.Duration(rapid.IntRange(0, 500).Draw(t, "to the leader")))
+	if rapid.IntRange(0, 3).Draw(t, "leader before") == 0 {
+		w.newLeader()
+	}
+	o := w.receive(report)
+	if rapid.IntRange(0, 3).Draw(t, "leader after") == 0 {
+		w.newLeader()
+	}
+	w.run(tackclock.Duration(rapid.IntRange(0, givenUp).Draw(t, "to the worker")))
+	if !m.dead && o.Hold > 0 && w.now.Sub(sent) <= givenUp {
+		w.obey(m, sent, &o)
+	}
+}
+
 // foreign has another program send heartbeats in the worker's name. They must change
 // nothing: the world checks afterwards that the worker's own ones are still obeyed.
 func (w *world) foreign(t *rapid.T, m *modelWorker) {
--- /dev/null
+++ b/core/tackrelay/relay_test.go
@@ -0,0 +1,289 @@
+package tackrelay
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackdispatch"
+	"auburntack/core/tackid"
+	"auburntack/core/tackroom"
+)
+
+const (
+	first  tackid.Peer = "10.0.0.1"
+	second tackid.Peer = "10.0.0.2"
+)
+
+func add(t *testing.T, o *Outbox, sequence uint64, tell func(Answer)) uint64 {
+	t.Helper()
+	number, err := o.Add(&tackdispatch.Report{Worker: "i-1", Sequence: sequence}, tell)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return number
+}
+
+func assertSent(t *testing.T, got []Numbered, want ...uint64) {
+	t.Helper()
+	sent := make(map[uint64]bool)
+	for _, n := range got {
+		sent[n.Number] = true
+	}
+	for _, n := range want {
+		if !sent[n] {
+			t.Errorf("report %d is not sent", n)
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("%d reports are sent, want %d", len(got), len(want))
+	}
+}
+
+func TestOutbox(t *testing.T) {
+	none := func(Answer) {}
+	t.Run("each is sent once", func(t *testing.T) {
+		var o Outbox
+		a, b := add(t, &o, 1, none), add(t, &o, 2, none)
+		assertSent(t, o.Next(0, first), a, b)
+		assertSent(t, o.Next(0, first))
+	})
+	t.Run("all that wait are sent to the next leader", func(t *testing.T) {
+		var o Outbox
+		a, b := add(t, &o, 1, none), add(t, &o, 2, none)
+		o.Next(0, first)
+		o.Take(0, first, []Answer{{Number: a}})
+		assertSent(t, o.Next(0, ""))
+		assertSent(t, o.Next(0, second), b)
+	})
+	t.Run("an answer is told once", func(t *testing.T) {
+		var o Outbox
+		told := 0
+		a := add(t, &o, 1, func(Answer) { told++ })
+		o.Next(0, first)
+		o.Take(0, first, []Answer{{Number: a}, {Number: a}})
+		o.Take(0, second, []Answer{{Number: a}})
+		if told != 1 || o.Len() != 0 {
+			t.Errorf("told %d times, %d wait", told, o.Len())
+		}
+	})
+	t.Run("one that has not begun to lead is asked again, but not at once", func(t *testing.T) {
+		var o Outbox
+		a := add(t, &o, 1, none)
+		o.Next(0, first)
+		o.Take(0, first, []Answer{{Number: a, NotLeader: true}})
+		assertSent(t, o.Next(tackclock.Time(againAfter)-1, first))
+		assertSent(t, o.Next(tackclock.Time(againAfter), first), a)
+	})
+	t.Run("one that was given up is not sent", func(t *testing.T) {
+		var o Outbox
+		o.Drop(add(t, &o, 1, none))
+		assertSent(t, o.Next(0, first))
+	})
+	t.Run("what waits is bounded", func(t *testing.T) {
+		var o Outbox
+		for range mostWaiting {
+			add(t, &o, 1, none)
+		}
+		var full *FullError
+		if _, err := o.Add(&tackdispatch.Report{}, none); !errors.As(err, &full) || full.Waiting != mostWaiting {
+			t.Errorf("error %v, want a *FullError", err)
+		}
+		if got := len(o.Next(0, first)); got != mostInBatch {
+			t.Errorf("%d in one message, want %d", got, mostInBatch)
+		}
+	})
+}
+
+// roster has relays 0 to n-1, those with even numbers in rennes, the others in brest.
+func roster(n int) *Roster {
+	r := &Roster{}
+	for i := range n {
+		r.Heard(0, relayOf(i), []tackid.DataCentre{"rennes", "brest"}[i%2])
+	}
+	r.Judge(1000, 1000, true)
+	return r
+}
+
+func relayOf(n int) tackid.Peer {
+	return tackid.Peer(fmt.Sprintf("10.0.%d.7", n))
+}
+
+func TestRoster(t *testing.T) {
+	t.Run("few workers ask the leader", func(t *testing.T) {
+		r := roster(4)
+		for _, test := range []struct {
+			workers int
+			on      bool
+		}{{799, false}, {999, false}, {1000, true}, {800, true}, {799, false}} {
+			if r.Judge(test.workers, 1000, true); r.On() != test.on {
+				t.Errorf("with %d workers relays are used: %v", test.workers, r.On())
+			}
+		}
+		if got := r.Choose(0, "i-1", "rennes", relayOf(0)); got != "" {
+			t.Errorf("sent to %s", got)
+		}
+	})
+	t.Run("a new leader goes on as the one before", func(t *testing.T) {
+		r := &Roster{}
+		r.Inherit()
+		if r.Judge(3, 1000, false); !r.On() {
+			t.Error("relays are not used any more before the workers are known")
+		}
+		if r.Judge(3, 1000, true); r.On() {
+			t.Error("relays are used for three workers")
+		}
+	})
+	t.Run("a relay of the worker's data centre", func(t *testing.T) {
+		r := roster(4)
+		if got := r.Choose(0, "i-1", "brest", relayOf(0)); got != relayOf(1) && got != relayOf(3) {
+			t.Errorf("sent to %s", got)
+		}
+		if got := r.Choose(0, "i-1", "rennes", relayOf(2)); got != relayOf(2) {
+			t.Errorf("sent to %s from a relay that does", got)
+		}
+		if got := r.Choose(0, "i-1", "quimper", ""); got == "" {
+			t.Error("sent to the leader, though relays elsewhere do")
+		}
+	})
+	t.Run("none that is silent", func(t *testing.T) {
+		r := roster(4)
+		later := tackclock.Time(0).Add(heardWithin + 1)
+		if got := r.Choose(later, "i-1", "rennes", ""); got != "" {
+			t.Errorf("sent to %s, want to the leader", got)
+		}
+		r.Heard(later, relayOf(2), "rennes")
+		if got := r.Choose(later, "i-1", "rennes", relayOf(0)); got != relayOf(2) {
+			t.Errorf("sent to %s", got)
+		}
+	})
+}
+
+// Guards against relays of which one has most of the workers, and against a lost one that
+// moves more workers than its own.
+func TestWorkersAreSpreadBound(t *testing.T) {
+	const workers, relays = 6000, 24
+	choose := func(r *Roster) map[string]tackid.Peer {
+		chosen := make(map[string]tackid.Peer)
+		for n := range workers {
+			w := fmt.Sprintf("i-%06x", n)
+			chosen[w] = r.Choose(0, w, "none", "")
+		}
+		return chosen
+	}
+	all := choose(roster(relays))
+	load := make(map[tackid.Peer]int)
+	for _, p := range all {
+		load[p]++
+	}
+	for p, n := range load {
+		if n > 2*workers/relays {
+			t.Errorf("%s has %d of %d workers", p, n, workers)
+		}
+	}
+	lost := relayOf(relays - 1)
+	moved := 0
+	for w, p := range choose(roster(relays - 1)) {
+		if all[w] != lost && all[w] != p {
+			moved++
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d workers of other relays move when one is lost", moved)
+	}
+}
+
+// Guards against reports and orders that lose a part on their way through a relay.
+func TestMessagesKeepAll(t *testing.T) {
+	report := tackdispatch.Report{
+		Worker: "i-1@5", VM: "m-1", Fixed: true, Service: "names-api", Zone: "rennes", Labels: []string{"a", "r-1"},
+		Capacity: tackroom.Room{MilliCores: 16_000, MemoryMB: 32_768, GPUs: 1}, Sequence: 7, Draining: true, Remaining: 9,
+		Running: []tackdispatch.Running{{Run: 3, Checkpoint: "c", Percent: 40, Tail: 500}},
+		Ended:   []tackdispatch.Ended{{Number: 2, Run: 1, How: tackdispatch.EndFailed, Checkpoint: "d"}},
+	}
+	orders := tackdispatch.Orders{
+		Hold: 3500, Noted: 2, Fence: 4, Retry: 150, Start: []tackdispatch.Start{{Run: 5, Text: "t", Checkpoint: "c", Ticket: "x"}},
+		Stop: []tackdispatch.Stop{{Run: 3}}, Pace: []tackdispatch.Pace{{Run: 3, Percent: 50}},
+	}
+	sent := Answers{On: true, List: []Answer{{Number: 1, Orders: orders, Ask: second, Problem: "p", NotLeader: true}}}
+	assertSame(t, &Reports{DataCentre: "rennes", List: []Numbered{{Number: 1, Report: report}}}, new(Reports))
+	assertSame(t, &sent, new(Answers))
+}
+
+func assertSame(t *testing.T, sent, into any) {
+	t.Helper()
+	data, err := cbor.Marshal(sent)
+	if err == nil {
+		err = cbor.Unmarshal(data, into)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := fmt.Sprintf("%+v", into), fmt.Sprintf("%+v", sent); got != want {
+		t.Errorf("read as %s, want %s", got, want)
+	}
+}
+
+// TestRandomRelays has a relay lose messages in both directions, have them late and twice,
+// and follow one leader after the other. Each report is answered once or not at all, never
+// with the answer to another, and what is lost leaves nothing behind.
+func TestRandomRelays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o Outbox
+		var now tackclock.Time
+		leader := first
+		told := make(map[uint64]int)
+		var sent []Numbered
+		var open []uint64
+		for range rapid.IntRange(1, 60).Draw(t, "acts") {
+			now = now.Add(tackclock.Duration(rapid.IntRange(0, 100).Draw(t, "wait")))
+			switch rapid.SampledFrom([]string{"report", "report", "send", "answer", "answer", "refuse", "leader", "none", "drop"}).Draw(t, "act") {
+			case "report":
+				var number uint64
+				number, err := o.Add(&tackdispatch.Report{}, func(a Answer) {
+					if a.Number != number {
+						t.Fatalf("report %d is answered as %d", number, a.Number)
+					}
+					told[number]++
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, number)
+			case "send":
+				sent = append(sent, o.Next(now, leader)...)
+			case "answer", "refuse":
+				if len(sent) > 0 {
+					n := rapid.SampledFrom(sent).Draw(t, "answered")
+					refuse := rapid.Bool().Draw(t, "refused")
+					o.Take(now, rapid.SampledFrom([]tackid.Peer{first, second}).Draw(t, "from"), []Answer{{Number: n.Number, NotLeader: refuse}})
+				}
+			case "leader":
+				leader = rapid.SampledFrom([]tackid.Peer{first, second}).Draw(t, "leader")
+			case "none":
+				leader = ""
+			case "drop":
+				if len(open) > 0 {
+					o.Drop(rapid.SampledFrom(open).Draw(t, "dropped"))
+				}
+			}
+		}
+		for number, n := range told {
+			if n > 1 {
+				t.Fatalf("report %d is answered %d times", number, n)
+			}
+		}
+		// What is left reaches a leader that answers.
+		now = now.Add(againAfter)
+		for _, n := range append(o.Next(now, "10.0.0.9"), o.Next(now, "10.0.0.9")...) {
+			o.Take(now, "10.0.0.9", []Answer{{Number: n.Number}})
+		}
+		if o.Len() != 0 {
+			t.Fatalf("%d reports wait for good", o.Len())
+		}
+	})
+}
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -4,6 +4,7 @@
 package tackcontrol
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"auburntack/core/tackjob"
 	"auburntack/core/tackpool"
 	"auburntack/core/tackquota"
+	"auburntack/core/tackrelay"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackdisk"
@@ -65,6 +67,9 @@
 		// CallsPerSecond is how many orders the platform takes, for VMs of all
 		// pools together; zero is no bound.
 		CallsPerSecond float64
+		// RelayFrom is from how many workers on they report to control VMs that do not
+		// lead; zero is a thousand.
+		RelayFrom int
 		// Files is where the data folder lies; nil is the operating system.
 		Files    tackdisk.Files
 		Dispatch tackdispatch.Config
@@ -111,6 +116,11 @@
 		grants     []tackquota.Grant // that wait for it as well
 		upkeep     upkeep
 		orders     orders
+		// roster has the VMs that pass reports on to this one while it leads.
+		roster tackrelay.Roster
+
+		// relay is for while it does not.
+		relay relay
 	}
 
 	// StoppedError says why a control VM cannot go on.
@@ -139,6 +149,7 @@
 		dispatch: tackdispatch.New(cfg.Dispatch),
 		moving:   make(chan struct{}, movesInFlight),
 	}
+	c.cfg.RelayFrom = cmp.Or(cfg.RelayFrom, defaultRelayFrom)
 	c.state.KeepClosed = cfg.KeepClosed
 	c.orders.perSecond = cfg.CallsPerSecond
 	stored, err := c.openDisk()
@@ -153,6 +164,8 @@
 		MaxBackoff: maxBackoff,
 	})
 	c.links.Handle(kindReplica, c.onReplica)
+	c.links.Handle(kindReports, c.onReports)
+	c.links.Handle(kindAnswers, c.onAnswers)
 	c.relink()
 	return c, nil
 }
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -48,8 +48,10 @@
 		number int
 		folder string
 		seeds  []tackid.Peer
-		client *tackforward.Client
-		log    *logrus.Logger
+		// relayFrom is from how many workers on they report to relays; zero is the default.
+		relayFrom int
+		client    *tackforward.Client
+		log       *logrus.Logger
 
 		running map[tackid.Peer]*runningVM
 		disks   map[tackid.Peer]*fillingDisk
@@ -127,8 +129,8 @@
 	c.t.Helper()
 	c.disks[p] = new(fillingDisk)
 	control, err := tackcontrol.New(tackcontrol.Config{
-		Files: c.disks[p],
-		Self:  p, Links: c.links, Inner: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
+		Files: c.disks[p], RelayFrom: c.relayFrom,
+		Self: p, Links: c.links, Inner: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
 		Folder: filepath.Join(c.folder, string(p)), Cloud: noCloud{}, Clock: new(tackclock.Clock), Logger: c.log,
 	})
 	if err != nil {
@@ -396,15 +398,15 @@
 	foreign := &tackdispatch.Report{
 		Worker: "i-9", VM: "m-i-1", Service: "elsewhere", Sequence: 1, Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	}
-	if _, _, err := leader.Heartbeat(foreign); !errors.As(err, new(*tackdispatch.ForeignError)) {
+	if _, err := leader.Heartbeat(t.Context(), foreign); !errors.As(err, new(*tackdispatch.ForeignError)) {
 		t.Errorf("error %v, want a *ForeignError", err)
 	}
 	sound.sequence++
-	o, _, err := leader.Heartbeat(&tackdispatch.Report{
+	reply, err := leader.Heartbeat(t.Context(), &tackdispatch.Report{
 		Worker: sound.id, VM: "m-i-1", Service: "names-api", Sequence: sound.sequence, Capacity: foreign.Capacity,
 	})
-	if err != nil || o.Hold == 0 {
-		t.Errorf("the worker's own heartbeat gets %+v, %v, want a lease", o, err)
+	if err != nil || reply.Orders.Hold == 0 {
+		t.Errorf("the worker's own heartbeat gets %+v, %v, want a lease", reply, err)
 	}
 }
 
@@ -415,17 +417,20 @@
 	sequence uint64
 	ended    []tackdispatch.Ended
 	number   uint64
+	ask      tackid.Peer // whom the last answer names
 }
 
 func (w *worker) beat() {
 	w.sequence++
-	o, ok, _ := w.control.Heartbeat(&tackdispatch.Report{
+	reply, err := w.control.Heartbeat(context.Background(), &tackdispatch.Report{
 		Worker: w.id, VM: tackid.VM("m-" + string(w.id)), Service: "names-api", Sequence: w.sequence, Ended: w.ended,
 		Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	})
-	if !ok {
+	if err != nil {
 		return
 	}
+	w.ask = reply.Ask
+	o := reply.Orders
 	kept := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Number > o.Noted {
@@ -439,6 +444,15 @@
 	}
 }
 
+// relayed reports whether the VM that the worker asks passes its report on.
+func (w *worker) relayed() bool {
+	w.sequence++
+	_, err := w.control.Heartbeat(context.Background(), &tackdispatch.Report{
+		Worker: w.id, VM: tackid.VM("m-" + string(w.id)), Service: "names-api", Sequence: w.sequence,
+	})
+	return !errors.As(err, new(*tackcontrol.ElsewhereError))
+}
+
 // A leader counted crashes, and the next one did not know of them: an item that crashes
 // its workers went through the pool again after each election. The counts go through
 // the log, and so must the job's failure.
@@ -488,11 +502,11 @@
 		return false
 	}
 	l.sequence++
-	o, ok, _ := c.running[leader].control.Heartbeat(&tackdispatch.Report{
+	reply, err := c.running[leader].control.Heartbeat(context.Background(), &tackdispatch.Report{
 		Worker: tackdispatch.WorkerID(fmt.Sprintf("i-%s-%d", l.vm, l.number)), VM: l.vm, Service: "names-api",
 		Sequence: l.sequence, Capacity: tackroom.Room{MilliCores: 4000, MemoryMB: 4000},
 	})
-	if !ok || len(o.Start) == 0 {
+	if err != nil || len(reply.Orders.Start) == 0 {
 		return false
 	}
 	l.number++
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -23,10 +23,12 @@
 func (c *Control) tick(now tackclock.Time) {
 	c.node.Tick(now)
 	c.tendMembers(now)
+	c.sayHello(now)
 	c.mu.Lock()
 	if _, leads := c.leads(now); leads && c.dispatched != 0 {
 		c.dispatch.Tick(now)
 		c.queueEnds("", nil)
+		c.judgeRelays(now)
 	}
 	events, left := c.dispatch.Events()
 	known, looked := c.state.Jobs.Len(), c.dispatch.Looked()
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -35,6 +35,11 @@
 	looked     metrics.Gauge
 	decided    metrics.Histogram
 	committed  metrics.Histogram
+
+	relayWaiting metrics.Gauge
+	relayShed    metrics.Counter
+	relayGivenUp metrics.Counter
+	relayed      metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) *meters {
@@ -67,6 +72,11 @@
 		looked:     gauge("dispatch_looked"),
 		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
 		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
+
+		relayWaiting: gauge("relay_waiting"),
+		relayShed:    counter("relay_shed"),
+		relayGivenUp: counter("relay_given_up"),
+		relayed:      metrics.GetOrRegisterHistogram("relay_ms", r, sample()),
 	}
 }
 
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -8,6 +8,7 @@
 	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackrelay"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackwork"
 )
@@ -130,6 +131,7 @@
 		return c.orders.byEarlier(now, term, vm, c.cfg.Handover+orderTakes)
 	})
 	c.upkeep.reset(now)
+	c.roster = tackrelay.Roster{}
 	c.log.WithField("term", uint64(term)).WithField("jobs", c.state.Jobs.Len()).Info("dispatch began")
 }
 
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -134,6 +134,7 @@
 		RetryBusy    tackclock.Duration
 		AdmitPercent int
 		CopyAfter    tackclock.Duration
+		RelayFrom    int
 	}
 
 	// Move holds the tunables of moving worker VMs between pools.
--- a/io/tacksettings/table.go
+++ b/io/tacksettings/table.go
@@ -185,6 +185,9 @@
 	{section: "job", key: "copy_after_ms", kind: kindMillis, initial: "900", low: 300, high: 10_000,
 		doc:   "silence of a worker after which items that may run in copies start elsewhere as well",
 		field: func(s *Settings, _ *member) any { return &s.Job.CopyAfter }},
+	{section: "job", key: "relay_from", kind: kindCount, initial: "1000", low: 1, high: 1_000_000,
+		doc:   "from how many workers on they report to control VMs that do not lead, which pass the reports on",
+		field: func(s *Settings, _ *member) any { return &s.Job.RelayFrom }},
 
 	{section: "move", key: "behind_after_ms", kind: kindMillis, initial: "800", low: 1, high: minute,
 		doc:   "backlog, as time that a pool needs for it, from which on it is given VMs",
