Count workers that a new leader has not heard of; plan moves without the standby pool

Cause of the first: a leader admits by the cores of the workers that have reported to it, so right after an election it refuses jobs by a few of them. The platform's list says what the pools have; it counts until all leases are over. Before: TestNewLeaderCountsWorkersThatHaveNotReported, 40 jobs handed in beside 1 of 16 workers heard: under 10 accepted; after: 40. Second: each round of the planner sorted all VMs at rest, thousands since they rest early, and kept a set of all names.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -52,7 +52,7 @@
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
 	work := d.owed.of(owner{service: q.Service, workspace: workspace})
-	cores := p.sums.capacity.MilliCores
+	cores := d.coresOf(now, q.Service)
 	takes := timeFor(work.pool, cores) + chain
 	// What a workspace's share of the pool does in time need not wait for what others sent.
 	share := int(float64(cores) * account.Share())
--- a/core/tackdispatch/admit_test.go
+++ b/core/tackdispatch/admit_test.go
@@ -88,3 +88,29 @@
 	assertPhase(t, w, job(2), tackjob.Complete)
 	assertPhase(t, w, job(3), tackjob.Complete)
 }
+
+// Guards against jobs that are refused since the leader is new: it has heard of one of its
+// sixteen workers, and the platform lists the others.
+func TestNewLeaderCountsWorkersThatHaveNotReported(t *testing.T) {
+	w := newWorld(t, 16)
+	w.run(200)
+	w.newLeader()
+	w.beat(w.workers[0], false)
+	if n, _ := w.offer("", 1, 40, batch(8, 2, 1000)); n > 10 {
+		t.Fatalf("%d jobs accepted by the cores of one worker", n)
+	}
+	w.newLeader()
+	w.beat(w.workers[0], false)
+	var list []Machine
+	for _, m := range w.workers {
+		list = append(list, Machine{VM: m.vm, Service: m.service, Capacity: m.capacity, Up: true})
+	}
+	w.d.Inventory(list)
+	if n, refusal := w.offer("", 100, 40, batch(8, 2, 1000)); n < 40 {
+		t.Errorf("%d jobs accepted by the cores of all, then: %+v", n, refusal)
+	}
+	w.run(8 * tackclock.Second)
+	if got := w.d.coresOf(w.now, "names-api"); got != 16*16_000 {
+		t.Errorf("the pool has %d thousandths of a core in the end, want those of its workers", got)
+	}
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -121,8 +121,10 @@
 		cordon  map[tackid.VM]bool
 		upkeeps map[tackid.VM]*upkeepState
 
-		// standby are VMs that send no heartbeats, moves those on their way.
+		// standby are VMs that send no heartbeats, moves those on their way. listed is the
+		// room of the former by the pool in which the platform has them.
 		standby map[tackid.VM]Machine
+		listed  map[tackid.Service]tackroom.Room
 		moves   map[tackid.VM]*moving
 
 		// findings wait for the log. orderedBefore tells whether a new life on a VM may
@@ -237,7 +239,7 @@
 	d.timed = make(map[tackjob.ID]*openJob)
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
-	d.standby = make(map[tackid.VM]Machine)
+	d.standby, d.listed = make(map[tackid.VM]Machine), make(map[tackid.Service]tackroom.Room)
 	d.moves = make(map[tackid.VM]*moving)
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -50,14 +50,41 @@
 // Inventory takes in the platform's list of VMs. Those of a standby pool send
 // no heartbeats, so this is the only way to know of them.
 func (d *Dispatcher) Inventory(machines []Machine) {
-	d.standby = make(map[tackid.VM]Machine)
+	d.standby, d.listed = make(map[tackid.VM]Machine), make(map[tackid.Service]tackroom.Room)
 	for _, m := range machines {
 		if d.lives[m.VM] == nil && m.Up {
-			d.standby[m.VM] = m
+			d.putStandby(m)
 		}
 	}
 }
 
+func (d *Dispatcher) putStandby(m Machine) {
+	d.takeStandby(m.VM)
+	d.standby[m.VM] = m
+	d.listed[m.Service] = d.listed[m.Service].Plus(m.Capacity)
+}
+
+func (d *Dispatcher) takeStandby(vm tackid.VM) {
+	if m, known := d.standby[vm]; known {
+		d.listed[m.Service] = d.listed[m.Service].Minus(m.Capacity)
+		delete(d.standby, vm)
+	}
+}
+
+// coresOf is how many thousandths of a core a service's pool has: those of the workers that
+// report, and until all of them have had the time to, those of the VMs that the platform
+// lists there.
+//
+// Load pattern: a leader is lost under load. By the workers that have reported to the next
+// one within a moment, all that comes meanwhile would end too late.
+func (d *Dispatcher) coresOf(now tackclock.Time, service tackid.Service) int {
+	cores := d.pool(service).sums.capacity.MilliCores
+	if !d.Sure(now) {
+		cores += d.listed[service].MilliCores
+	}
+	return cores
+}
+
 // Pools returns what the planner of moves goes by. VMs that are not free to be
 // ordered about stay where they are.
 func (d *Dispatcher) Pools(now tackclock.Time, c *tackcatalog.Catalog, free func(tackid.VM) bool) []tackpool.Pool {
@@ -107,7 +134,7 @@
 }
 
 func (d *Dispatcher) parked(service tackid.Service, free func(tackid.VM) bool) []tackpool.VM {
-	var vms []tackpool.VM
+	vms := make([]tackpool.VM, 0, len(d.standby))
 	for vm, m := range d.standby {
 		if m.Service == service && d.moves[vm] == nil && d.lives[vm] == nil {
 			vms = append(vms, tackpool.VM{Name: vm, Room: m.Capacity, Labels: m.Labels, Fixed: d.inUpkeep(vm) || !free(vm)})
@@ -121,6 +148,7 @@
 	if p == nil {
 		return
 	}
+	out.VMs = make([]tackpool.VM, 0, len(p.workers))
 	for _, w := range p.workers {
 		if w.draining || w.silent(now) {
 			continue
@@ -214,7 +242,7 @@
 		d.endLapsed(now, vm, "")
 		parked := d.standby[vm]
 		parked.VM, parked.Service, parked.Capacity, parked.Labels = vm, m.to, m.room, m.labels
-		d.standby[vm] = parked
+		d.putStandby(parked)
 		m.doneAt = now
 	case refused:
 		if here {
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -182,7 +182,7 @@
 	w.heardAt, w.idleFrom = now, now
 	delete(d.lapsed, w.id)
 	d.endLapsed(now, w.vm, w.id.Name())
-	delete(d.standby, w.vm)
+	d.takeStandby(w.vm)
 	if m := d.moves[w.vm]; m != nil && m.life != w.id {
 		delete(d.moves, w.vm)
 	}
--- a/core/tackpool/free.go
+++ b/core/tackpool/free.go
@@ -10,11 +10,14 @@
 
 // freeVMs returns the VMs that can go: those of other pools that have been
 // idle longest first, since they cost something where they are, then those of
-// the standby pool.
-func (p *Planner) freeVMs(pools []Pool, spare map[tackid.Service]int) []freeVM {
+// the standby pool, if any are needed.
+func (p *Planner) freeVMs(pools []Pool, spare map[tackid.Service]int, needed bool) []freeVM {
 	var free []freeVM
 	for i := range pools {
 		pool := &pools[i]
+		if pool.Standby && !needed {
+			continue
+		}
 		left := spare[pool.Service]
 		for _, vm := range p.idle(pool) {
 			left -= vm.Room.MilliCores
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -179,7 +179,7 @@
 	p = p.WithDefaults()
 	needs := p.needsOf(pools)
 	spare := p.spares(pools)
-	free := p.freeVMs(pools, spare)
+	free := p.freeVMs(pools, spare, len(needs) > 0)
 	var moves []Move
 	for i := range needs {
 		for needs[i].lacks > 0 && len(moves) < limit {
--- a/core/tackpool/rest.go
+++ b/core/tackpool/rest.go
@@ -30,37 +30,43 @@
 	// alone, all VMs of an office that is quiet all night wait for as long as that; with
 	// a short time, each turn begins without the VMs that it needs.
 	Rest struct {
-		idle    map[tackid.VM]tackclock.Time // since when a VM has been idle, or at rest
-		gaps    []tackclock.Duration         // the newest idle times, as a ring
-		next    int                          // where the next one goes
+		idle    map[tackid.VM]idleVM
+		round   uint64               // counts calls of Observe
+		gaps    []tackclock.Duration // the newest idle times, as a ring
+		next    int                  // where the next one goes
 		judgeAt tackclock.Time
 		after   tackclock.Duration
 	}
+
+	// idleVM is a VM that has been idle, or at rest, since a time. It was there in a round.
+	idleVM struct {
+		since tackclock.Time
+		round uint64
+	}
 )
 
 // Observe takes in how VMs stand. A VM's idle time ends when it runs something, or is
 // sent to another pool than the standby pool.
 func (r *Rest) Observe(now tackclock.Time, pools []Pool) {
 	if r.idle == nil {
-		r.idle = make(map[tackid.VM]tackclock.Time)
+		r.idle = make(map[tackid.VM]idleVM)
 	}
-	seen := make(map[tackid.VM]bool, len(r.idle))
+	r.round++
 	for i := range pools {
 		for k := range pools[i].VMs {
-			vm := &pools[i].VMs[k]
-			seen[vm.Name] = true
-			r.observeVM(now, vm, pools[i].Standby)
+			r.observeVM(now, &pools[i].VMs[k], pools[i].Standby)
 		}
 		for k := range pools[i].Coming {
-			name := pools[i].Coming[k].Name
-			seen[name] = true
-			if !pools[i].Standby {
+			if name := pools[i].Coming[k].Name; !pools[i].Standby {
 				r.needed(now, name)
+			} else if x, known := r.idle[name]; known {
+				x.round = r.round
+				r.idle[name] = x
 			}
 		}
 	}
-	for name := range r.idle {
-		if !seen[name] {
+	for name, x := range r.idle {
+		if x.round != r.round {
 			delete(r.idle, name) // it is gone, or cut off
 		}
 	}
@@ -71,19 +77,25 @@
 		r.needed(now, vm.Name)
 		return
 	}
-	if _, known := r.idle[vm.Name]; !known && vm.Idle > 0 {
-		r.idle[vm.Name] = now.Add(-vm.Idle)
+	x, known := r.idle[vm.Name]
+	if !known && vm.Idle == 0 {
+		return
+	}
+	if !known {
+		x.since = now.Add(-vm.Idle)
 	}
+	x.round = r.round
+	r.idle[vm.Name] = x
 }
 
 // needed ends a VM's idle time.
 func (r *Rest) needed(now tackclock.Time, name tackid.VM) {
-	since, known := r.idle[name]
+	x, known := r.idle[name]
 	if !known {
 		return
 	}
 	delete(r.idle, name)
-	gap := now.Sub(since)
+	gap := now.Sub(x.since)
 	if len(r.gaps) < gapsKept {
 		r.gaps = append(r.gaps, gap)
 		return
@@ -112,9 +124,9 @@
 // known are the remembered idle times, and those that go on and are long already.
 func (r *Rest) known(now tackclock.Time, breakEven tackclock.Duration) []tackclock.Duration {
 	gaps := slices.Clone(r.gaps)
-	for _, since := range r.idle {
-		if now.Sub(since) > breakEven {
-			gaps = append(gaps, now.Sub(since))
+	for _, x := range r.idle {
+		if now.Sub(x.since) > breakEven {
+			gaps = append(gaps, now.Sub(x.since))
 		}
 	}
 	return gaps
--- a/core/tackpool/rest_test.go
+++ b/core/tackpool/rest_test.go
@@ -42,7 +42,7 @@
 				others[i] += cost([]tackclock.Duration{gap}, f, breakEven)
 			}
 			pool.VMs[n].Idle = 0
-			r.idle[pool.VMs[n].Name] = began
+			r.idle[pool.VMs[n].Name] = idleVM{since: began}
 			r.needed(began.Add(gap), pool.VMs[n].Name)
 			now = max(now, began.Add(gap))
 		}
