Gather what control VMs without a vote lack of the log

Cause: each entry went to each of 24 control VMs at once, and so did the news that it is committed; 19 of them vote on nothing, and nobody asks them anything. Random schedules draw it. Bytes of the log still go to each of them from the leader.

--- a/core/tackreplica/append.go
+++ b/core/tackreplica/append.go
@@ -33,6 +33,9 @@
 		}
 		return
 	}
+	if n.spares(p) && n.now.Sub(p.sentAt) < n.cfg.LearnerEvery {
+		return
+	}
 	for p.next <= n.log.last() && p.inflightBytes < windowBatches*n.cfg.MaxBatchBytes {
 		n.sendBatch(p)
 	}
@@ -65,10 +68,17 @@
 	n.send(m)
 }
 
+// spares reports whether what the member lacks is gathered for a while, since nothing waits
+// for it. Without that each change would cost the leader two messages for each control VM.
+func (n *Node) spares(p *progress) bool {
+	m := n.member(p.peer)
+	return n.cfg.LearnerEvery > 0 && m != nil && !m.Voter
+}
+
 // announceCommit tells a member at once that entries it has are committed,
 // so that a change is in force after two round trips and not a heartbeat later.
 func (n *Node) announceCommit(p *progress) {
-	if min(n.commit, p.match) > p.commit {
+	if min(n.commit, p.match) > p.commit && !n.spares(p) {
 		n.sendHeartbeat(p, false)
 	}
 }
--- a/core/tackreplica/cost_test.go
+++ b/core/tackreplica/cost_test.go
@@ -158,6 +158,40 @@
 	})
 }
 
+// messagesToLearner is how many messages a second the leader exchanges with a member that
+// does not vote, with so many members and changes a second.
+func messagesToLearner(t *testing.T, members, changes int) int {
+	const voters, length = 5, 10
+	cfg, names := fleet(members, voters)
+	cfg.LearnerEvery = 120
+	c := newClusterOf(t, 1, cfg, names...)
+	leader := c.settled()
+	clear(c.messages)
+	for range length * changes {
+		if _, _, err := leader.propose(); err != nil {
+			t.Fatal(err)
+		}
+		c.run(second / tackclock.Duration(changes))
+	}
+	c.run(second)
+	learner := c.vms[members-1]
+	if learner.applied < leader.applied {
+		t.Errorf("the learner has applied %d of %d", learner.applied, leader.applied)
+	}
+	return c.messages[learner.peer] / length
+}
+
+// Guards against a leader whose messages grow with the product of changes and control VMs.
+func TestLearnerBound(t *testing.T) {
+	for _, members := range []int{8, 24} {
+		few, many := messagesToLearner(t, members, 10), messagesToLearner(t, members, 200)
+		t.Logf("%d members: %d messages a second with 10 changes a second, %d with 200", members, few, many)
+		if many > 2*few {
+			t.Errorf("%d members: %d messages a second with 200 changes, %d with 10", members, many, few)
+		}
+	}
+}
+
 // BenchmarkCommit proposes one entry at a time to a leader with one follower
 // that answers at once.
 func BenchmarkCommit(b *testing.B) {
--- a/core/tackreplica/node.go
+++ b/core/tackreplica/node.go
@@ -63,6 +63,9 @@
 		Seed          uint64
 		MaxBatchBytes int
 		KeepEntries   int
+		// LearnerEvery spaces out what is sent to a member that does not vote; with zero
+		// each entry is sent there at once, as to those that vote.
+		LearnerEvery tackclock.Duration
 	}
 
 	// Node is one VM's share of the replicated log. It is not safe for
--- a/core/tackreplica/schedule_test.go
+++ b/core/tackreplica/schedule_test.go
@@ -51,6 +51,9 @@
 	cfg := Config{MaxBatchBytes: 64, KeepEntries: 5, Members: []Member{
 		{Peer: "a", Voter: true}, {Peer: "b", Voter: true}, {Peer: "c", Voter: true}, {Peer: "d"},
 	}}
+	if rapid.Bool().Draw(rt, "spares_learners") {
+		cfg.LearnerEvery = tackclock.Duration(rapid.IntRange(1, 500).Draw(rt, "learner_every"))
+	}
 	s := &schedule{rt: rt, cluster: newClusterOf(rt, rapid.Uint64().Draw(rt, "seed"), cfg, "a", "b", "c", "d")}
 	s.run(1600)
 	actions := map[string]func(){
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -180,7 +180,7 @@
 	c.orders.reset(c.clock.Now())
 	c.node = tackreplica.New(tackreplica.Config{
 		Self: c.cfg.Self, Members: c.firstMembers(), Seed: rand.Uint64(),
-		Heartbeat: logHeartbeat, Lease: logLease, Election: logElection,
+		Heartbeat: logHeartbeat, Lease: logLease, Election: logElection, LearnerEvery: logHeartbeat,
 	}, stored, c.clock.Now())
 	c.refreshStatus(c.clock.Now())
 	return nil
