--- a/core/tackdispatch/quota_test.go
+++ b/core/tackdispatch/quota_test.go
@@ -66,11 +66,13 @@
 	})
 }
 
-// Symptom: a workspace has more running than its cap. Sequence: an item waits for its
-// trial, which is planned; the cap is lowered; the planned start goes out.
+// Guards against a planned start that goes out beyond its workspace's cap, which was lowered
+// since: a gang's member waits for its worker's next heartbeat.
 func TestPlannedStartKeepsALoweredCap(t *testing.T) {
 	w := newCapped(t, 3, 10)
-	w.submitFor("mairies", job(1), tackjob.Step{Count: 2, Gang: true, Room: tackroom.Room{MilliCores: 4000}, Estimate: 2000})
+	w.submitFor("mairies", job(1), tackjob.Step{
+		Count: 2, Gang: true, MaxPerWorker: 1, Room: tackroom.Room{MilliCores: 4000}, Estimate: 2000,
+	})
 	for range 40 {
 		w.now = w.now.Add(25)
 		w.d.Tick(w.now)
@@ -80,11 +82,11 @@
 			break
 		}
 	}
-	if len(w.d.running) != 2 {
-		t.Fatalf("%d members planned, want 2", len(w.d.running))
+	if planned, sent := len(w.d.running), w.runsOf(job(1)); planned != 2 || sent != 1 {
+		t.Fatalf("%d members planned and %d sent, want 2 and 1", planned, sent)
 	}
 	w.putCaps(caps(4))
-	w.run(2 * tackclock.Second)
+	w.run(500)
 	if got := w.runsOf(job(1)); got == 2 {
 		t.Errorf("the gang runs on %v of 4 cores", w.runningOf("mairies"))
 	}
