Refuse no job by the workers of a leader that has not read the list of VMs yet

Before: TestNewLeaderCountsWorkersThatHaveNotReported/before_it_has_read fails (refused: would end too late); after: it is accepted, and refused once the list says that there is one VM. Without a platform that lists VMs nothing changes.

--- a/core/tackdispatch/admit_test.go
+++ b/core/tackdispatch/admit_test.go
@@ -109,6 +109,22 @@
 	if n, refusal := w.offer("", 100, 40, batch(8, 2, 1000)); n < 40 {
 		t.Errorf("%d jobs accepted by the cores of all, then: %+v", n, refusal)
 	}
+	t.Run("before it has read the list nobody is refused for it", func(t *testing.T) {
+		d := New(Config{Listed: true})
+		d.Reset(w.now, w.term+1, w.inherited())
+		spec := &tackjob.Spec{ID: job(9999), Queue: testQueue.QueueKey, Steps: []tackjob.Step{batch(8, 2, 1000)}}
+		m := w.workers[0]
+		if _, _, err := d.Heartbeat(w.now, m.report(w)); err != nil {
+			t.Fatal(err)
+		}
+		if a := d.Admit(w.now, &testQueue, spec, ""); !a.Accepted {
+			t.Errorf("refused: %+v", a)
+		}
+		d.Inventory(list[:1])
+		if a := d.Admit(w.now, &testQueue, spec, ""); a.Accepted {
+			t.Error("accepted behind the work of sixteen workers, of which the list has one")
+		}
+	})
 	w.run(8 * tackclock.Second)
 	if got := w.d.coresOf(w.now, "names-api"); got != 16*16_000 {
 		t.Errorf("the pool has %d thousandths of a core in the end, want those of its workers", got)
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -77,6 +77,9 @@
 		// CopyAfter is after which silence of a worker items that may run in
 		// copies start elsewhere as well.
 		CopyAfter tackclock.Duration
+		// Listed says that the platform lists the VMs of workers, so that a new leader
+		// will soon know how many there are.
+		Listed bool
 	}
 
 	// Dispatcher is one leader's view of the workers and what runs on them.
@@ -125,7 +128,9 @@
 		// room of the former by the pool in which the platform has them.
 		standby map[tackid.VM]Machine
 		listed  map[tackid.Service]tackroom.Room
-		moves   map[tackid.VM]*moving
+		// unlisted says that the list has not been read since Reset.
+		unlisted bool
+		moves    map[tackid.VM]*moving
 
 		// findings wait for the log. orderedBefore tells whether a new life on a VM may
 		// follow from an earlier leader's order; nil if none can.
@@ -240,6 +245,7 @@
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
 	d.standby, d.listed = make(map[tackid.VM]Machine), make(map[tackid.Service]tackroom.Room)
+	d.unlisted = d.cfg.Listed
 	d.moves = make(map[tackid.VM]*moving)
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -50,6 +50,7 @@
 // Inventory takes in the platform's list of VMs. Those of a standby pool send
 // no heartbeats, so this is the only way to know of them.
 func (d *Dispatcher) Inventory(machines []Machine) {
+	d.unlisted = false
 	d.standby, d.listed = make(map[tackid.VM]Machine), make(map[tackid.Service]tackroom.Room)
 	for _, m := range machines {
 		if d.lives[m.VM] == nil && m.Up {
@@ -73,11 +74,14 @@
 
 // coresOf is how many thousandths of a core a service's pool has: those of the workers that
 // report, and until all of them have had the time to, those of the VMs that the platform
-// lists there.
+// lists there. It is zero while nothing is known for sure.
 //
 // Load pattern: a leader is lost under load. By the workers that have reported to the next
 // one within a moment, all that comes meanwhile would end too late.
 func (d *Dispatcher) coresOf(now tackclock.Time, service tackid.Service) int {
+	if d.unlisted && !d.Sure(now) {
+		return 0
+	}
 	cores := d.pool(service).sums.capacity.MilliCores
 	if !d.Sure(now) {
 		cores += d.listed[service].MilliCores
