Count all silent workers when it is judged whether most are silent

Before: TestSilenceOfMostWorkersRaisesNoDoubts (workers that report one after the other), 40 of 40 in doubt; after: at most half. No test had reports spread.

--- a/core/tackdispatch/bench_test.go
+++ b/core/tackdispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"auburntack/core/tackclock"
@@ -132,3 +133,45 @@
 		})
 	}
 }
+
+// heapOf is how many bytes the heap grows by while something is built.
+func heapOf(build func() any) float64 {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	built := build()
+	after := heap()
+	runtime.KeepAlive(built)
+	return float64(after - before)
+}
+
+// BenchmarkHeldForAWorker reports what a leader holds for each worker that has reported and
+// runs nothing, in bytes.
+func BenchmarkHeldForAWorker(b *testing.B) {
+	const workers = 6000
+	for b.Loop() {
+		c := newCrowd(workers)
+		held := heapOf(func() any { c.round(); return c })
+		b.ReportMetric(held/workers, "B/worker")
+	}
+}
+
+// BenchmarkHeldForAJob reports what a leader holds for each open job of one step of eight
+// items, its place in the log's state included, in bytes.
+func BenchmarkHeldForAJob(b *testing.B) {
+	const jobs = 10_000
+	for b.Loop() {
+		c := newCrowd(1)
+		held := heapOf(func() any {
+			for n := range jobs {
+				c.submit(n, batch(8, 2, tackclock.Second))
+			}
+			return c
+		})
+		b.ReportMetric(held/jobs, "B/job")
+	}
+}
--- a/core/tackdispatch/crash_test.go
+++ b/core/tackdispatch/crash_test.go
@@ -288,3 +288,31 @@
 		t.Errorf("%d runs are said to be lost, want 3", lost)
 	}
 }
+
+// Guards against doubts about all that runs, when it is this VM or its network that was held
+// up: all workers fall silent, one after the other.
+func TestSilenceOfMostWorkersRaisesNoDoubts(t *testing.T) {
+	w := newWorld(t, 40)
+	for i, m := range w.workers { // real workers don't report in step
+		m.beatAt = w.now.Add(tackclock.Duration(i) * 10)
+	}
+	w.run(tackclock.Second)
+	w.submit(job(1), batch(40, 12, 20*tackclock.Second))
+	w.run(500)
+	assertRuns(t, w, job(1), 40)
+	// The items are listed, and have not settled.
+	for _, m := range w.workers {
+		m.cut = true
+	}
+	w.run(doubtAfter + 2*defaultRetryBusy)
+	doubts := 0
+	for _, m := range w.workers {
+		if known := w.d.workers[m.id]; known != nil && known.doubted {
+			doubts++
+		}
+	}
+	// The first ones fall silent while most others have yet to.
+	if doubts > len(w.workers)/2 {
+		t.Errorf("%d of %d workers' runs are in doubt", doubts, len(w.workers))
+	}
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -115,8 +115,10 @@
 		owed    owedWork
 		unbegun map[tackcatalog.QueueKey]int
 		// checks says when a worker may have fallen silent.
-		checks   checks
-		forgetAt tackclock.Time
+		checks checks
+		// fellSilent is how many workers are silent.
+		fellSilent int
+		forgetAt   tackclock.Time
 		// looked counts the workers and jobs that decisions have passed.
 		looked uint64
 		// timed are jobs with occurrences that are not due yet.
@@ -240,7 +242,7 @@
 	d.pools = make(map[tackid.Service]*pool)
 	d.jobs = make(map[tackjob.ID]*openJob)
 	d.running = make(map[tackjob.Item]*run)
-	d.owed, d.unbegun, d.checks = owedWork{}, make(map[tackcatalog.QueueKey]int), nil
+	d.owed, d.unbegun, d.checks, d.fellSilent = owedWork{}, make(map[tackcatalog.QueueKey]int), nil, 0
 	d.timed = make(map[tackjob.ID]*openJob)
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
@@ -313,7 +315,7 @@
 	silent := d.unheard(now)
 	// If most workers are silent, this VM was held up, or its network. Doubts about
 	// thousands of runs would follow, and as many dismissals.
-	most := 2*len(silent) > len(d.workers)
+	most := 2*d.fellSilent > len(d.workers)
 	for _, w := range silent {
 		if now >= w.leaseUntil {
 			d.doubt(now, w)
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -59,6 +59,7 @@
 	w.sequence = r.Sequence
 	w.reports++
 	w.heardAt = now
+	d.setSilent(w, false)
 	if w.doubted {
 		w.doubted = false
 		d.resolve(now, w.vm, w.id)
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -46,6 +46,7 @@
 		d.requeue(now, r)
 	}
 	w.forgetStrange()
+	d.setSilent(w, false)
 	if p := d.pools[w.service]; p != nil {
 		p.remove(w)
 	}
--- a/core/tackdispatch/silence.go
+++ b/core/tackdispatch/silence.go
@@ -60,7 +60,20 @@
 	return min(w.heardAt.Add(min(doubtAfter, d.cfg.CopyAfter)+w.patience), w.leaseUntil)
 }
 
-// unheard are the workers that are silent, in the order of their ids, so that the same
+// setSilent notes that a worker has fallen silent, or has not.
+func (d *Dispatcher) setSilent(w *worker, silent bool) {
+	if w.fellSilent == silent {
+		return
+	}
+	w.fellSilent = silent
+	if silent {
+		d.fellSilent++
+	} else {
+		d.fellSilent--
+	}
+}
+
+// unheard are the workers that are silent and to be looked at now, in the order of their ids, so that the same
 // faults bring the same outcome.
 func (d *Dispatcher) unheard(now tackclock.Time) []*worker {
 	var list []*worker
@@ -70,6 +83,7 @@
 		case at > now:
 			d.checks.add(w, at)
 		default:
+			d.setSilent(w, true)
 			list = append(list, w)
 			d.checks.add(w, max(now+1, min(now.Add(silentEvery), w.leaseUntil)))
 		}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -54,6 +54,8 @@
 	// patience is by how much longer its heartbeats are waited for than those of others,
 	// since it was told to ask less often.
 	patience tackclock.Duration
+	// fellSilent says that it is counted among those that are silent.
+	fellSilent bool
 	// at is its place in its pool, counted what it adds to the pool's sums, and free
 	// where it stands in the index of free cores.
 	at      int
--- a/core/tackpool/free.go
+++ b/core/tackpool/free.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
 
@@ -120,7 +121,7 @@
 		if vm.standby || vm.needed || vm.kept {
 			continue
 		}
-		if vm.Idle < p.ParkAfter {
+		if p.idleFor(&vm) < p.ParkAfter {
 			if surplus >= limit/2 || !p.isSurplus(&vm, spare[vm.from]) {
 				continue
 			}
@@ -132,6 +133,15 @@
 	return moves
 }
 
+// idleFor is for how long the VM has been idle while there was work for others, or at all
+// if there never was any.
+func (p *Planner) idleFor(vm *freeVM) tackclock.Duration {
+	if p.WantedFor == 0 {
+		return vm.Idle
+	}
+	return min(vm.Idle, p.WantedFor)
+}
+
 // isSurplus reports whether a pool that has so many thousandths of a core to spare has
 // its reserve without the VM.
 func (p *Planner) isSurplus(vm *freeVM, spare int) bool {
--- a/core/tackpool/plan.go
+++ b/core/tackpool/plan.go
@@ -71,6 +71,9 @@
 		// is to do. VMs beyond it rest at once. Zero says that it is not known. See the
 		// type Reserve.
 		Reserve int
+		// WantedFor is for how long there has been work; zero if there was none yet. That
+		// a VM was idle before says nothing about how soon it is needed.
+		WantedFor tackclock.Duration
 	}
 
 	// VM is a worker's VM in a pool, or on its way to one.
--- a/core/tackpool/reserve.go
+++ b/core/tackpool/reserve.go
@@ -91,6 +91,14 @@
 	return least
 }
 
+// WantedFor is for how long there has been work; zero if there was none yet.
+func (r *Reserve) WantedFor(now tackclock.Time) tackclock.Duration {
+	if r.from == 0 {
+		return 0
+	}
+	return now.Sub(r.from) + 1
+}
+
 // MilliCores is how many thousandths of a core each pool must have beside what it is to
 // do; zero while that is not known.
 func (r *Reserve) MilliCores(now tackclock.Time) int {
--- a/core/tackpool/reserve_test.go
+++ b/core/tackpool/reserve_test.go
@@ -49,7 +49,7 @@
 			}
 		}
 		f.reserve.Observe(f.now, Planner{}, f.pools)
-		plan := Planner{Reserve: f.reserve.MilliCores(f.now)}.Plan(f.pools, 200)
+		plan := Planner{Reserve: f.reserve.MilliCores(f.now), WantedFor: f.reserve.WantedFor(f.now)}.Plan(f.pools, 200)
 		for _, m := range plan.Moves {
 			f.carryOut(m)
 		}
@@ -124,6 +124,24 @@
 	})
 }
 
+// Guards against VMs that go to rest just when the first turns come, since they were idle
+// before there was any work; and against a fleet without work that never rests.
+func TestIdleTimeCountsFromTheFirstWork(t *testing.T) {
+	t.Run("with work", func(t *testing.T) {
+		f := newFleet(50, 50)
+		f.run(defaultParkAfter-3*tackclock.Second, constant(0))
+		f.run(defaultParkAfter/2, constant(50*vmCores))
+		assertAtRest(t, f, 0, 0)
+		f.run(defaultParkAfter, constant(50*vmCores))
+		assertAtRest(t, f, 20, 50)
+	})
+	t.Run("without", func(t *testing.T) {
+		f := newFleet(50, 50)
+		f.run(2*defaultParkAfter, constant(0))
+		assertAtRest(t, f, 60, 100)
+	})
+}
+
 // Guards against a leader that takes the work that it finds for work that never rises.
 func TestWorkThatALeaderFindsCountsAsRisen(t *testing.T) {
 	f := newFleet(500)
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -104,7 +104,8 @@
 	u := &c.upkeep
 	u.rest.Observe(now, pools)
 	u.reserve.Observe(now, p, pools)
-	p.ParkAfter, p.Reserve = u.rest.After(now, p.ParkAfter), u.reserve.MilliCores(now)
+	p.ParkAfter = u.rest.After(now, p.ParkAfter)
+	p.Reserve, p.WantedFor = u.reserve.MilliCores(now), u.reserve.WantedFor(now)
 	if p.ParkAfter != u.restAfter || p.Reserve != u.reserved {
 		c.log.WithFields(logrus.Fields{
 			"after_ms": int64(p.ParkAfter), "before_ms": int64(u.restAfter), "idle_times": u.rest.Known(),
