Entry VMs that reach a minority are cut off at once

Cause: with a data centre cut off, its entry VMs waited two seconds for a leader that no election within their reach could bring, and readiness followed only then: their callers got 503 for about 4.5 s though workers of the other data centres were free.

Ruled out: a shorter wait for all (an election takes one to two seconds; callers of the majority would be sent away during each one).

Change: two looks in a row that reach less than half of the control VMs cut a VM off. The first asks a sample, the second all of them: with 24 control VMs a sample of five misses the majority in one of five looks. One question is bounded to 400 ms. The list of control VMs is the leader's, so that VMs that are none any more do not count as out of reach.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -65,7 +65,9 @@
 		known  []tackid.Peer
 		heard  tackclock.Time // when a leader last answered
 		cutOff bool           // see CutOff
-		clock  *tackclock.Clock
+		// minority counts the looks in a row that found most control VMs out of reach.
+		minority int
+		clock    *tackclock.Clock
 	}
 
 	// unsentError says that no byte of the request left this VM.
@@ -185,6 +187,9 @@
 		c.heard = c.clock.Now()
 		c.setCutOff(false)
 	}
+	if !a.NotLeader && len(a.Control) > 0 {
+		c.known = nil // the leader knows all, and which are none any more
+	}
 	for _, p := range a.Control {
 		if !slices.Contains(c.known, p) {
 			c.known = append(c.known, p)
--- a/io/tackforward/watch.go
+++ b/io/tackforward/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburntack/core/tackclock"
@@ -26,10 +27,16 @@
 	// election takes one to two seconds, and callers are better off waiting for
 	// its end than being sent away.
 	cutOffAfter = 2 * tackclock.Second
+	// lookLimit bounds one question of a look.
+	lookLimit = 400 * time.Millisecond
+	// minorityMeans is how many looks in a row must find most control VMs out of reach
+	// for a VM to be cut off: no election among those within reach brings a leader.
+	minorityMeans = 2
 )
 
 // CutOff reports that no control VM that leads has been within reach for a
-// while, though they were asked for one. Requests are then refused at once: a
+// while, though they were asked for one, or that none leads and most control VMs
+// are out of reach. Requests are then refused at once: a
 // caller that waits here loses the time in which another VM could serve it.
 // Readiness follows it, so that the balancer sends new connections elsewhere.
 func (c *Client) CutOff() bool {
@@ -68,12 +75,19 @@
 // known. quiet is how long none had answered before. A VM that was frozen meanwhile must
 // look again before it takes itself for cut off.
 func (c *Client) look(ctx context.Context, quiet tackclock.Duration) {
+	most := true
 	if !c.lookAtLeader(ctx) {
-		c.lookAtSome(ctx)
+		most = c.lookAtSome(ctx)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if quiet > cutOffAfter && c.clock.Now().Sub(c.heard) >= quiet {
+	if most {
+		c.minority = 0
+	} else {
+		c.minority++
+	}
+	silent := c.clock.Now().Sub(c.heard) >= quiet // also after the look
+	if silent && (quiet > cutOffAfter || c.minority >= minorityMeans) {
 		c.setCutOff(true)
 	}
 }
@@ -92,7 +106,10 @@
 		return false
 	}
 	leads := make(chan bool, 1)
-	go func() { leads <- c.lookAt(ctx, leader) }()
+	go func() {
+		_, yes := c.lookAt(ctx, leader)
+		leads <- yes
+	}()
 	select {
 	case yes := <-leads:
 		return yes
@@ -101,35 +118,53 @@
 	}
 }
 
-// lookAtSome asks some control VMs at the same time who leads. Those that are cut off
-// answer nothing for as long as a call may take, so one after the other would find a
-// leader seconds late.
+// lookAtSome asks some control VMs at the same time who leads, and reports whether half of
+// them have answered. Those that are cut off answer nothing for as long as a call may take,
+// so one after the other would find a leader seconds late.
 //
 // Load pattern: the leader is lost, and hundreds of entry VMs look for the next one in the
 // same instant. Were each to ask all control VMs, the calls would grow with the product of
 // both.
-func (c *Client) lookAtSome(ctx context.Context) {
+func (c *Client) lookAtSome(ctx context.Context) bool {
 	peers := c.order()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if !c.inMinority() { // a sample of many may miss the majority, all of them do not
+		peers = peers[:min(len(peers), lookAtOnce)]
+	}
 	var group sync.WaitGroup
-	for _, p := range peers[:min(len(peers), lookAtOnce)] {
-		group.Go(func() { c.lookAt(ctx, p) })
+	var reached atomic.Int32
+	for _, p := range peers {
+		group.Go(func() {
+			if answered, _ := c.lookAt(ctx, p); answered {
+				reached.Add(1)
+			}
+		})
 	}
 	group.Wait()
+	return 2*int(reached.Load()) >= len(peers)
 }
 
-// lookAt asks a control VM who leads, and reports whether it does itself.
-func (c *Client) lookAt(ctx context.Context, p tackid.Peer) bool {
+// inMinority reports that the last look found most control VMs out of reach.
+func (c *Client) inMinority() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.minority > 0
+}
+
+// lookAt asks a control VM who leads, and reports whether it has answered, and leads itself.
+func (c *Client) lookAt(ctx context.Context, p tackid.Peer) (answered, leads bool) {
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
+	defer cancel()
 	var a tackwork.Answer
 	if err := c.post(ctx, p, leaderPath, nil, &a); err != nil {
 		c.log.WithField("peer", p).WithError(err).Debug("control VM not reached")
-		return false
+		return false, false
 	}
 	if a.NotLeader {
 		p = a.Leader
 	}
 	c.follow(p, a)
-	return !a.NotLeader
+	return true, !a.NotLeader
 }
 
 // setCutOff notes a change. The caller holds mu.
--- a/io/tackforward/watch_test.go
+++ b/io/tackforward/watch_test.go
@@ -108,6 +108,24 @@
 		look(c, clock)
 		assertCutOff(t, c, false)
 	})
+	// Guards against callers who are kept for seconds by a VM that is cut off: no election
+	// among the control VMs within its reach brings a leader.
+	t.Run("a VM that reaches a minority is cut off soon", func(t *testing.T) {
+		c, clock := newWatched(t, &fakeControl{})
+		c.known = []tackid.Peer{"127.0.0.2", "127.0.0.3"} // nobody listens there
+		look(c, clock)
+		assertCutOff(t, c, false)
+		look(c, clock)
+		assertCutOff(t, c, true)
+	})
+	t.Run("one that reaches half waits for the election", func(t *testing.T) {
+		c, clock := newWatched(t, &fakeControl{})
+		c.known = []tackid.Peer{"127.0.0.2"}
+		for range 3 {
+			look(c, clock)
+		}
+		assertCutOff(t, c, false)
+	})
 	// Symptom: a VM that woke from a freeze refused requests though the leader
 	// was within reach. Sequence: a look is under way, the VM freezes for
 	// seconds, the look fails. Cause: the frozen time counted as silence.
