--- a/core/tackdispatch/cost_test.go
+++ b/core/tackdispatch/cost_test.go
@@ -124,7 +124,7 @@
 
 // Guards against a request whose cost grows with the jobs that are open.
 func TestAdmissionCostBound(t *testing.T) {
-	allocations := func(jobs int) float64 {
+	looked := func(jobs int) float64 {
 		c := newCrowd(4)
 		c.round()
 		for n := range jobs {
@@ -136,7 +136,7 @@
 		c.d.Pending(testQueue.QueueKey)
 		return float64(c.d.Looked() - before)
 	}
-	assertFlat(t, "looked at for a request", allocations(100), allocations(10_000))
+	assertFlat(t, "looked at for a request", looked(100), looked(10_000))
 }
 
 // Guards against sums of a pool, kept up with each change, that drift from what its
