An entry VM that has started is ready once it reaches half of the control VMs

Those that start behind the cut say that they are ready for 0.9 to 1.1 s, until they take themselves for cut off. While one VM of a data centre is ready its callers are sent to all of its VMs (the platform's rule for less than half), so that 143 requests from 34 to 37 s are refused by VMs that know that they are cut off. Ruled out: late detection (the others are cut off after 1.1 s), refusals by the new leader. Change: readiness begins with half of the control VMs reached, or a leader; a VM looks for them at its start. Before: TestReady fails (ready at once); after: passes.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -65,6 +65,7 @@
 		known  []tackid.Peer
 		heard  tackclock.Time // when a leader last answered
 		cutOff bool           // see CutOff
+		ready  bool           // see Ready
 		// minority counts the looks in a row that found most control VMs out of reach.
 		minority int
 		clock    *tackclock.Clock
@@ -185,6 +186,7 @@
 	}
 	if !a.NotLeader {
 		c.heard = c.clock.Now()
+		c.markReady()
 		c.setCutOff(false)
 	}
 	if !a.NotLeader && len(a.Control) > 0 {
--- a/io/tackforward/watch.go
+++ b/io/tackforward/watch.go
@@ -45,11 +45,21 @@
 	return c.cutOff
 }
 
+// Ready reports whether new connections may come here. A VM that has started must have
+// reached half of the control VMs first: one that starts behind a partition would draw
+// its data centre's callers to VMs of which none serves.
+func (c *Client) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready && !c.cutOff
+}
+
 // Watch looks for the leader while no request does, until ctx ends.
 func (c *Client) Watch(ctx context.Context) error {
 	c.mu.Lock()
 	c.heard = c.clock.Now()
 	c.mu.Unlock()
+	c.look(ctx, 0)
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	for {
@@ -83,6 +93,7 @@
 	defer c.mu.Unlock()
 	if most {
 		c.minority = 0
+		c.markReady()
 	} else {
 		c.minority++
 	}
@@ -119,7 +130,7 @@
 }
 
 // lookAtSome asks some control VMs at the same time who leads, and reports whether half of
-// them have answered. Those that are cut off answer nothing for as long as a call may take,
+// them have answered; false if none is known. Those that are cut off answer nothing for as long as a call may take,
 // so one after the other would find a leader seconds late.
 //
 // Load pattern: the leader is lost, and hundreds of entry VMs look for the next one in the
@@ -141,7 +152,7 @@
 		})
 	}
 	group.Wait()
-	return 2*int(reached.Load()) >= len(peers)
+	return len(peers) > 0 && 2*int(reached.Load()) >= len(peers)
 }
 
 // inMinority reports that the last look found most control VMs out of reach.
@@ -167,6 +178,14 @@
 	return true, !a.NotLeader
 }
 
+// markReady notes that the VM is ready for the first time. The caller holds mu.
+func (c *Client) markReady() {
+	if !c.ready {
+		c.ready = true
+		c.log.WithField("known", len(c.known)).Info("control VMs reached")
+	}
+}
+
 // setCutOff notes a change. The caller holds mu.
 func (c *Client) setCutOff(cutOff bool) {
 	if c.cutOff == cutOff {
--- a/io/tackforward/watch_test.go
+++ b/io/tackforward/watch_test.go
@@ -66,6 +66,49 @@
 	}
 }
 
+// Guards against callers who are drawn to a data centre that is cut off by the one VM
+// there that has just started and knows nothing of the cut.
+func TestReady(t *testing.T) {
+	assertReady := func(t *testing.T, c *Client, want bool) {
+		t.Helper()
+		if got := c.Ready(); got != want {
+			t.Errorf("ready: %v, want %v", got, want)
+		}
+	}
+	ctx := context.Background()
+	t.Run("not before anything was reached", func(t *testing.T) {
+		c, _ := newWatched(t, &fakeControl{leads: true})
+		assertReady(t, c, false)
+		c.look(ctx, 0)
+		assertReady(t, c, true)
+	})
+	t.Run("also while none leads", func(t *testing.T) {
+		c, _ := newWatched(t, &fakeControl{})
+		c.look(ctx, 0)
+		assertReady(t, c, true)
+	})
+	t.Run("not with a minority", func(t *testing.T) {
+		c, _ := newWatched(t, &fakeControl{})
+		c.known = []tackid.Peer{"127.0.0.2", "127.0.0.3"} // nobody listens there
+		c.look(ctx, 0)
+		assertReady(t, c, false)
+	})
+	t.Run("not without control VMs", func(t *testing.T) {
+		c, _ := newWatched(t, &fakeControl{})
+		c.seeds = func() []tackid.Peer { return nil }
+		c.look(ctx, 0)
+		assertReady(t, c, false)
+	})
+	t.Run("no more once it is cut off", func(t *testing.T) {
+		control := &fakeControl{}
+		c, clock := newWatched(t, control)
+		c.look(ctx, 0)
+		clock.Advance(2 * cutOffAfter)
+		c.look(ctx, c.quiet())
+		assertReady(t, c, false)
+	})
+}
+
 // Symptom: callers of a data centre that was cut off were told after 0.85 s to
 // come back, and came back to the same VM, while VMs elsewhere served. Sequence:
 // the path from the entry VM to the leader is cut; its readiness stays good.
