A request for which no connection was made was not sent

The error of a dial that the caller's deadline ends is no net.OpError, so it was taken for a request under way. A connection once had still means that the request may have run.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -231,7 +233,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	url := "http://" + net.JoinHostPort(string(p), strconv.Itoa(c.port)) + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(data))
 	if err != nil {
 		return &unsentError{err: err}
 	}
@@ -241,8 +245,11 @@
 	// again: its error would be that of the second try and say that nothing was
 	// sent.
 	resp, err := c.http.Do(req)
+	if err != nil && !connected.Load() {
+		return &unsentError{err: err}
+	}
 	if err != nil {
-		return callError(err)
+		return err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
@@ -255,16 +262,6 @@
 	return cbor.Unmarshal(body, into)
 }
 
-// callError tells a connection that was never made from one on which the
-// request may have arrived.
-func callError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &unsentError{err: err}
-	}
-	return err
-}
-
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
 	return conn.Control(func(fd uintptr) { setTimeoutOption(int(fd), userTimeoutMS) })
 }
--- a/io/tackforward/client_test.go
+++ b/io/tackforward/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
@@ -84,3 +85,21 @@
 	}
 	<-gone
 }
+
+// Guards against callers who are told that their request may have run when no connection
+// was made for it: they may not send it to another VM then.
+func TestRequestWithoutAConnectionWasNotSent(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	seeds := func() []tackid.Peer { return []tackid.Peer{controlPeer} }
+	c := NewClient(1, seeds, new(tackclock.Clock), log)
+	c.http.Transport = &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done() // as behind a partition
+		return nil, ctx.Err()
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if a := c.Do(ctx, &tackwork.Request{Operation: tackwork.Submit, ID: "r"}); a.Verdict != tackwork.Unavailable {
+		t.Errorf("the verdict is %v, want unavailable", a.Verdict)
+	}
+}
