--- a/io/tackcontrol/relay.go
+++ b/io/tackcontrol/relay.go
@@ -1,6 +1,7 @@
 package tackcontrol
 
 import (
+	"errors"
 	"context"
 	"sync"
 	"time"
@@ -170,11 +171,12 @@
 func (c *Control) answerReport(from tackid.Peer, n *tackrelay.Numbered) tackrelay.Answer {
 	a := tackrelay.Answer{Number: n.Number}
 	reply, err := c.decide(&n.Report, from)
-	switch err.(type) {
-	case nil:
+	var foreign *tackdispatch.ForeignError
+	switch {
+	case err == nil:
 		a.Orders, a.Ask = reply.Orders, reply.Ask
-	case *tackdispatch.ForeignError:
-		a.Problem = err.(*tackdispatch.ForeignError).Problem
+	case errors.As(err, &foreign):
+		a.Problem = foreign.Problem
 	default:
 		a.NotLeader = true
 	}
