A job whose proposal is not decided is not refused

The first proposal may still be committed. Two neighbours of it, found by reading on: the two tries may overtake each other at a busy leader, and 'leadership was lost' of a second try was taken for the first one's fate as well.

Ruled out: the change of 'no connection was made' (GotConn is called before anything is written); a later leader (it has applied its own first entry before it decides).

Change: the leader counts proposals whose fate is open and proposes such a job again without a new admission; a request that was refused stays refused for five seconds, longer than an entry VM tries; an entry VM that sent a first try goes on after 'unavailable' and says unknown in the end.

Before: TestUndecidedJobIsNotRefused, TestRefusedRequestIsNotAcceptedLater and TestSecondTryDoesNotSpeakForTheFirst fail; after: they pass.

--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -102,6 +102,8 @@
 		// while it is good.
 		reopenAt tackclock.Time
 
+		submissions submissions
+
 		status atomic.Pointer[tackreplica.Status]
 		// moving has a place for each move that the platform is called for at once.
 		moving chan struct{}
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -57,10 +57,10 @@
 		disks   map[tackid.Peer]*fillingDisk
 	}
 
-	// fillingDisk refuses every write while it is full.
+	// fillingDisk refuses every write while it is full, and has them wait while it stalls.
 	fillingDisk struct {
 		tackdisk.OSFiles
-		full atomic.Bool
+		full, stalled atomic.Bool
 	}
 
 	fillingFile struct {
@@ -93,6 +93,9 @@
 }
 
 func (f *fillingFile) Write(data []byte) (int, error) {
+	for f.disk.stalled.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
 	if f.disk.full.Load() {
 		return 0, syscall.ENOSPC
 	}
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -73,6 +73,7 @@
 	workspace tackid.Workspace
 	key       tackworkspace.Fingerprint
 	spec      *tackjob.Spec
+	request   tackid.RequestID
 }
 
 func (c *Control) do(ctx context.Context, r *tackwork.Request) tackwork.Answer {
@@ -104,7 +105,7 @@
 	if q == nil {
 		return nil, &tackwork.Answer{Verdict: tackwork.NoQueue}
 	}
-	found := &call{queue: *q, id: tackjob.ID(rest), spec: r.Spec}
+	found := &call{queue: *q, id: tackjob.ID(rest), spec: r.Spec, request: r.ID}
 	if c.state.Catalog.Keyed && !q.Public {
 		held := false
 		if found.workspace, held = c.state.Holder(r.Key); !held {
@@ -175,13 +176,7 @@
 	if err := spec.Validate(); err != nil {
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: err.Error()}
 	}
-	c.mu.Lock()
-	known := c.state.Jobs.Get(k.id)
-	var admission tackdispatch.Admission
-	if known == nil {
-		admission = c.dispatch.Admit(c.clock.Now(), &k.queue, &spec, k.workspace)
-	}
-	c.mu.Unlock()
+	known, admission := c.admit(k, &spec)
 	switch {
 	case known != nil && !k.sees(known):
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: idTaken}
@@ -190,7 +185,7 @@
 	case !admission.Accepted:
 		return tackwork.Answer{Verdict: tackwork.Refused, RetryAfter: admission.ComeBack, Reason: admission.Reason}
 	}
-	p := c.propose(ctx, tackwork.Change{Submit: &spec, Key: k.key})
+	p := c.proposeTold(ctx, tackwork.Change{Submit: &spec, Key: k.key}, func() { c.submissions.end(spec.ID) })
 	switch {
 	case p.fate != committed:
 		return c.answerProposal(p)
@@ -204,6 +199,32 @@
 	return tackwork.Answer{}
 }
 
+// admit returns the job, if the log holds it, or whether it is accepted. One that is must
+// be proposed.
+func (c *Control) admit(k *call, spec *tackjob.Spec) (known *tackjob.Job, a tackdispatch.Admission) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known = c.state.Jobs.Get(spec.ID); known != nil {
+		return known, a
+	}
+	now := c.clock.Now()
+	before, refused := c.submissions.refusedBefore(now, k.request)
+	switch {
+	case c.submissions.open(spec.ID):
+		a.Accepted = true
+	case refused:
+		return nil, before
+	default:
+		a = c.dispatch.Admit(now, &k.queue, spec, k.workspace)
+	}
+	if a.Accepted {
+		c.submissions.begin(spec.ID)
+	} else {
+		c.submissions.refuse(now, k.request, a)
+	}
+	return nil, a
+}
+
 func (c *Control) answerProposal(p proposed) tackwork.Answer {
 	switch p.fate {
 	case committed:
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -123,13 +123,15 @@
 
 func (c *Control) install(snap tackreplica.Snapshot) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.state.Restore(snap.Data); err != nil {
+	err := c.state.Restore(snap.Data)
+	c.orders.reset(c.clock.Now())
+	c.mu.Unlock()
+	if err != nil {
 		return &StoppedError{What: "take over the leader's snapshot", Err: err}
 	}
-	c.orders.reset(c.clock.Now())
 	c.snapshotAt = snap.Index
 	c.node.Applied(snap.Index)
+	c.deliverUpTo(snap.Index)
 	return nil
 }
 
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -55,13 +55,23 @@
 
 // propose appends a change and returns what became of it.
 func (c *Control) propose(ctx context.Context, change tackwork.Change) proposed {
+	return c.proposeTold(ctx, change, func() {})
+}
+
+// proposeTold is propose, and calls decided once the fate of the change is known, which may
+// be after it has returned.
+func (c *Control) proposeTold(ctx context.Context, change tackwork.Change, decided func()) proposed {
 	began := c.clock.Now()
 	result := make(chan proposed, 1)
 	data := change.Encode()
 	posted := c.loop.Post(ctx, func() {
-		c.append(data, func(f fate, out tackwork.Outcome) { result <- proposed{fate: f, outcome: out} })
+		c.append(data, func(f fate, out tackwork.Outcome) {
+			decided()
+			result <- proposed{fate: f, outcome: out}
+		})
 	})
 	if !posted {
+		decided()
 		return proposed{fate: rejected}
 	}
 	timer := time.NewTimer(commitLimit)
@@ -105,6 +115,17 @@
 	w.tell(committed, out)
 }
 
+// deliverUpTo tells whoever waits for an entry that a snapshot took the place of. Whether
+// the snapshot has it is not known.
+func (c *Control) deliverUpTo(last tackid.Revision) {
+	for index, w := range c.waiters {
+		if index <= last {
+			delete(c.waiters, index)
+			w.tell(undecided, tackwork.Outcome{})
+		}
+	}
+}
+
 // takeLead resets dispatch when this VM has begun to lead, and drops it when
 // it leads no more.
 func (c *Control) takeLead(now tackclock.Time) {
--- a/io/tackcontrol/relay.go
+++ b/io/tackcontrol/relay.go
@@ -1,8 +1,8 @@
 package tackcontrol
 
 import (
-	"errors"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
--- /dev/null
+++ b/io/tackcontrol/undecided_test.go
@@ -0,0 +1,97 @@
+package tackcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
+	"auburntack/core/tackwork"
+	"auburntack/io/tackcontrol"
+)
+
+// impatient is how long the caller of a test waits for a commit: less than the leader keeps
+// its lease without its followers.
+const impatient = 100 * time.Millisecond
+
+// submitTo hands a job of eight core-seconds in, and gives it up after a while.
+func submitTo(control *tackcontrol.Control, request, id string, within time.Duration) tackwork.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	step := tackjob.Step{Count: 8, Estimate: 1000, Room: tackroom.Room{MilliCores: 1000, MemoryMB: 10}}
+	return control.Do(ctx, &tackwork.Request{
+		Operation: tackwork.Submit, ID: tackid.RequestID(request), Host: "a.example", Path: "/q/" + id,
+		Spec: &tackjob.Spec{Steps: []tackjob.Step{step}},
+	})
+}
+
+// Guards against a job that runs though its caller was told that it never would: its commit
+// takes long, the entry VM asks again, and by then the pool has too much to do for one more.
+func TestUndecidedJobIsNotRefused(t *testing.T) {
+	c := newRunning(t)
+	leader := c.leader()
+	control := c.running[leader].control
+	first, second := &worker{id: "i-1", control: control}, &worker{id: "i-2", control: control}
+	first.beat()
+	second.beat()
+	accepted := 0
+	for submitTo(control, "", numbered(accepted), eventually).Verdict == tackwork.Done {
+		accepted++
+	}
+	for n := range accepted / 3 {
+		c.assertAsk(tackwork.Cancel, numbered(n), tackwork.Done)
+	}
+	c.stall(leader, true)
+	if a := submitTo(control, "r-1", jobA, impatient); a.Verdict != tackwork.Unknown {
+		t.Fatalf("%v (%s), want unknown while no majority answers", a.Verdict, a.Reason)
+	}
+	control.Leave(second.id)
+	if a := submitTo(control, "r-2", jobB, impatient); a.Verdict != tackwork.Refused {
+		t.Errorf("%v (%s) for another job, want it refused with half of the cores", a.Verdict, a.Reason)
+	}
+	for _, request := range []string{"r-1", "r-3"} {
+		if a := submitTo(control, request, jobA, impatient); a.Verdict == tackwork.Refused {
+			t.Errorf("%s is refused (%s), and the job may yet be committed", request, a.Reason)
+		}
+	}
+	c.stall(leader, false)
+	c.assertAsk(tackwork.Lookup, jobB, tackwork.NoJob)
+}
+
+// Guards against the same where the requests overtake each other on their way.
+func TestRefusedRequestIsNotAcceptedLater(t *testing.T) {
+	c := newRunning(t)
+	control := c.running[c.leader()].control
+	w := &worker{id: "i-1", control: control}
+	w.beat()
+	n := 0
+	for submitTo(control, "", numbered(n), eventually).Verdict == tackwork.Done {
+		n++
+	}
+	if a := submitTo(control, "r-1", jobA, eventually); a.Verdict != tackwork.Refused {
+		t.Fatalf("%v (%s), want refused", a.Verdict, a.Reason)
+	}
+	for k := range n {
+		c.assertAsk(tackwork.Cancel, numbered(k), tackwork.Done)
+	}
+	if a := submitTo(control, "r-1", jobA, eventually); a.Verdict != tackwork.Refused {
+		t.Errorf("%v (%s) for an earlier try of the request, want it refused as well", a.Verdict, a.Reason)
+	}
+	if a := submitTo(control, "r-2", jobA, eventually); a.Verdict != tackwork.Done {
+		t.Errorf("%v (%s) for the caller's next request, want it accepted", a.Verdict, a.Reason)
+	}
+}
+
+func numbered(n int) string { return fmt.Sprintf("%016x", 0x1000+n) }
+
+// stall has the disks of all VMs but one stand still, or go on.
+func (c *cluster) stall(but tackid.Peer, on bool) {
+	for p, disk := range c.disks {
+		if p != but {
+			disk.stalled.Store(on)
+		}
+	}
+}
--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -121,7 +121,12 @@
 			a, err := c.call(ctx, p, data)
 			if err == nil && !a.NotLeader {
 				c.follow(p, a)
-				return a
+				if !sent || a.Verdict != tackwork.Unavailable || r.Operation == tackwork.Lookup {
+					return a
+				}
+				// That this try changed nothing says nothing about an earlier one.
+				reason = a.Reason
+				break
 			}
 			if err == nil {
 				c.follow(a.Leader, a)
--- a/io/tackforward/client_test.go
+++ b/io/tackforward/client_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +105,41 @@
 		t.Errorf("the verdict is %v, want unavailable", a.Verdict)
 	}
 }
+
+// Guards against callers who are told that their job never runs when only the second try to
+// hand it in is known not to have been carried out: the leader lost its leadership with the
+// first one's entry in its log.
+func TestSecondTryDoesNotSpeakForTheFirst(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, test := range []struct {
+		name    string
+		answers []tackwork.Verdict // to the tries after the first one, which has none
+		want    tackwork.Verdict
+	}{
+		{"and the leader knows", []tackwork.Verdict{tackwork.Unavailable, tackwork.Done}, tackwork.Done},
+		{"and it cannot know", []tackwork.Verdict{tackwork.Unavailable}, tackwork.Unknown},
+		{"and it refuses", []tackwork.Verdict{tackwork.Refused}, tackwork.Refused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var n atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				try := int(n.Add(1)) - 1
+				if try == 0 {
+					panic(http.ErrAbortHandler) // the connection breaks
+				}
+				body, err := cbor.Marshal(tackwork.Answer{Verdict: test.answers[min(try, len(test.answers))-1], Reason: "leadership was lost"})
+				if err != nil {
+					t.Error(err)
+				}
+				_, _ = w.Write(body)
+			}))
+			defer server.Close()
+			seeds := func() []tackid.Peer { return []tackid.Peer{controlPeer} }
+			c := NewClient(server.Listener.Addr().(*net.TCPAddr).Port, seeds, new(tackclock.Clock), log)
+			if a := c.Do(context.Background(), &tackwork.Request{Operation: tackwork.Submit, ID: "r"}); a.Verdict != test.want {
+				t.Errorf("the verdict is %v, want %v", a.Verdict, test.want)
+			}
+		})
+	}
+}
