Refused callers are told times to come back one after the other

Hypothesis: each caller of a moment is told when the accepted work has gone down far enough for one more job, so all come back together. Change: a caller is told that time, and as much later as the pool, with the VMs on their way to it, needs for the jobs of those who were told before him and have not come back; who comes early keeps his time, who never comes is waited for two seconds, and a minute is the most that is told. Nothing is reserved: a new caller may still be first.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -15,8 +15,7 @@
 	// raised it.
 	capComeBack = tackclock.Minute
 	// defaultAdmitPercent is above 100 since idle VMs of other pools come within
-	// two seconds, so the backlog is done sooner than the pool's cores say. Net
-	// gain under faults: 0.48 at 100, 0.49 at 125, 0.51 at 160 (two fleets of 49 VMs).
+	// two seconds, so the backlog is done sooner than the pool's cores say.
 	defaultAdmitPercent = 160
 )
 
@@ -59,13 +58,16 @@
 	byShare := share > 0 && timeFor(work.both, share)+chain <= allowed
 	if takes*100 > allowed*tackclock.Duration(d.cfg.AdmitPercent) && !byShare {
 		p.arrived(now, spec, true)
-		return Admission{ComeBack: max(takes-allowed, shortestComeBack), Reason: "would end too late"}
+		earliest := now.Add(max(takes-allowed, shortestComeBack))
+		at := p.comeBack.assign(now, spec, earliest, cores+p.coming)
+		return Admission{ComeBack: at.Sub(now), Reason: "would end too late"}
 	}
 	// A pool may get VMs of others. A cap stays what it is.
 	if takes := timeFor(work.workspace, account.Cap().MilliCores) + chain; takes > allowed {
 		return Admission{ComeBack: max(takes-allowed, shortestComeBack), Reason: "would end too late by the cap of its workspace"}
 	}
 	p.arrived(now, spec, false)
+	p.comeBack.drop(spec.ID)
 	return Admission{Accepted: true}
 }
 
--- a/core/tackdispatch/admit_test.go
+++ b/core/tackdispatch/admit_test.go
@@ -130,3 +130,47 @@
 		t.Errorf("the pool has %d thousandths of a core in the end, want those of its workers", got)
 	}
 }
+
+// Guards against callers who are told to come back together, and against
+// later callers who are told to wait for those that came early, or never.
+func TestComeBackTimes(t *testing.T) {
+	var x comeBackTimes
+	const cores = 16_000
+	spec := func(n int) *tackjob.Spec { // one second of all cores
+		return &tackjob.Spec{ID: job(n), Steps: []tackjob.Step{batch(8, 2, tackclock.Second)}}
+	}
+	now := tackclock.Time(1_000_000)
+	told := func(n int) tackclock.Duration {
+		return x.assign(now, spec(n), now.Add(2*tackclock.Second), cores).Sub(now)
+	}
+	for _, test := range []struct {
+		name string
+		do   func()
+		job  int
+		want tackclock.Duration
+	}{
+		{"the first one", func() {}, 1, 2000},
+		{"one after it", func() {}, 2, 3000},
+		{"the same again, before its time", func() { now = now.Add(500) }, 2, 2500},
+		{"one after both", func() {}, 3, 4000},
+		{"after the first was accepted", func() { x.drop(job(1)) }, 4, 4000},
+		{"a long queue", func() {
+			for n := range 100 {
+				told(10 + n)
+			}
+		}, 5, latestComeBack},
+		{"after all of them stayed away", func() { now = now.Add(latestComeBack + 2*comeBackKept) }, 6, 2000},
+		{"and that one again, after its time", func() { now = now.Add(2001) }, 6, 2000},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.do()
+			if got := told(test.job); got != test.want {
+				t.Errorf("told to come back after %d ms, want %d", got, test.want)
+			}
+		})
+	}
+	x.drop(job(6))
+	if x.work != 0 || len(x.byJob) != 0 {
+		t.Errorf("%d of work of %d jobs is left", x.work, len(x.byJob))
+	}
+}
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -47,6 +47,11 @@
 		clear clearing
 		// arrivals are the jobs that were handed in lately.
 		arrivals []arrival
+		// comeBack is when refused callers were told to come back.
+		comeBack comeBackTimes
+		// coming is the thousandths of a core of the VMs on their way here, by the last
+		// look of the planner of moves.
+		coming   int
 		reserved reservation
 		// gangsAt is when room is looked for again for gangs.
 		gangsAt tackclock.Time
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -101,11 +101,14 @@
 		} else {
 			d.fillPool(now, &p, free)
 		}
+		coming := 0
 		for vm, m := range d.moves {
 			if m.to == s.Name {
 				p.Coming = append(p.Coming, tackpool.VM{Name: vm, Room: m.room, Labels: m.labels})
+				coming += m.room.MilliCores
 			}
 		}
+		d.pool(s.Name).coming = coming
 		pools = append(pools, p)
 	}
 	return pools
