Jobs that are being handed to the log count for admission

Admission looked at what is committed only, so the longer commits take the more it accepts. Ruled out: the caller's side (tries are a second apart) and the cores (the pool's accepted work was far beyond what it does in time).

Change: a job that is accepted counts from its proposal until it is applied or rejected. Before: TestUndecidedJobsCountForAdmission refuses none of 64 jobs that would take two minutes, TestProposedJobsCountForAdmission does not compile; after: both pass.

--- a/core/tackdispatch/admit.go
+++ b/core/tackdispatch/admit.go
@@ -50,7 +50,8 @@
 	p := d.pool(q.Service)
 	chain := spec.Chain()
 	allowed := tackclock.Duration(q.Stretch*float64(chain)) + q.Objective
-	work := d.owed.of(owner{service: q.Service, workspace: workspace})
+	who := owner{service: q.Service, workspace: workspace}
+	work := d.owed.of(who).plus(d.proposed.of(who))
 	cores := d.coresOf(now, q.Service)
 	takes := timeFor(work.pool, cores) + chain
 	// What a workspace's share of the pool does in time need not wait for what others sent.
--- a/core/tackdispatch/admit_test.go
+++ b/core/tackdispatch/admit_test.go
@@ -174,3 +174,38 @@
 		t.Errorf("%d of work of %d jobs is left", x.work, len(x.byJob))
 	}
 }
+
+// Guards against a burst of jobs that is accepted as a whole since none of it is committed
+// yet, and against work that counts twice, or for good, afterwards.
+func TestProposedJobsCountForAdmission(t *testing.T) {
+	w := newWorld(t, 4) // 64 cores
+	w.run(200)
+	step := batch(8, 2, 1000) // 16 core-seconds, of which some 33 are done in time
+	spec := func(n int) *tackjob.Spec {
+		return &tackjob.Spec{ID: job(n), Queue: testQueue.QueueKey, Text: textOf(job(n)), Steps: []tackjob.Step{step}}
+	}
+	admits := func(n int) bool { return w.d.Admit(w.now, &testQueue, spec(n), "").Accepted }
+	n := 1
+	for ; n < 100 && admits(n); n++ {
+		w.d.Proposed(&testQueue, spec(n), "")
+		w.d.Proposed(&testQueue, spec(n), "") // sent again
+	}
+	if n < 25 || n > 35 {
+		t.Errorf("%d jobs are accepted before any is committed, want about as many as are done in time", n-1)
+	}
+	for k := 1; k < n; k += 2 {
+		w.submit(job(k), step)
+	}
+	if admits(200) {
+		t.Error("accepted after a half of them was committed")
+	}
+	for k := 2; k < n; k += 2 {
+		w.d.Decided(job(k))
+	}
+	if !admits(200) {
+		t.Error("refused after the other half never will be")
+	}
+	if w.d.proposed.of(owner{service: "names-api"}) != (owed{}) || len(w.d.proposals) != 0 {
+		t.Errorf("%v is left of what was proposed", w.d.proposed)
+	}
+}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -111,6 +111,9 @@
 		pools   map[tackid.Service]*pool
 		jobs    map[tackjob.ID]*openJob
 		running map[tackjob.Item]*run
+		// proposals are the jobs that are being handed to the log, proposed their work.
+		proposals map[tackjob.ID]proposal
+		proposed  owedWork
 		// owed is the work of jobs, unbegun how many of each queue have not begun.
 		owed    owedWork
 		unbegun map[tackcatalog.QueueKey]int
@@ -243,6 +246,7 @@
 	d.jobs = make(map[tackjob.ID]*openJob)
 	d.running = make(map[tackjob.Item]*run)
 	d.owed, d.unbegun, d.checks, d.fellSilent = owedWork{}, make(map[tackcatalog.QueueKey]int), nil, 0
+	d.proposals, d.proposed = make(map[tackjob.ID]proposal), owedWork{}
 	d.timed = make(map[tackjob.ID]*openJob)
 	d.cordon = make(map[tackid.VM]bool)
 	d.upkeeps = make(map[tackid.VM]*upkeepState)
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -103,6 +103,7 @@
 
 // accept takes in a job; fresh says that nobody can have started any of it.
 func (d *Dispatcher) accept(now tackclock.Time, j *tackjob.Job, fresh bool) {
+	d.Decided(j.ID)
 	if j.Phase != tackjob.Open || d.jobs[j.ID] != nil {
 		return
 	}
--- a/core/tackdispatch/owed.go
+++ b/core/tackdispatch/owed.go
@@ -1,6 +1,10 @@
 package tackdispatch
 
-import "auburntack/core/tackid"
+import (
+	"auburntack/core/tackcatalog"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+)
 
 type (
 	// owedWork is the accepted work that ends and is not done, in milliseconds of
@@ -18,6 +22,12 @@
 		workspace tackid.Workspace
 	}
 
+	// proposal is the work of a job that is being handed to the log, and whose it is.
+	proposal struct {
+		owner owner
+		work  int64
+	}
+
 	// owed is the work that stands before a request.
 	owed struct {
 		pool      int64 // of the pool
@@ -56,6 +66,30 @@
 	return owed{pool: x.services[who.service], workspace: x.workspaces[who.workspace], both: x.both[who]}
 }
 
+// Proposed takes in that a job is being handed to the log. Until Decided it counts as
+// accepted work, so that a burst is not accepted as a whole before any of it is committed.
+func (d *Dispatcher) Proposed(q *tackcatalog.Queue, spec *tackjob.Spec, workspace tackid.Workspace) {
+	if _, known := d.proposals[spec.ID]; known || spec.LongRunning() || spec.Repeats > 0 {
+		return
+	}
+	p := proposal{owner: owner{service: q.Service, workspace: workspace}, work: spec.Work()}
+	d.proposals[spec.ID] = p
+	d.proposed.change(p.owner, p.work)
+}
+
+// Decided takes in that the log has accepted a proposed job, or never will.
+func (d *Dispatcher) Decided(id tackjob.ID) {
+	if p, known := d.proposals[id]; known {
+		delete(d.proposals, id)
+		d.proposed.change(p.owner, -p.work)
+	}
+}
+
+// plus adds up work.
+func (o owed) plus(x owed) owed {
+	return owed{pool: o.pool + x.pool, workspace: o.workspace + x.workspace, both: o.both + x.both}
+}
+
 // workLeft is the job's work that is not done, in milliseconds of thousandths
 // of a core, by its estimates.
 func (o *openJob) workLeft() int64 {
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -185,7 +185,7 @@
 	case !admission.Accepted:
 		return tackwork.Answer{Verdict: tackwork.Refused, RetryAfter: admission.ComeBack, Reason: admission.Reason}
 	}
-	p := c.proposeTold(ctx, tackwork.Change{Submit: &spec, Key: k.key}, func() { c.submissions.end(spec.ID) })
+	p := c.proposeTold(ctx, tackwork.Change{Submit: &spec, Key: k.key}, func() { c.decided(spec.ID) })
 	switch {
 	case p.fate != committed:
 		return c.answerProposal(p)
@@ -219,12 +219,23 @@
 	}
 	if a.Accepted {
 		c.submissions.begin(spec.ID)
+		c.dispatch.Proposed(&k.queue, spec, k.workspace)
 	} else {
 		c.submissions.refuse(now, k.request, a)
 	}
 	return nil, a
 }
 
+// decided takes in that a proposal of a job was committed, or never will be.
+func (c *Control) decided(id tackjob.ID) {
+	if !c.submissions.end(id) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatch.Decided(id)
+}
+
 func (c *Control) answerProposal(p proposed) tackwork.Answer {
 	switch p.fate {
 	case committed:
--- a/io/tackcontrol/submissions.go
+++ b/io/tackcontrol/submissions.go
@@ -49,13 +49,15 @@
 	s.undecided[id]++
 }
 
-// end takes in that a proposal is decided.
-func (s *submissions) end(id tackjob.ID) {
+// end takes in that a proposal is decided, and reports whether it was the last of its job.
+func (s *submissions) end(id tackjob.ID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.undecided[id]--; s.undecided[id] <= 0 {
-		delete(s.undecided, id)
+	if s.undecided[id]--; s.undecided[id] > 0 {
+		return false
 	}
+	delete(s.undecided, id)
+	return true
 }
 
 // open reports whether a proposal of the job may yet be committed.
--- a/io/tackcontrol/undecided_test.go
+++ b/io/tackcontrol/undecided_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +97,29 @@
 		}
 	}
 }
+
+// Load pattern: a burst of jobs, whose commits take longer the more of them are under way.
+// It guards against all of them being accepted, since none is committed yet.
+func TestUndecidedJobsCountForAdmission(t *testing.T) {
+	const burst = 64 // 512 core-seconds for four cores
+	c := newRunning(t)
+	leader := c.leader()
+	control := c.running[leader].control
+	w := &worker{id: "i-1", control: control}
+	w.beat()
+	c.stall(leader, true)
+	defer c.stall(leader, false)
+	var refused atomic.Int32
+	var group sync.WaitGroup
+	for n := range burst {
+		group.Go(func() {
+			if submitTo(control, "", numbered(n), impatient).Verdict == tackwork.Refused {
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if refused.Load() < burst/2 {
+		t.Errorf("%d of %d jobs are refused, which would take two minutes", refused.Load(), burst)
+	}
+}
