A learner that lacks only what is gathered for it can become a voter

Since what members without a vote lack of the log is gathered for 120 ms; a learner may be promoted while it has all that is committed, which under steady load holds for the moment of its answer alone.

Change: it may also be promoted if it has acknowledged all that there was when it was last sent anything, within two such times.

--- a/core/tackreplica/append.go
+++ b/core/tackreplica/append.go
@@ -39,6 +39,7 @@
 	for p.next <= n.log.last() && p.inflightBytes < windowBatches*n.cfg.MaxBatchBytes {
 		n.sendBatch(p)
 	}
+	p.sentAll = p.next > n.log.last()
 }
 
 func (n *Node) sendBatch(p *progress) {
--- a/core/tackreplica/cost_test.go
+++ b/core/tackreplica/cost_test.go
@@ -232,3 +232,28 @@
 	}
 	b.ReportMetric(float64(n.commit)/float64(b.N), "commits/op")
 }
+
+// Guards against a learner that cannot become a voter under steady load, so that the loss of
+// a second voter leaves no majority.
+func TestGatheringLearnerCanBePromoted(t *testing.T) {
+	const voters, changes, samples = 3, 150, 40
+	cfg, names := fleet(voters+1, voters)
+	cfg.LearnerEvery = 120
+	c := newClusterOf(t, 1, cfg, names...)
+	leader := c.settled()
+	caughtUp := 0
+	for range samples {
+		for range changes / 10 {
+			if _, _, err := leader.propose(); err != nil {
+				t.Fatal(err)
+			}
+			c.run(second / changes)
+		}
+		if leader.node.caughtUp(names[voters]) {
+			caughtUp++
+		}
+	}
+	if caughtUp < samples/2 {
+		t.Errorf("it has caught up at %d of %d looks", caughtUp, samples)
+	}
+}
--- a/core/tackreplica/membership.go
+++ b/core/tackreplica/membership.go
@@ -201,7 +201,14 @@
 // the commitment of entries.
 func (n *Node) caughtUp(peer tackid.Peer) bool {
 	p := n.progress[peer]
-	return p != nil && !p.ineligible && p.match >= n.commit && n.now.Sub(p.heard) <= n.cfg.Lease
+	return p != nil && !p.ineligible && (p.match >= n.commit || n.hasGathered(p)) && n.now.Sub(p.heard) <= n.cfg.Lease
+}
+
+// hasGathered reports whether a member lacks only what is gathered for it since it was last
+// sent all that there was. Under steady load it never has all at any other moment than that
+// of its answer.
+func (n *Node) hasGathered(p *progress) bool {
+	return n.spares(p) && p.sentAll && !p.probing && len(p.inflight) == 0 && n.now.Sub(p.sentAt) <= 2*n.cfg.LearnerEvery
 }
 
 // stepAside hands over once it is committed that the leader is no voter.
--- a/core/tackreplica/progress.go
+++ b/core/tackreplica/progress.go
@@ -18,6 +18,7 @@
 		inflight      []inflightBatch
 		inflightBytes int
 		sentAt        tackclock.Time
+		sentAll       bool // all that there was at sentAt has been sent
 
 		heard tackclock.Time
 		acked tackclock.Time // newest of the leader's stamps it answered
