--- a/core/tackdispatch/cancel_test.go
+++ b/core/tackdispatch/cancel_test.go
@@ -26,22 +26,10 @@
 // is held up for three seconds, the leader takes the order for lost, the job is
 // cancelled, and then the worker starts the item.
 func TestCancelStopsWhatStartsLate(t *testing.T) {
-	w := newWorld(t, 1)
-	m := w.workers[0]
-	w.run(100)
-	w.submit(job(1), batch(2, 1, 20*tackclock.Second))
-	late := w.receive(m.report(w))
-	if len(late.Start) != 2 {
-		t.Fatalf("%d starts, want 2", len(late.Start))
-	}
-	m.cut = true
-	w.run(3 * tackclock.Second)
-	w.apply(tackwork.Change{Cancel: job(1)})
-	m.cut = false
-	w.obey(m, w.now, &late)
-	assertRuns(t, w, job(1), 2)
-	w.run(600)
-	assertRuns(t, w, job(1), 0)
+	assertLateStartsEnd(t, func(w *world) {
+		w.run(3 * tackclock.Second)
+		w.apply(tackwork.Change{Cancel: job(1)})
+	})
 }
 
 // Symptom: an item of a cancelled job runs on. Sequence: the leader that started it
@@ -60,15 +48,27 @@
 // Guards against an item of a cancelled job that runs on: its worker starts it late, after
 // the leader that ordered it was removed, and the job was cancelled under the next leader.
 func TestCancelStopsLateStartsOfARemovedLeader(t *testing.T) {
+	assertLateStartsEnd(t, func(w *world) {
+		w.newLeader()
+		w.apply(tackwork.Change{Cancel: job(1)})
+		w.run(5 * tackclock.Second)
+	})
+}
+
+// assertLateStartsEnd fails the test unless two items of a job end whose starts are held up
+// while the job is cancelled: the worker begins them, and is told to stop them.
+func assertLateStartsEnd(t *testing.T, cancel func(w *world)) {
+	t.Helper()
 	w := newWorld(t, 1)
 	m := w.workers[0]
 	w.run(100)
 	w.submit(job(1), batch(2, 1, 20*tackclock.Second))
 	late := w.receive(m.report(w))
+	if len(late.Start) != 2 {
+		t.Fatalf("%d starts, want 2", len(late.Start))
+	}
 	m.cut = true
-	w.newLeader()
-	w.apply(tackwork.Change{Cancel: job(1)})
-	w.run(5 * tackclock.Second)
+	cancel(w)
 	m.cut = false
 	w.obey(m, w.now, &late)
 	assertRuns(t, w, job(1), 2)
--- a/core/tackdispatch/silence.go
+++ b/core/tackdispatch/silence.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// unheard are the workers that are silent and to be looked at now, in the order of their ids, so that the same
-// faults bring the same outcome.
+// unheard are the workers that are silent and to be looked at now, in the order of their
+// ids, so that the same faults bring the same outcome.
 func (d *Dispatcher) unheard(now tackclock.Time) []*worker {
 	var list []*worker
 	for _, w := range d.checks.due(now) {
--- a/io/tackforward/watch.go
+++ b/io/tackforward/watch.go
@@ -130,8 +130,8 @@
 }
 
 // lookAtSome asks some control VMs at the same time who leads, and reports whether half of
-// them have answered; false if none is known. Those that are cut off answer nothing for as long as a call may take,
-// so one after the other would find a leader seconds late.
+// them have answered; false if none is known. Those that are cut off answer nothing for as
+// long as a call may take, so one after the other would find a leader seconds late.
 //
 // Load pattern: the leader is lost, and hundreds of entry VMs look for the next one in the
 // same instant. Were each to ask all control VMs, the calls would grow with the product of
