tackdispatch: a log line and a counter for crashes that are excused

A run that was lost with a worker whose end is taken for an ordered one left no trace but 'run lost', so an excused crash could not be told from one of which no doubt had been raised.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -33,25 +33,57 @@
 	d.orderedBefore = ordered
 }
 
-// endedByOrder reports whether an incarnation on the VM may have ended by an order that
-// was given for that incarnation, or while no incarnation was known there.
-func (d *Dispatcher) endedByOrder(now tackclock.Time, vm tackid.VM, incarnation WorkerID) bool {
+// orderBehind returns which order may have ended an incarnation on the VM, or an empty
+// string if none did: an order of this leader that was given for that incarnation, or
+// while no incarnation was known there, or an order of an earlier leader.
+func (d *Dispatcher) orderBehind(now tackclock.Time, vm tackid.VM, incarnation WorkerID) string {
 	if m := d.moves[vm]; m != nil && (m.incarnation == incarnation || m.incarnation == "") {
-		return true
+		return "its VM was moved"
 	}
 	st := d.upkeeps[vm]
 	called := st != nil && st.calledAt != 0 && now.Sub(st.calledAt) <= downLimit
 	if called && (st.incarnation == incarnation || st.incarnation == "") {
-		return true
+		return "its VM was taken down"
+	}
+	if d.orderedBefore != nil && d.orderedBefore(now, vm) {
+		return "an earlier leader gave an order for its VM"
+	}
+	return ""
+}
+
+// excuseFor returns why the end of the worker does not count as a crash, or an empty
+// string if it does.
+func (d *Dispatcher) excuseFor(now tackclock.Time, w *worker) string {
+	switch {
+	case w.vm == "":
+		return "its VM is unknown"
+	case w.draining:
+		return "it drained"
+	case w.leaving:
+		return "its end was ordered"
+	}
+	return d.orderBehind(now, w.vm, w.id)
+}
+
+// noteExcused notes the runs of a worker whose end does not count as a crash, and that
+// another incarnation has replaced.
+func (d *Dispatcher) noteExcused(now tackclock.Time, w *worker) {
+	reason := d.excuseFor(now, w)
+	if w.doubted || reason == "" {
+		return
+	}
+	for _, r := range w.runsInOrder() {
+		if !r.settled() && r.sentIn != notSent {
+			d.noteRun(now, EventCrashExcused, r, reason)
+		}
 	}
-	return d.orderedBefore != nil && d.orderedBefore(now, vm)
 }
 
 // doubtRuns records doubts about the runs of a worker that fell silent or whose
 // incarnation is over. Runs that the worker had listed for long are left out, since its
 // crash says nothing about them.
 func (d *Dispatcher) doubtRuns(now tackclock.Time, w *worker) {
-	if w.doubted || w.vm == "" || w.draining || w.leaving || d.endedByOrder(now, w.vm, w.id) {
+	if w.doubted || d.excuseFor(now, w) != "" {
 		return
 	}
 	w.doubted = true
@@ -131,10 +163,17 @@
 // from there. If it is not the incarnation that was silent, and no order explains the
 // change, the silent one has crashed.
 func (d *Dispatcher) resolveDoubts(now tackclock.Time, vm tackid.VM, incarnation WorkerID) {
-	byOrder := func(incarnation string) bool { return d.endedByOrder(now, vm, WorkerID(incarnation)) }
-	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), byOrder)
+	orderBehind := func(incarnation string) string { return d.orderBehind(now, vm, WorkerID(incarnation)) }
+	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string) bool { return orderBehind(id) != "" })
 	for i := range dismissed {
-		d.dismissDoubt(&dismissed[i])
+		x := &dismissed[i]
+		if x.WorkerID != string(incarnation) {
+			d.note(Event{
+				Kind: EventCrashExcused, At: now, Worker: WorkerID(x.WorkerID), VM: vm, Item: x.Item, Run: RunNumber(x.Run),
+				Reason: orderBehind(x.WorkerID),
+			})
+		}
+		d.dismissDoubt(x)
 	}
 	for _, c := range crashed {
 		d.recordCrash(now, c)
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -50,6 +50,9 @@
 	EventItemCleared
 	// EventItemsHeld says that items wait because their workspace has reached its cap.
 	EventItemsHeld
+	// EventCrashExcused says that the end of a worker does not count as a crash under one
+	// of its runs.
+	EventCrashExcused
 )
 
 const (
@@ -85,7 +88,7 @@
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
 	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "worker emptied", "run copied",
-	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held",
+	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held", "crash excused",
 }
 
 // String returns the event's log message.
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -24,6 +24,7 @@
 	runsLost   metrics.Counter
 	lost       metrics.Counter
 	suspected  metrics.Counter
+	excused    metrics.Counter
 	held       metrics.Counter
 	givenUp    metrics.Counter
 	moves      metrics.Counter
@@ -61,6 +62,7 @@
 		runsLost:   counter("runs_lost"),
 		lost:       counter("workers_lost"),
 		suspected:  counter("items_suspected"),
+		excused:    counter("crashes_excused"),
 		held:       counter("steps_held_by_cap"),
 		givenUp:    counter("items_given_up"),
 		moves:      counter("vm_moves"),
@@ -89,6 +91,8 @@
 		m.runsLost.Inc(1)
 	case tackdispatch.EventItemSuspected:
 		m.suspected.Inc(1)
+	case tackdispatch.EventCrashExcused:
+		m.excused.Inc(1)
 	case tackdispatch.EventItemsHeld:
 		m.held.Inc(1)
 	case tackdispatch.EventItemGivenUp:
