tackdispatch, tackcontrol: an order excuses only the end that it can have caused

Callers saw: an item that crashes its workers started six and eight times, since most of its crashes were not counted.

Cause: a leader excused every end of a worker whose VM an earlier leader had named in the log up to eight seconds before the VM came back, although the order had been carried out, and the worker that crashed had been started by it.

Now the order must be able to reach a process that was last heard when it was: orders are carried out within the handover time, so one that is older than that at the last report explains nothing. An end that is still excused leaves a record where the worker had not listed the run: it counts as a start that may have crashed its worker, so the number of starts stays bounded even where the excuse is wrong.

TestOrderExplainsNoCrashAfterTheHandoverTime fails with the window of eight seconds until the VM is back; the Watch subtest on starts that were not listed fails without the record.

--- a/core/tackcrash/record.go
+++ b/core/tackcrash/record.go
@@ -61,6 +61,10 @@
 		// nothing but other members, and that the run had not survived its start or its
 		// trial.
 		Alone bool `cbor:"4,keyasint,omitempty"`
+		// Excused says that an order may have ended the worker. Such a crash does not
+		// count as one that the item ran alone in, but as a start that may have ended in
+		// a crash.
+		Excused bool `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Doubt is a run of which it is unresolved whether its worker crashed: the worker
--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -26,17 +26,18 @@
 	return f
 }
 
-// SetOrderedBefore sets the function that tells, until the next Reset, whether an earlier
-// leader may have ordered a move or an upkeep of a VM recently. If so, a new incarnation
-// of a worker on it does not mean that the previous one crashed.
-func (d *Dispatcher) SetOrderedBefore(ordered func(tackclock.Time, tackid.VM) bool) {
+// SetOrderedBefore sets the function that tells, until the next Reset, whether an order of
+// an earlier leader may have ended a worker on the VM that was last heard from at the
+// given time. If so, a new incarnation on the VM does not mean that the worker crashed.
+func (d *Dispatcher) SetOrderedBefore(ordered func(heard tackclock.Time, vm tackid.VM) bool) {
 	d.orderedBefore = ordered
 }
 
-// orderBehind returns which order may have ended an incarnation on the VM, or an empty
-// string if none did: an order of this leader that was given for that incarnation, or
-// while no incarnation was known there, or an order of an earlier leader.
-func (d *Dispatcher) orderBehind(now tackclock.Time, vm tackid.VM, incarnation WorkerID) string {
+// orderBehind returns which order may have ended an incarnation on the VM that was last
+// heard from at the given time, or an empty string if none did: an order of this leader
+// that was given for that incarnation, or while no incarnation was known there, or an
+// order of an earlier leader.
+func (d *Dispatcher) orderBehind(now tackclock.Time, vm tackid.VM, incarnation WorkerID, heard tackclock.Time) string {
 	if m := d.moves[vm]; m != nil && (m.incarnation == incarnation || m.incarnation == "") {
 		return "its VM was moved"
 	}
@@ -45,7 +46,7 @@
 	if called && (st.incarnation == incarnation || st.incarnation == "") {
 		return "its VM was taken down"
 	}
-	if d.orderedBefore != nil && d.orderedBefore(now, vm) {
+	if d.orderedBefore != nil && d.orderedBefore(heard, vm) {
 		return "an earlier leader gave an order for its VM"
 	}
 	return ""
@@ -62,19 +63,27 @@
 	case w.leaving:
 		return "its end was ordered"
 	}
-	return d.orderBehind(now, w.vm, w.id)
+	return d.orderBehind(now, w.vm, w.id, w.heardAt)
 }
 
-// noteExcused notes the runs of a worker whose end does not count as a crash, and that
-// another incarnation has replaced.
-func (d *Dispatcher) noteExcused(now tackclock.Time, w *worker) {
+// excuseRuns handles the runs of a worker whose end does not count as a crash, and that
+// another incarnation has replaced. That an order ended the worker is likely but not
+// certain, so starts that the worker never listed are recorded: if they left no trace, an
+// item that crashes its workers could be started without limit while VMs are ordered
+// around.
+func (d *Dispatcher) excuseRuns(now tackclock.Time, w *worker) {
 	reason := d.excuseFor(now, w)
 	if w.doubted || reason == "" {
 		return
 	}
 	for _, r := range w.runsInOrder() {
-		if !r.settled() && r.sentIn != notSent {
-			d.noteRun(now, EventCrashExcused, r, reason)
+		if r.settled() || r.sentIn == notSent {
+			continue
+		}
+		d.noteRun(now, EventCrashExcused, r, reason)
+		if x := r.doubt(); x.BeforeReport && x.VM != "" {
+			x.Alone, x.Excused = false, true
+			d.recordCrash(now, tackjob.Crash{Item: x.Item, Crash: x.Crash})
 		}
 	}
 }
@@ -163,17 +172,11 @@
 // from there. If it is not the incarnation that was silent, and no order explains the
 // change, the silent one has crashed.
 func (d *Dispatcher) resolveDoubts(now tackclock.Time, vm tackid.VM, incarnation WorkerID) {
-	orderBehind := func(incarnation string) string { return d.orderBehind(now, vm, WorkerID(incarnation)) }
-	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string) bool { return orderBehind(id) != "" })
+	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string, heard tackclock.Time) bool {
+		return d.orderBehind(now, vm, WorkerID(id), heard) != ""
+	})
 	for i := range dismissed {
-		x := &dismissed[i]
-		if x.WorkerID != string(incarnation) {
-			d.note(Event{
-				Kind: EventCrashExcused, At: now, Worker: WorkerID(x.WorkerID), VM: vm, Item: x.Item, Run: RunNumber(x.Run),
-				Reason: orderBehind(x.WorkerID),
-			})
-		}
-		d.dismissDoubt(x)
+		d.dismissDoubt(&dismissed[i])
 	}
 	for _, c := range crashed {
 		d.recordCrash(now, c)
@@ -209,6 +212,9 @@
 	if c.Alone {
 		reason = "crashed while the item ran alone"
 	}
+	if c.Excused {
+		reason = "its end was ordered"
+	}
 	if c.BeforeReport {
 		reason += ", before the item was listed"
 	}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -155,8 +155,8 @@
 		moves    map[tackid.VM]*moving
 
 		// findings have yet to be written to the log. orderedBefore reports whether an
-		// earlier leader's order may have ended the last incarnation on a VM; it is nil
-		// if none can have.
+		// earlier leader's order may have ended a worker on a VM by when the worker was
+		// last heard from; it is nil if none can have.
 		findings      tackjob.Findings
 		orderedBefore func(tackclock.Time, tackid.VM) bool
 		silences      tacksilence.Watch
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -78,13 +78,13 @@
 func (d *Dispatcher) join(now tackclock.Time, r *Report) *worker {
 	if before := d.workersByName[r.Worker.Name()]; before != nil {
 		d.doubtRuns(now, before)
-		d.noteExcused(now, before)
+		d.excuseRuns(now, before)
 		d.lose(now, before, "another process reported under its name")
 	}
 	if r.VM != "" {
 		if before := d.workersByVM[r.VM]; before != nil {
 			d.doubtRuns(now, before)
-			d.noteExcused(now, before)
+			d.excuseRuns(now, before)
 			d.lose(now, before, "another process reported from its VM")
 		}
 		d.resolveDoubts(now, r.VM, r.Worker)
--- a/core/tacksilence/watch.go
+++ b/core/tacksilence/watch.go
@@ -53,15 +53,19 @@
 }
 
 // Resolve resolves the doubts about a VM after a report from a worker process there.
-// Doubts about the same process, and about processes for which endedByOrder returns true,
-// are dismissed; the other processes have crashed.
-func (w *Watch) Resolve(vm tackid.VM, id string, endedByOrder func(id string) bool) (dismissed []tackjob.Doubt, crashed []tackjob.Crash) {
+// Doubts about the same process are dismissed; the other processes have crashed. Where
+// endedByOrder, called with the time of a process's last report, returns true, an order may
+// have ended it: doubts about runs that it had reported are dismissed, and the others
+// become crashes that are excused.
+func (w *Watch) Resolve(vm tackid.VM, id string, endedByOrder func(id string, heard tackclock.Time) bool) (dismissed []tackjob.Doubt, crashed []tackjob.Crash) {
 	for _, x := range w.doubts[vm] {
-		if x.WorkerID == id || endedByOrder(x.WorkerID) {
+		excused := x.WorkerID != id && endedByOrder(x.WorkerID, x.heard)
+		if x.WorkerID == id || excused && !x.BeforeReport {
 			dismissed = append(dismissed, x.Doubt)
 			continue
 		}
-		x.Alone = x.Alone && !w.together(&x)
+		x.Excused = excused
+		x.Alone = x.Alone && !excused && !w.together(&x)
 		crashed = append(crashed, tackjob.Crash{Item: x.Item, Crash: x.Crash})
 	}
 	delete(w.doubts, vm)
--- a/core/tacksilence/watch_test.go
+++ b/core/tacksilence/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"auburntack/core/tackclock"
 	"auburntack/core/tackcrash"
 	"auburntack/core/tackjob"
 )
@@ -14,7 +15,7 @@
 	}}
 }
 
-func neverOrdered(string) bool { return false }
+func neverOrdered(string, tackclock.Time) bool { return false }
 
 func assertSettled(t *testing.T, dismissed []tackjob.Doubt, crashed []tackjob.Crash, wantDismissed, wantCrashed int) {
 	t.Helper()
@@ -43,10 +44,24 @@
 	})
 	t.Run("an order explains the end of the process that it was given to", func(t *testing.T) {
 		var w Watch
-		w.Doubt(1000, doubtOf(1, "i-1"), 100)
+		listed := doubtOf(1, "i-1")
+		listed.BeforeReport = false
+		w.Doubt(1000, listed, 100)
 		w.Doubt(1000, doubtOf(2, "i-2"), 100)
-		dismissed, crashed := w.Resolve("m-1", "i-3", func(id string) bool { return id == "i-1" })
+		dismissed, crashed := w.Resolve("m-1", "i-3", func(id string, _ tackclock.Time) bool { return id == "i-1" })
 		assertSettled(t, dismissed, crashed, 1, 1)
+		if crashed[0].Run != 2 || crashed[0].Excused || !crashed[0].Alone {
+			t.Errorf("crashed %+v, want run 2, in full", crashed[0])
+		}
+	})
+	t.Run("a start that was not listed is counted all the same, but not in full", func(t *testing.T) {
+		var w Watch
+		w.Doubt(1000, doubtOf(1, "i-1"), 100)
+		dismissed, crashed := w.Resolve("m-1", "i-3", func(_ string, heard tackclock.Time) bool { return heard == 100 })
+		assertSettled(t, dismissed, crashed, 0, 1)
+		if !crashed[0].Excused || crashed[0].Alone {
+			t.Errorf("crashed %+v, want it excused", crashed[0])
+		}
 	})
 	t.Run("a crash at the same time as others counts less", func(t *testing.T) {
 		var w Watch
--- a/io/tackcontrol/orders.go
+++ b/io/tackcontrol/orders.go
@@ -71,13 +71,15 @@
 	return known && last.term == term || o.age(now, last) >= handover
 }
 
-// byEarlierLeader reports whether the log says that the leader of another term gave an order
-// for the VM within the given time. Unlike free it assumes no order for VMs that the log does
-// not name, so the end of a worker there counts as a crash: if the ends on all VMs were
-// excused after each start, successive crashes would go unnoticed.
-func (o *orders) byEarlierLeader(now tackclock.Time, term tackreplica.Term, vm tackid.VM, within tackclock.Duration) bool {
+// mayEndAfter reports whether the leader of another term may have given an order that ended a
+// process on the VM after heard, when the process last reported. An order is carried out
+// within the handover time; a process that reported later than that has survived it, or was
+// started by it. Unlike free it assumes no order for VMs that the log does not name, so the
+// end of a worker there counts as a crash: if the ends on all VMs were excused after each
+// start, successive crashes would go unnoticed.
+func (o *orders) mayEndAfter(heard tackclock.Time, term tackreplica.Term, vm tackid.VM, handover tackclock.Duration) bool {
 	last, known := o.last[vm]
-	return known && last.term != term && o.age(now, last) < within
+	return known && last.term != term && o.age(heard, last) < handover
 }
 
 // age returns the minimum age of an order: the time since the entry was applied here, or, if
--- a/io/tackcontrol/orders_test.go
+++ b/io/tackcontrol/orders_test.go
@@ -91,6 +91,35 @@
 	})
 }
 
+// Guards against crashes that are excused by an order of an earlier leader that was carried
+// out before the worker that crashed had even started.
+func TestOrderExplainsNoCrashAfterTheHandoverTime(t *testing.T) {
+	const handover = 4 * tackclock.Second
+	ordered := tackclock.Time(1_000_000)
+	var o orders
+	o.reset(ordered.Add(-tackclock.Minute))
+	o.recordEntry(ordered, &tackreplica.Entry{Term: 3, Time: ordered}, []tackid.VM{"m-1"})
+	for _, test := range []struct {
+		name  string
+		heard tackclock.Time
+		term  tackreplica.Term
+		vm    tackid.VM
+		want  bool
+	}{
+		{"heard before the order", ordered.Add(-100), 4, "m-1", true},
+		{"heard while the order may be under way", ordered.Add(handover - 1), 4, "m-1", true},
+		{"heard after that", ordered.Add(handover), 4, "m-1", false},
+		{"the leader itself gave the order", ordered, 3, "m-1", false},
+		{"no order was given", ordered, 4, "m-2", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := o.mayEndAfter(test.heard, test.term, test.vm, handover); got != test.want {
+				t.Errorf("may have ended: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestCallsAreBounded(t *testing.T) {
 	o := orders{perSecond: 5}
 	now := tackclock.Time(1_000_000)
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -17,10 +17,6 @@
 // as undecided. Callers give a request three seconds.
 const commitTimeout = 1500 * time.Millisecond
 
-// maxOrderTime is the maximum time that a VM needs to return after an order that the previous
-// leader gave just before the handover: an upkeep of two seconds and a first report.
-const maxOrderTime = 4 * tackclock.Second
-
 type (
 	// waiter is notified of the result of an entry. notify is called by the loop, at
 	// most once.
@@ -148,8 +144,8 @@
 	c.dispatch.Reset(now, term, tackdispatch.Inherited{
 		Jobs: &c.state.Jobs, Workspaces: c.state.Catalog.Workspaces, Grants: c.state.Grants,
 	})
-	c.dispatch.SetOrderedBefore(func(now tackclock.Time, vm tackid.VM) bool {
-		return c.orders.byEarlierLeader(now, term, vm, c.cfg.Handover+maxOrderTime)
+	c.dispatch.SetOrderedBefore(func(heard tackclock.Time, vm tackid.VM) bool {
+		return c.orders.mayEndAfter(heard, term, vm, c.cfg.Handover)
 	})
 	c.upkeep.reset(now)
 	c.roster = tackrelay.Roster{}
