tackdispatch: few starts at a time where workers crash at them, suspects one by one

Cause: a worker with room got a dozen items in one answer, and a crash made suspects of all of them. Each suspect waited for a worker of its own, and a trial takes one for half a second: suspects came faster than trials cleared them, ran out of patience, started beside others and made new suspects.

A suspect needs no idle worker, only one that lists all its other runs; it needs an idle one where nothing else was being started when it was lost, or after two such losses. A crash during another item's start does not count against the runs that the worker had listed.

--- a/core/tackcrash/record.go
+++ b/core/tackcrash/record.go
@@ -4,9 +4,12 @@
 // A worker that crashes takes all of its runs with it, and nothing tells which of them
 // was at fault, if any: the VM may have failed, or its rack may have lost power. Giving
 // up every item that was lost a few times would also give up the neighbours of an item
-// that crashes workers, since they were lost as often while they ran beside it. So an
-// item that may be at fault runs alone until it has survived the time at which its
-// workers crashed, and crashes while it ran alone count most against it.
+// that crashes workers, since they were lost as often while they ran beside it.
+//
+// An item that was lost at its start together with others is started again where no other
+// start is under way, so that the next crash tells which of them is at fault. An item that
+// is likely at fault runs alone until it has survived the time at which its workers
+// crashed, and crashes while it ran alone count most against it.
 package tackcrash
 
 import (
@@ -44,8 +47,10 @@
 	// item would otherwise go through a whole pool before the first of them is back.
 	maxDoubts = 2
 	// listedLimit is the number of crashes that require a trial if the worker had
-	// reported the item each time, so that the item had survived its start.
+	// reported the item each time, so that the item had survived its start. earlyLimit is
+	// the number of those that require one although other starts were under way.
 	listedLimit = 2
+	earlyLimit  = 2
 )
 
 type (
@@ -65,6 +70,12 @@
 		// count as one that the item ran alone in, but as a start that may have ended in
 		// a crash.
 		Excused bool `cbor:"5,keyasint,omitempty"`
+		// Isolated says that the worker had reported all its other runs, so that no other
+		// start can have been the cause.
+		Isolated bool `cbor:"6,keyasint,omitempty"`
+		// Explained says that the worker had reported this run but not another one, which
+		// is the more likely cause. Such a crash does not count against the item.
+		Explained bool `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Doubt is a run of which it is unresolved whether its worker crashed: the worker
@@ -153,35 +164,60 @@
 
 // AtFault reports whether the item is to be given up.
 func (r Record) AtFault() bool {
-	early := 0
+	early, listed := 0, 0
 	alone := make(map[tackid.VM]bool)
 	for _, c := range r.Crashes {
-		if c.BeforeReport {
+		switch {
+		case c.BeforeReport:
 			early++
+		case !c.Explained:
+			listed++
 		}
 		if c.Alone {
 			alone[c.VM] = true
 		}
 	}
-	n := len(r.Crashes)
+	n := early + listed
 	return n >= maxCrashes || early >= maxEarly || n >= maxWithAlone && len(alone) > 0 || len(alone) >= aloneLimit
 }
 
 // Trial returns how long a worker must have reported the item before anything else may
 // start there; zero if the item may start beside others. That includes an item that was
-// lost once after its worker had reported it: it is most likely a neighbour of the one at
-// fault.
+// lost once at its start, together with others that had just been started, and one that
+// was lost once after its worker had reported it: most likely it is a neighbour of the one
+// at fault.
 func (r Record) Trial() tackclock.Duration {
-	early := r.early()
-	switch listed := len(r.Crashes) + len(r.Doubts) - early; {
+	early, listed := 0, 0
+	isolated := false
+	for _, c := range r.Crashes {
+		isolated = isolated || c.BeforeReport && (c.Isolated || c.Alone)
+		switch {
+		case c.BeforeReport:
+			early++
+		case !c.Explained:
+			listed++
+		}
+	}
+	for _, d := range r.Doubts {
+		if !d.BeforeReport && !d.Explained {
+			listed++
+		}
+	}
+	switch {
 	case listed >= listedLimit, listed > 0 && early > 0:
 		return SettledAfter
-	case early > 0:
+	case isolated, early >= earlyLimit:
 		return shortTrial
 	}
 	return 0
 }
 
+// StartsIsolated reports whether the item may start only on a worker that has reported all
+// its other runs, and must be reported before anything else starts there.
+func (r Record) StartsIsolated() bool {
+	return r.early() > 0 || r.Trial() > 0
+}
+
 // CrashedOn reports whether a worker on the VM crashed under the item. A crash on a
 // different VM tells more about the item than another one on the same VM.
 func (r Record) CrashedOn(vm tackid.VM) bool {
--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -97,6 +97,9 @@
 	}
 	w.doubted = true
 	mayBeCause := false
+	if w.unlisted() > 0 {
+		d.limitStarts(now, w)
+	}
 	for _, r := range w.runsInOrder() {
 		mayBeCause = mayBeCause || r.mayCauseCrash()
 		if r.settled() || r.sentIn == notSent {
@@ -147,9 +150,26 @@
 // left on the worker counts against the run only until it is listed, or passes its trial.
 func (r *run) doubt() tackjob.Doubt {
 	w := r.worker
-	return tackjob.Doubt{Item: r.item, Doubt: tackcrash.Doubt{WorkerID: string(w.id), Crash: tackcrash.Crash{
-		Run: uint64(r.number), VM: w.vm, BeforeReport: !r.listed, Alone: (!r.listed || r.mayCauseCrash()) && w.alone(r),
-	}}}
+	// Other items may yet start on the worker together with a planned start.
+	bySelf := r.isolated || r.sentIn != notSent
+	c := tackcrash.Crash{
+		Run: uint64(r.number), VM: w.vm, BeforeReport: !r.listed,
+		Alone:     bySelf && (!r.listed || r.mayCauseCrash()) && w.alone(r),
+		Isolated:  bySelf && !r.listed && !w.mayCrashOtherThan(r),
+		Explained: r.listed && w.mayCrashOtherThan(r),
+	}
+	c.Alone = c.Alone || c.Isolated && r.isolated
+	return tackjob.Doubt{Item: r.item, Doubt: tackcrash.Doubt{WorkerID: string(w.id), Crash: c}}
+}
+
+// mayCrashOtherThan reports whether a crash of the worker may be the fault of another run.
+func (w *worker) mayCrashOtherThan(r *run) bool {
+	for _, other := range w.runs {
+		if other != r && other.mayCauseCrash() && !(r.step.Gang && other.step == r.step) {
+			return true
+		}
+	}
+	return false
 }
 
 // alone reports whether the worker runs nothing but the run or, for a member of a gang,
@@ -280,6 +300,9 @@
 // restoreDoubts restores the doubts that an earlier leader recorded about a job's items.
 func (d *Dispatcher) restoreDoubts(now tackclock.Time, j *tackjob.Job) {
 	j.EachDoubt(func(x tackjob.Doubt) {
+		if x.BeforeReport {
+			d.pool(j.Service).startCrashes.add(now)
+		}
 		if s := d.openStepOf(x.Item); s != nil {
 			s.addCrashes(x.Item.Index, 1)
 		}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -204,8 +204,10 @@
 		// it does not.
 		copyReason string
 		// trial is how long the worker must list the run before anything else may start
-		// there. suspected says that the log holds crashes under the run's item.
+		// there. isolated says that it must list the run at all before. suspected says
+		// that the log holds crashes under the run's item.
 		trial     tackclock.Duration
+		isolated  bool
 		suspected bool
 		// doubted says that a doubt about the run is in the log, or on its way there.
 		doubted bool
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -53,6 +53,9 @@
 	// EventCrashExcused says that the end of a worker does not count as a crash under one
 	// of its runs.
 	EventCrashExcused
+	// EventStartsLimited says that a worker that was starting items fell silent, so that
+	// the workers of its pool get fewer new items at a time.
+	EventStartsLimited
 )
 
 const (
@@ -88,7 +91,7 @@
 var eventNames = [...]string{
 	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
 	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "worker emptied", "run copied",
-	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held", "crash excused",
+	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held", "crash excused", "starts limited",
 }
 
 // String returns the event's log message.
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -269,6 +269,8 @@
 	switch {
 	case r.trial > 0:
 		return "on trial"
+	case r.isolated:
+		return "isolated"
 	case r.step.Gang:
 		return "gang"
 	}
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -54,6 +54,8 @@
 		// call of Pools.
 		coming   int
 		reserved reservation
+		// startCrashes limits how many items a worker starts at a time.
+		startCrashes startCrashes
 		// gangsAt is when placement of gangs is next attempted.
 		gangsAt tackclock.Time
 	}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -40,7 +40,7 @@
 		return
 	}
 	d.placeGangs(now, p)
-	if len(w.runs) == 0 && d.othersSuffice(now, p) {
+	if len(w.runs) == 0 && d.othersSuffice(now, p) && !p.startCrashes.any(now) {
 		return
 	}
 	for _, group := range [...]int{partitionLabelled, 0, partitionLabelled | partitionLate, partitionLate} {
@@ -145,6 +145,9 @@
 		if w.steps[s.key()] >= d.maxOnWorker(now, w, s) || !d.withinCap(now, s, 1) {
 			return
 		}
+		if w.unlisted() >= d.pools[w.service].maxUnlisted(now) {
+			return
+		}
 		next, ok := s.popStartable(now, w)
 		if !ok {
 			return
@@ -191,7 +194,7 @@
 func (s *openStep) popStartable(now tackclock.Time, w *worker) (waitingItem, bool) {
 	for i := len(s.waiting) - 1; i >= 0; i-- {
 		next := s.waiting[i]
-		if !s.restraints[next.index].alone && s.startable(now, next.index) && w.runs[s.item(next.index)] == nil {
+		if !s.restraints[next.index].isolated && s.startable(now, next.index) && w.runs[s.item(next.index)] == nil {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
 			return next, true
 		}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -47,7 +47,8 @@
 	stops      []Stop
 	// planned are starts of gangs and trials that wait for its next heartbeat.
 	planned []planned
-	// onTrial are runs during whose trial nothing else may start there.
+	// onTrial are isolated runs and runs on trial, during which nothing else may start
+	// there.
 	onTrial []*run
 	// doubted says that doubts about its runs were recorded since it fell silent.
 	doubted bool
