tackdispatch: two crashes of a lone start suffice while no VM fails by itself

An item that crashes its workers cost three of them, at three seconds each, also where it was the only one that its worker was starting: that first crash did not count in full, since a VM that fails for its own reasons may do so during a start. Now it does if no worker without a suspect fell silent within ten seconds. Then the second crash, on another VM, gives the item up.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -16,6 +16,10 @@
 	// maxDoubtHold is how long an item waits to hear from silent workers that ran it. The
 	// platform tolerates six seconds of absence of a long-running item.
 	maxDoubtHold = 4 * tackclock.Second
+	// calmFor is how long no worker may have fallen silent by itself for the crash of one
+	// at its only start to count in full: while VMs fail for their own reasons, sound
+	// items are started on one that is about to.
+	calmFor = 10 * tackclock.Second
 )
 
 // Findings returns what was found out about items since the last call, to be written to
@@ -109,7 +113,9 @@
 			d.doubtRun(r)
 			d.noteRun(now, EventItemInDoubt, r, "worker is silent")
 		}
-		d.silences.Doubt(now, r.doubt(), w.heardAt)
+		x := r.doubt()
+		x.Alone = x.Alone || x.Isolated && d.silences.OnlySuspects(now.Add(-calmFor))
+		d.silences.Doubt(now, x, w.heardAt)
 	}
 	d.silences.FellSilent(w.vm, w.heardAt, mayBeCause)
 }
--- a/core/tacksilence/watch.go
+++ b/core/tacksilence/watch.go
@@ -81,6 +81,12 @@
 	})
 }
 
+// OnlySuspects reports whether every worker that fell silent since the given time ran an
+// item that may be the cause, so that nothing points to failures of VMs.
+func (w *Watch) OnlySuspects(since tackclock.Time) bool {
+	return !slices.ContainsFunc(w.silences, func(s silence) bool { return s.heard >= since && !s.ranSuspect })
+}
+
 // Expire removes what is older than the given time, and returns the doubts among it,
 // which will no longer be resolved by a report.
 func (w *Watch) Expire(before tackclock.Time) []tackjob.Doubt {
--- a/core/tacksilence/watch_test.go
+++ b/core/tacksilence/watch_test.go
@@ -80,6 +80,14 @@
 			t.Error("the crash does not count in full")
 		}
 	})
+	t.Run("a VM that fails by itself is told from suspects", func(t *testing.T) {
+		var w Watch
+		w.FellSilent("m-1", 900, false)
+		w.FellSilent("m-2", 1000, true)
+		if w.OnlySuspects(900) || !w.OnlySuspects(901) {
+			t.Error("want only suspects after the VM that failed by itself")
+		}
+	})
 	t.Run("old doubts expire", func(t *testing.T) {
 		var w Watch
 		w.Doubt(1000, doubtOf(1, "i-1"), 100)
