tackcrash: no earlier limit for items that survived each of their starts

An item that was lost four times, once of them alone, was given up, also if its worker had listed it each time. Such an item has survived its starts; a VM that fails under it again is bad luck more often than its fault. It is now given up after five crashes, or two alone, like the others; the lower limit stays for items that were lost at a start.

--- a/core/tackcrash/record.go
+++ b/core/tackcrash/record.go
@@ -31,8 +31,9 @@
 	// 180,000 sound items are lost that often (200 storms of the dispatcher's tests).
 	maxCrashes = 5
 	maxEarly   = 4
-	// maxWithAlone is the limit for an item that was alone at least once. Where only one
-	// VM can be kept free for trials, that VM may be at fault as well.
+	// maxWithAlone is the limit for an item that was alone at least once, and was lost at
+	// its start at least once. Where only one VM can be kept free for trials, that VM may
+	// be at fault as well.
 	maxWithAlone = 4
 	// SettledAfter is how long a worker must have reported a run for its crash not to
 	// count against the item, and for earlier crashes to be forgotten. Items that crash
@@ -178,7 +179,7 @@
 		}
 	}
 	n := early + listed
-	return n >= maxCrashes || early >= maxEarly || n >= maxWithAlone && len(alone) > 0 || len(alone) >= aloneLimit
+	return n >= maxCrashes || early >= maxEarly || n >= maxWithAlone && len(alone) > 0 && early > 0 || len(alone) >= aloneLimit
 }
 
 // Trial returns how long a worker must have reported the item before anything else may
--- a/core/tackcrash/record_test.go
+++ b/core/tackcrash/record_test.go
@@ -70,6 +70,11 @@
 		assertIsolated(t, recordOf(c))
 		assertJudged(t, recordOf(c, c, c, c), true, 0)
 	})
+	t.Run("an item that survived its start each time is given up after one crash more", func(t *testing.T) {
+		four := []Crash{on(1, false, true), on(2, false, false), on(3, false, false), on(4, false, false)}
+		assertJudged(t, recordOf(four...), false, SettledAfter)
+		assertJudged(t, recordOf(append(four, on(5, true, false))...), true, 0)
+	})
 	t.Run("lost once while alone, it is tried again", func(t *testing.T) {
 		assertJudged(t, recordOf(on(1, true, false), on(2, true, true)), false, shortTrial)
 	})
