tackdispatch: an outage of a whole rack makes no suspects

Callers saw, since starts are limited where workers crash at them: fewer jobs in time after a rack lost its power or a data centre was cut off.

Cause: what the workers of the rack were just starting counted as suspect, and its copies started one at a time; the pools' starts were limited as well. Where all workers of a rack in a pool miss their heartbeats together, two at least, the cause is most likely the rack. Such losses count towards the limit of starts, and put no restraint on the items or the pool.

TestOutageOfARackMakesNoSuspects fails without it (copies start isolated).

--- a/core/tackcrash/record.go
+++ b/core/tackcrash/record.go
@@ -77,6 +77,9 @@
 		// Explained says that the worker had reported this run but not another one, which
 		// is the more likely cause. Such a crash does not count against the item.
 		Explained bool `cbor:"7,keyasint,omitempty"`
+		// Outage says that the workers of a whole rack fell silent together, so that the
+		// run is most likely not the cause. It counts, but puts no restraint on the item.
+		Outage bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Doubt is a run of which it is unresolved whether its worker crashed: the worker
@@ -143,24 +146,16 @@
 // Exhausted reports whether the item would be at fault if all workers that are silent
 // under it have crashed. It must not start again before one of them is heard from.
 func (r Record) Exhausted() bool {
-	return r.early() >= maxEarly
-}
-
-// early counts the starts that ended, or may have ended, in a crash before the worker had
-// reported the item.
-func (r Record) early() int {
 	n := 0
+	for _, d := range r.Doubts {
+		r = r.WithCrash(d.Crash)
+	}
 	for _, c := range r.Crashes {
 		if c.BeforeReport {
 			n++
 		}
 	}
-	for _, d := range r.Doubts {
-		if d.BeforeReport {
-			n++
-		}
-	}
-	return n
+	return n >= maxEarly
 }
 
 // AtFault reports whether the item is to be given up.
@@ -191,16 +186,17 @@
 	early, listed := 0, 0
 	isolated := false
 	for _, c := range r.Crashes {
-		isolated = isolated || c.BeforeReport && (c.Isolated || c.Alone)
 		switch {
+		case c.Outage:
 		case c.BeforeReport:
 			early++
+			isolated = isolated || c.Isolated || c.Alone
 		case !c.Explained:
 			listed++
 		}
 	}
 	for _, d := range r.Doubts {
-		if !d.BeforeReport && !d.Explained {
+		if !d.BeforeReport && !d.Explained && !d.Outage {
 			listed++
 		}
 	}
@@ -216,7 +212,9 @@
 // StartsIsolated reports whether the item may start only on a worker that has reported all
 // its other runs, and must be reported before anything else starts there.
 func (r Record) StartsIsolated() bool {
-	return r.early() > 0 || r.Trial() > 0
+	suspect := func(c Crash) bool { return c.BeforeReport && !c.Outage }
+	return slices.ContainsFunc(r.Crashes, suspect) ||
+		slices.ContainsFunc(r.Doubts, func(d Doubt) bool { return suspect(d.Crash) }) || r.Trial() > 0
 }
 
 // CrashedOn reports whether a worker on the VM crashed under the item. A crash on a
--- a/core/tackcrash/record_test.go
+++ b/core/tackcrash/record_test.go
@@ -70,6 +70,16 @@
 		assertIsolated(t, recordOf(c))
 		assertJudged(t, recordOf(c, c, c, c), true, 0)
 	})
+	t.Run("lost with its rack, it may run beside others", func(t *testing.T) {
+		c := on(1, true, false)
+		c.Outage = true
+		r := recordOf(c, c, c)
+		assertJudged(t, r, false, 0)
+		if r.StartsIsolated() {
+			t.Error("the item must start isolated")
+		}
+		assertJudged(t, recordOf(c, c, c, c), true, 0)
+	})
 	t.Run("an item that survived its start each time is given up after one crash more", func(t *testing.T) {
 		four := []Crash{on(1, false, true), on(2, false, false), on(3, false, false), on(4, false, false)}
 		assertJudged(t, recordOf(four...), false, SettledAfter)
--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -101,7 +101,8 @@
 	}
 	w.doubted = true
 	mayBeCause := false
-	if w.unlisted() > 0 {
+	outage := d.rackSilent(now, w)
+	if w.unlisted() > 0 && !outage {
 		d.limitStarts(now, w)
 	}
 	for _, r := range w.runsInOrder() {
@@ -109,6 +110,7 @@
 		if r.settled() || r.sentIn == notSent {
 			continue
 		}
+		r.outage = outage
 		if !r.doubted {
 			d.doubtRun(r)
 			d.noteRun(now, EventItemInDoubt, r, "worker is silent")
@@ -120,6 +122,27 @@
 	d.silences.FellSilent(w.vm, w.heardAt, mayBeCause)
 }
 
+// rackSilent reports whether all workers of the silent worker's rack in its pool, two at
+// least, fell silent with it. Then the rack has most likely lost its power or its network.
+func (d *Dispatcher) rackSilent(now tackclock.Time, w *worker) bool {
+	p := d.pools[w.service]
+	if p == nil || w.rack() == "" {
+		return false
+	}
+	others := 0
+	for _, o := range p.workers {
+		if o == w || o.rack() != w.rack() {
+			continue
+		}
+		due := o.heardAt.Add(d.cfg.RetryBusy + o.silenceAllowance)
+		if now <= due || w.heardAt > due.Add(doubtAfter) {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
 // mayCauseCrash reports whether a crash of the worker may be the run's fault: the run was
 // not listed yet, or has not passed its trial.
 func (r *run) mayCauseCrash() bool {
@@ -163,6 +186,7 @@
 		Alone:     bySelf && (!r.listed || r.mayCauseCrash()) && w.alone(r),
 		Isolated:  bySelf && !r.listed && !w.mayCrashOtherThan(r),
 		Explained: r.listed && w.mayCrashOtherThan(r),
+		Outage:    r.outage,
 	}
 	c.Alone = c.Alone || c.Isolated && r.isolated
 	return tackjob.Doubt{Item: r.item, Doubt: tackcrash.Doubt{WorkerID: string(w.id), Crash: c}}
@@ -306,7 +330,7 @@
 // restoreDoubts restores the doubts that an earlier leader recorded about a job's items.
 func (d *Dispatcher) restoreDoubts(now tackclock.Time, j *tackjob.Job) {
 	j.EachDoubt(func(x tackjob.Doubt) {
-		if x.BeforeReport {
+		if x.BeforeReport && !x.Outage {
 			d.pool(j.Service).startCrashes.add(now)
 		}
 		if s := d.openStepOf(x.Item); s != nil {
--- a/core/tackdispatch/crashrate_test.go
+++ b/core/tackdispatch/crashrate_test.go
@@ -59,6 +59,39 @@
 	}
 }
 
+// Load pattern: a rack loses power while its workers are starting items.
+//
+// Guards against sound items that start one at a time, as suspects, although nothing points
+// to them: the pool would be short of a rack and slow to start what it held.
+func TestOutageOfARackMakesNoSuspects(t *testing.T) {
+	w := newWorld(t, 8)
+	w.run(tackclock.Second)
+	for n := range 8 {
+		w.submit(job(n), speculative(6, 640))
+	}
+	for len(w.workers[0].runs) == 0 {
+		w.step()
+	}
+	for _, m := range w.workers[:4] {
+		w.crash(m)
+	}
+	w.run(10 * tackclock.Second)
+	events, _ := w.d.Events()
+	copied := false
+	for _, e := range events {
+		copied = copied || e.Kind == EventCopied
+		if e.Kind == EventStartsLimited || e.Kind == EventStarted && e.Reason == reasonIsolated {
+			t.Errorf("%v of %v at %d: %s", e.Kind, e.Item, e.At, e.Reason)
+		}
+	}
+	if !copied {
+		t.Error("no run was copied, so nothing was tested")
+	}
+	for n := range 8 {
+		assertPhase(t, w, job(n), tackjob.Complete)
+	}
+}
+
 // Load pattern: a pool is busy, and every eighth job has an item that crashes its workers.
 //
 // Guards against sound jobs that wait although most of the room is free: each crash makes
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -209,8 +209,10 @@
 		trial     tackclock.Duration
 		isolated  bool
 		suspected bool
-		// doubted says that a doubt about the run is in the log, or on its way there.
+		// doubted says that a doubt about the run is in the log, or on its way there, and
+		// outage that its worker fell silent together with its rack.
 		doubted bool
+		outage  bool
 	}
 )
 
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -10,6 +10,12 @@
 	"auburntack/core/tackroom"
 )
 
+const (
+	// reasonTrial and reasonIsolated are the reasons of planned starts of suspects.
+	reasonTrial    = "on trial"
+	reasonIsolated = "isolated"
+)
+
 const (
 	// rackPatience is how long a gang waits for one rack with room for all of it before
 	// it is spread over several.
@@ -268,9 +274,9 @@
 func (r *run) planReason() string {
 	switch {
 	case r.trial > 0:
-		return "on trial"
+		return reasonTrial
 	case r.isolated:
-		return "isolated"
+		return reasonIsolated
 	case r.step.Gang:
 		return "gang"
 	}
