tackdispatch: a start on a VM that does not return counts

Callers saw nothing of this yet; found by reading. A doubt about a worker whose VM is not heard from within a minute was dismissed, so an item that takes its VMs down for good was started without limit. A start that the worker never listed now counts as a crash, not in full, when its doubt expires.

TestItemWhoseVMsNeverReturnIsGivenUp failed before: started three times more after five workers had crashed under it.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -247,6 +247,18 @@
 	d.findings.Dismissed = append(d.findings.Dismissed, tackjob.Dismissal{Item: x.Item, Run: x.Run})
 }
 
+// expireDoubt resolves a doubt about a worker whose VM has not been heard from since. A
+// start that the worker never listed counts, or an item that takes its VMs down for good
+// could be started without limit.
+func (d *Dispatcher) expireDoubt(now tackclock.Time, x *tackjob.Doubt) {
+	if !x.BeforeReport {
+		d.dismissDoubt(x)
+		return
+	}
+	x.Alone = false
+	d.recordCrash(now, tackjob.Crash{Item: x.Item, Crash: x.Crash})
+}
+
 // recordCrash records a crash under an item. The item is not started until the log holds
 // the crash: if this leader were lost before, the next one would start counting from
 // zero.
--- a/core/tackdispatch/crashrate_test.go
+++ b/core/tackdispatch/crashrate_test.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// Guards against starts without limit of an item that takes each of its VMs down for good.
+func TestItemWhoseVMsNeverReturnIsGivenUp(t *testing.T) {
+	w := newWorld(t, 12)
+	w.away = 10 * tackclock.Minute
+	w.crashes[tackjob.Item{Job: job(1)}] = 10
+	w.submit(job(1), batch(1, 2, 800))
+	w.run(8 * tackclock.Minute)
+	assertPhase(t, w, job(1), tackjob.Failed)
+	assertCrashingStarts(t, w)
+}
+
 // Load pattern: a rack loses power while its workers are starting items.
 //
 // Guards against sound items that start one at a time, as suspects, although nothing points
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -89,7 +89,7 @@
 	}
 	d.expireAt = now.Add(forgetEvery)
 	for _, x := range d.silences.Expire(now.Add(-endedIncarnationKept)) {
-		d.dismissDoubt(&x)
+		d.expireDoubt(now, &x)
 	}
 	for id, at := range d.endedIncarnations {
 		if now.Sub(at) > endedIncarnationKept {
