--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -122,7 +122,7 @@
 // needsIdleWorkers reports whether a gang may start only on workers that run nothing
 // else.
 func (d *Dispatcher) needsIdleWorkers(now tackclock.Time, s *openStep) bool {
-	return slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return s.restraints[i.index].alone }) &&
+	return slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return s.restraints[i.index].isolated }) &&
 		now.Sub(max(s.waiting[0].since, d.earlierLeasesEnd)) <= trialPatience
 }
 
--- a/core/tackdispatch/logged.go
+++ b/core/tackdispatch/logged.go
@@ -5,11 +5,6 @@
 	"auburntack/core/tackjob"
 )
 
-// The first start of an item is sent without a log entry. If it is lost with its worker,
-// and the leader is lost before it notices, one start leaves no trace. To keep it at one,
-// every further start is logged as a doubt before it is sent: those of items that an
-// earlier leader may have started, and those of items that this leader has lost.
-
 // inheritSteps marks the steps of a job that an earlier leader may have started.
 func (d *Dispatcher) inheritSteps(j *tackjob.Job) {
 	o := d.jobs[j.ID]
@@ -30,7 +25,12 @@
 }
 
 // mustLogStart reports whether a start of the item must be in the log before it is sent.
-// The members of a gang start together.
+//
+// The first start of an item is sent without a log entry. If it is lost with its worker,
+// and the leader is lost before it notices, one start leaves no trace. To keep it at one,
+// every further start is logged as a doubt before it is sent: those of items that an
+// earlier leader may have started, and those of items that this leader has lost. The
+// members of a gang start together.
 func (s *openStep) mustLogStart(index int32) bool {
 	return s.inherited || s.lost[index] || s.Gang && len(s.lost) > 0
 }
