tackdispatch: the failure of a later run counts beside an earlier one

Callers saw: an item started a fifth time after four failed runs, where four are allowed (BUDGET).

A run that was given up has a lower number than the one under way. Only then its failure does not count.

--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -169,9 +169,7 @@
 		}
 		return tackjob.End{}, false
 	}
-	// A failure of a run that was given up earlier does not count once another run of the
-	// item is under way, unless the step allows copies.
-	if e.Kind == EndFailed && r == nil && d.running[e.Item] != nil && !o.Steps[e.Item.Step].Speculative {
+	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
 		return tackjob.End{}, false
 	}
 	s := o.steps[stepKey{job: o.ID, occurrence: e.Item.Occurrence, step: e.Item.Step}]
@@ -184,6 +182,14 @@
 	return tackjob.End{Item: e.Item, Failed: e.Kind == EndFailed, Gang: s.Gang, Run: uint64(e.Run)}, true
 }
 
+// laterRunUnderWay reports whether a later run of the item than the one that ended is under
+// way, so that the one that ended had been given up. An earlier one may be listed in a
+// heartbeat that was delayed, and says nothing of it.
+func (d *Dispatcher) laterRunUnderWay(e *Ended) bool {
+	r := d.running[e.Item]
+	return r != nil && r.number > e.Run
+}
+
 // EndsLogged records that the log holds these ends of a worker. Two ends of one item may
 // be pending, of a copy that failed and of a later run; the log may hold only the first.
 func (d *Dispatcher) EndsLogged(id WorkerID, noted []tackjob.End) {
