--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -93,7 +93,7 @@
 
 // forget drops what only the leader knew. A worker's crash under a run that it had listed
 // is recorded in the log after 0.9 s of its silence; if the leader is lost before, nobody
-// knows of the crash, and its item gets one more start. See docs/incidents.
+// knows of the crash, and its item gets one more start.
 func (w *world) forget() {
 	w.waiting, w.found, w.grants = nil, tackjob.Findings{}, nil
 	for item, n := range w.crashed {
