tackstandin: pause a daemon until all of its threads have stopped

A change that was sent after the leader had been frozen was in force on the frozen leader too.

Cause: the signal SIGSTOP returns before the threads of the process have stopped, so the leader could still take the change; no daemon had logged an election.

Daemon.Pause sends the signal and waits for the report that the whole process has stopped, which the kernel gives once the last thread has. The test and the two benchmarks that freeze daemons use it.

--- a/cmd/auburntackd/config_bench_test.go
+++ b/cmd/auburntackd/config_bench_test.go
@@ -98,7 +98,7 @@
 			b.Fatalf("%s has no lease after being resumed: %v %v", d.ID, reply, err)
 		}
 	}
-	d.Signal(syscall.SIGSTOP)
+	must(b, d.Pause())
 }
 
 func benchmarkSet(b *testing.B, d *tackstandin.Daemon, before func()) {
--- a/cmd/auburntackd/failure_test.go
+++ b/cmd/auburntackd/failure_test.go
@@ -141,7 +141,7 @@
 	s := newSite(t, 2)
 	s.do(t, "set config colour red")
 	frozen, others := s.leader(t)
-	must(t, frozen.Signal(syscall.SIGSTOP))
+	must(t, frozen.Pause())
 	reply := s.acceptedBy(t, others[0], "set config colour blue", "colour-1")
 	must(t, frozen.Signal(syscall.SIGCONT))
 	Convey("The resumed leader never confirms the old value", t, func() {
--- a/cmd/auburntackd/faults_test.go
+++ b/cmd/auburntackd/faults_test.go
@@ -38,7 +38,7 @@
 		time.Sleep(duration)
 		must(b, d.Start(waitTimeout))
 	case "freeze":
-		must(b, d.Signal(syscall.SIGSTOP))
+		must(b, d.Pause())
 		time.Sleep(duration)
 		must(b, d.Signal(syscall.SIGCONT))
 	case "cut", "cut one way":
