tackdispatch: a start's own doubt makes no suspect of its item

Cause: after an election every start is logged as a doubt. The doubt is dismissed when the run is listed or ends, but the item starts again before the log holds the dismissal, and its restraint came from the log. Doubts that were dismissed are now left out until the log has caught up.

TestEndedRunLeavesNoDoubt failed before ('is in doubt: isolated') and passes.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -109,6 +109,7 @@
 	if r.doubted {
 		r.doubted = false
 		r.step.addCrashes(r.item.Index, -1)
+		r.step.addDismissed(uint64(r.number))
 		d.findings.Dismissed = append(d.findings.Dismissed, tackjob.Dismissal{Item: r.item, Run: uint64(r.number)})
 	}
 }
@@ -176,6 +177,7 @@
 func (d *Dispatcher) dismissDoubt(x *tackjob.Doubt) {
 	if s := d.openStepOf(x.Item); s != nil {
 		s.addCrashes(x.Item.Index, -1)
+		s.addDismissed(x.Run)
 	}
 	if w := d.workers[WorkerID(x.WorkerID)]; w != nil {
 		if r := w.runs[x.Item]; r != nil && uint64(r.number) == x.Run {
@@ -236,6 +238,7 @@
 	}
 	for _, x := range f.Dismissed {
 		if s := d.openStepOf(x.Item); s != nil {
+			delete(s.dismissed, x.Run)
 			s.reviewRestraint(now, x.Item.Index)
 		}
 	}
--- a/core/tackdispatch/failure_test.go
+++ b/core/tackdispatch/failure_test.go
@@ -42,3 +42,26 @@
 		t.Errorf("%d starts, of which each failed, want %d", n, testQueue.Attempts)
 	}
 }
+
+// Guards against an item that is taken for a suspect because of its own start: after an
+// election every start is logged as a doubt. The run ends, and its item starts again before
+// the log holds that the doubt is dismissed.
+func TestEndedRunLeavesNoDoubt(t *testing.T) {
+	w := newWorld(t, 0)
+	w.submit(job(1), longRunning(1, 1))
+	w.newLeader()
+	m := w.addWorker("m-0", 0)
+	for len(m.runs) == 0 {
+		w.step()
+	}
+	w.d.Events()
+	w.end(m, tackjob.Item{Job: job(1)}, EndFailed)
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 1)
+	events, _ := w.d.Events()
+	for _, e := range events {
+		if e.Kind == EventItemInDoubt {
+			t.Errorf("%v is in doubt: %s", e.Item, e.Reason)
+		}
+	}
+}
--- a/core/tackdispatch/logged.go
+++ b/core/tackdispatch/logged.go
@@ -2,6 +2,7 @@
 
 import (
 	"auburntack/core/tackclock"
+	"auburntack/core/tackcrash"
 	"auburntack/core/tackjob"
 )
 
@@ -62,6 +63,28 @@
 	s.unlogged[index]++
 }
 
+// addDismissed records that a doubt about the run was dismissed, although the log may still
+// hold it.
+func (s *openStep) addDismissed(run uint64) {
+	if s.dismissed == nil {
+		s.dismissed = make(map[uint64]bool)
+	}
+	s.dismissed[run] = true
+}
+
+// crashRecord returns the item's record of crashes in the log, without the doubts that were
+// dismissed since. With them an item whose start was logged would seem a suspect for the
+// moment after its end.
+func (s *openStep) crashRecord(index int32) tackcrash.Record {
+	record := s.job.CrashesUnder(s.item(index))
+	for _, x := range record.Doubts {
+		if s.dismissed[x.Run] {
+			record = record.WithoutDoubt(x.Run)
+		}
+	}
+	return record
+}
+
 // findingLogged records that the log holds a finding about the item.
 func (s *openStep) findingLogged(index int32) {
 	if s.unlogged[index] > 1 {
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -60,8 +60,11 @@
 		// crashCounts counts the workers that crashed under each item, or may have, as
 		// far as this leader knows.
 		crashCounts map[int32]int
-		// unlogged counts the findings about each item that the log does not hold yet.
-		unlogged map[int32]int
+		// unlogged counts the findings about each item that the log does not hold yet, and
+		// dismissed holds the runs about which the log still holds a doubt that was
+		// dismissed.
+		unlogged  map[int32]int
+		dismissed map[uint64]bool
 		// inherited says that an earlier leader may have started the items, and lost
 		// holds those of which this leader has lost a run with its worker, or may have.
 		inherited bool
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -43,7 +43,7 @@
 // restraintOf returns the restraint that the log's record of crashes puts on an item that
 // begins to wait.
 func (s *openStep) restraintOf(now tackclock.Time, index int32) restraint {
-	record := s.job.CrashesUnder(s.item(index))
+	record := s.crashRecord(index)
 	x := restraint{alone: record.Trial() > 0, isolated: record.StartsIsolated()}
 	switch {
 	case record.Exhausted():
@@ -120,7 +120,7 @@
 // loadCrashRecord sets the fields of the run that follow from the log's record of
 // crashes.
 func (r *run) loadCrashRecord() {
-	record := r.step.job.CrashesUnder(r.item)
+	record := r.step.crashRecord(r.item.Index)
 	r.suspected, r.trial, r.isolated = len(record.Crashes) > 0, record.Trial(), record.StartsIsolated()
 }
 
@@ -192,7 +192,7 @@
 		return false
 	}
 	waited := now.Sub(max(i.since, d.earlierLeasesEnd))
-	crashedHere := s.job.CrashesUnder(s.item(i.index)).CrashedOn(w.vm)
+	crashedHere := s.crashRecord(i.index).CrashedOn(w.vm)
 	if !x.alone {
 		return !crashedHere || waited > trialPatience
 	}
