tackdispatch: log lines say isolated and excused where that holds

On call, a copy of a run on a silent worker showed as 'isolated' although other items may start beside it, and a start that an order excused as 'item suspected'.

What counts against an item changes in one point: the crash of a copy that was the only unlisted run counts in full only while no VM fails by itself, as for any other item that is no suspect.

TestWatch's subtests compare what they compared; Resolve returns the crashed runs with their workers, since the line names them.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -162,14 +162,32 @@
 // from there. If it is not the incarnation that was silent, and no order explains the
 // change, the silent one has crashed.
 func (d *Dispatcher) resolveDoubts(now tackclock.Time, vm tackid.VM, incarnation WorkerID) {
+	reasons := make(map[string]string) // by the excused incarnation
 	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string, heard tackclock.Time) bool {
-		return d.orderBehind(now, vm, WorkerID(id), heard) != ""
+		reason := d.orderBehind(now, vm, WorkerID(id), heard)
+		if reason != "" {
+			reasons[id] = reason
+		}
+		return reason != ""
 	})
 	for i := range dismissed {
+		d.noteExcused(now, &dismissed[i], reasons)
 		d.dismissDoubt(&dismissed[i])
 	}
-	for _, c := range crashed {
-		d.recordCrash(now, c)
+	for i := range crashed {
+		x := &crashed[i]
+		d.noteExcused(now, x, reasons)
+		d.recordCrash(now, tackjob.Crash{Item: x.Item, Crash: x.Crash})
+	}
+}
+
+// noteExcused notes that the end of a worker does not count as a crash under the run, if
+// there is a reason.
+func (d *Dispatcher) noteExcused(now tackclock.Time, x *tackjob.Doubt, reasons map[string]string) {
+	if reason := reasons[x.WorkerID]; reason != "" {
+		d.note(Event{
+			Kind: EventCrashExcused, At: now, Worker: WorkerID(x.WorkerID), VM: x.VM, Item: x.Item, Run: RunNumber(x.Run), Reason: reason,
+		})
 	}
 }
 
@@ -211,13 +229,13 @@
 		s.holdForLog(c.Item.Index)
 	}
 	d.findings.Crashes = append(d.findings.Crashes, c)
+	if c.Excused {
+		return
+	}
 	reason := "crashed while the item ran beside others"
 	if c.Alone {
 		reason = "crashed while the item ran alone"
 	}
-	if c.Excused {
-		reason = "its end was ordered"
-	}
 	if c.BeforeReport {
 		reason += ", before the item was listed"
 	}
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -181,12 +181,11 @@
 }
 
 func (d *Dispatcher) newRun(now tackclock.Time, w *worker, s *openStep, item waitingItem) *run {
-	r := &run{
+	return &run{
 		item: s.item(item.index), number: d.nextRun(), worker: w, step: s, reserved: s.Reserved(),
 		started: now, progressAt: now, checkpoint: item.checkpoint, pace: fullPace,
+		suspected: len(s.crashRecord(item.index).Crashes) > 0,
 	}
-	r.loadCrashRecord()
-	return r
 }
 
 // popStartable removes and returns the item that has waited longest among those that may
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -117,21 +117,16 @@
 	return r.listed && r.worker.heardAt.Sub(r.listedAt) >= r.trial
 }
 
-// loadCrashRecord sets the fields of the run that follow from the log's record of
-// crashes.
-func (r *run) loadCrashRecord() {
-	record := r.step.crashRecord(r.item.Index)
-	r.suspected, r.trial, r.isolated = len(record.Crashes) > 0, record.Trial(), record.StartsIsolated()
-}
-
-// putOnTrial puts a run on trial if its item must start isolated or needs a trial. It reports whether the start must
-// wait for the log: otherwise, if the leader were lost within a second of ordering the
-// trial, the next one would order the same.
+// putOnTrial puts a run on trial if its item must start isolated or needs a trial. It
+// reports whether the start must wait for the log: otherwise, if the leader were lost
+// within a second of ordering the trial, the next one would order the same.
 func (d *Dispatcher) putOnTrial(now tackclock.Time, r *run) bool {
-	r.loadCrashRecord()
-	if !r.isolated {
+	record := r.step.crashRecord(r.item.Index)
+	r.suspected = len(record.Crashes) > 0
+	if !record.StartsIsolated() {
 		return false
 	}
+	r.isolated, r.trial = true, record.Trial()
 	r.worker.onTrial = append(r.worker.onTrial, r)
 	if r.listed || r.worker.vm == "" {
 		return false
--- a/core/tacksilence/watch.go
+++ b/core/tacksilence/watch.go
@@ -57,7 +57,9 @@
 // endedByOrder, called with the time of a process's last report, returns true, an order may
 // have ended it: doubts about runs that it had reported are dismissed, and the others
 // become crashes that are excused.
-func (w *Watch) Resolve(vm tackid.VM, id string, endedByOrder func(id string, heard tackclock.Time) bool) (dismissed []tackjob.Doubt, crashed []tackjob.Crash) {
+func (w *Watch) Resolve(
+	vm tackid.VM, id string, endedByOrder func(id string, heard tackclock.Time) bool,
+) (dismissed, crashed []tackjob.Doubt) {
 	for _, x := range w.doubts[vm] {
 		excused := x.WorkerID != id && endedByOrder(x.WorkerID, x.heard)
 		if x.WorkerID == id || excused && !x.BeforeReport {
@@ -66,7 +68,7 @@
 		}
 		x.Excused = excused
 		x.Alone = x.Alone && !excused && !w.together(&x)
-		crashed = append(crashed, tackjob.Crash{Item: x.Item, Crash: x.Crash})
+		crashed = append(crashed, x.Doubt)
 	}
 	delete(w.doubts, vm)
 	return dismissed, crashed
--- a/core/tacksilence/watch_test.go
+++ b/core/tacksilence/watch_test.go
@@ -17,7 +17,7 @@
 
 func neverOrdered(string, tackclock.Time) bool { return false }
 
-func assertSettled(t *testing.T, dismissed []tackjob.Doubt, crashed []tackjob.Crash, wantDismissed, wantCrashed int) {
+func assertSettled(t *testing.T, dismissed, crashed []tackjob.Doubt, wantDismissed, wantCrashed int) {
 	t.Helper()
 	if len(dismissed) != wantDismissed || len(crashed) != wantCrashed {
 		t.Errorf("dismissed %+v, crashed %+v, want %d and %d", dismissed, crashed, wantDismissed, wantCrashed)
