One codec reads all that it writes; messages that are not UTF-8 are refused

All control VMs ended at one entry of the log, and again at every start.

Cause: the CBOR library encodes strings of any bytes, but by default refuses to decode those that are not UTF-8, and lists of more than 131,072 elements. The leader wrote the name of the VM to the log with a doubt about its runs, a majority stored the entry, and State.Apply failed on every replica.

On the platform, messages that are not UTF-8 are refused where they are decoded and have no effect: heartbeats, ids in paths, entries of the list of VMs, rows of advice, jobs, configurations, waves. The other entries of a list hold.

--- a/core/tackburn/snapshot.go
+++ b/core/tackburn/snapshot.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"slices"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // snapshotVersion is the version of the encoding that Snapshot writes.
@@ -62,7 +61,7 @@
 
 // Snapshot returns the state as CBOR. Equal states have equal encodings.
 func (s *State) Snapshot() ([]byte, error) {
-	data, err := cbor.Marshal(snapshot{
+	data, err := tackcbor.Marshal(snapshot{
 		Version:  snapshotVersion,
 		Day:      s.day,
 		Services: s.services.snapshot(),
@@ -80,7 +79,7 @@
 // if the snapshot has another version. On an error the state is unchanged.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
+	if err := tackcbor.Unmarshal(data, &snap); err != nil {
 		return fmt.Errorf("tackburn: decode snapshot: %w", err)
 	}
 	if snap.Version != snapshotVersion {
--- a/core/tackfleet/snapshot.go
+++ b/core/tackfleet/snapshot.go
@@ -3,14 +3,13 @@
 import (
 	"fmt"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackentry"
 	"auburntack/core/tackid"
 	"auburntack/core/tackrollout"
 	"auburntack/core/tackroster"
 	"auburntack/core/tacktask"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // snapshotVersion is the version of the encoding. A reader ignores unknown
@@ -52,7 +51,7 @@
 
 // Snapshot returns the state in CBOR. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	data, err := cbor.Marshal(snapshot{
+	data, err := tackcbor.Marshal(snapshot{
 		Version:  snapshotVersion,
 		Revision: s.at.Revision,
 		Now:      s.at.Time,
@@ -73,7 +72,7 @@
 // unchanged. The error is a *VersionError for a snapshot of another version.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
+	if err := tackcbor.Unmarshal(data, &snap); err != nil {
 		return fmt.Errorf("tackfleet: decode snapshot: %w", err)
 	}
 	if snap.Version != snapshotVersion {
--- a/core/tackfleet/state.go
+++ b/core/tackfleet/state.go
@@ -11,6 +11,7 @@
 	"crypto/sha256"
 	"fmt"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackcommand"
 	"auburntack/core/tackentry"
@@ -19,8 +20,6 @@
 	"auburntack/core/tackroster"
 	"auburntack/core/tacktable"
 	"auburntack/core/tacktask"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -143,7 +142,7 @@
 }
 
 func fingerprintOf(c *tackcommand.Command) fingerprint {
-	data, err := cbor.Marshal(c)
+	data, err := tackcbor.Marshal(c)
 	if err != nil {
 		// Command holds only plain values, so this is a bug.
 		panic(fmt.Sprintf("tackfleet: encode command: %v", err))
--- a/core/tackledger/snapshot.go
+++ b/core/tackledger/snapshot.go
@@ -7,8 +7,7 @@
 	"slices"
 	"unique"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -47,14 +46,6 @@
 	}
 )
 
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}()
-
 // Error implements error.
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("tackledger: snapshot version %d, this program reads up to %d", e.Version, snapshotVersion)
@@ -77,7 +68,7 @@
 		out.Records = append(out.Records, r.save(d))
 	}
 	slices.SortFunc(out.Records, compareSaved)
-	data, err := encoding.Marshal(out)
+	data, err := tackcbor.MarshalDeterministic(out)
 	if err != nil {
 		return nil, fmt.Errorf("tackledger: encode snapshot: %w", err)
 	}
@@ -88,7 +79,7 @@
 // is a *VersionError if the snapshot has a later version.
 func (s *State) Restore(data []byte) error {
 	var in snapshot
-	if err := cbor.Unmarshal(data, &in); err != nil {
+	if err := tackcbor.Unmarshal(data, &in); err != nil {
 		return fmt.Errorf("tackledger: decode snapshot: %w", err)
 	}
 	if in.Version > snapshotVersion {
--- a/core/tackledger/state_test.go
+++ b/core/tackledger/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -151,7 +152,7 @@
 }
 
 func TestRestoreRefusesLaterVersion(t *testing.T) {
-	data, err := encoding.Marshal(snapshot{Version: snapshotVersion + 1})
+	data, err := tackcbor.MarshalDeterministic(snapshot{Version: snapshotVersion + 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/tackmember/pack.go
+++ b/core/tackmember/pack.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
+	"auburntack/core/tackcbor"
 )
 
 const (
@@ -45,7 +45,7 @@
 	if err != nil {
 		return
 	}
-	if cbor.NewEncoder(w).Encode(p.Records) != nil || w.Close() != nil {
+	if tackcbor.Encode(w, p.Records) != nil || w.Close() != nil {
 		return
 	}
 	p.Packed, p.Records = buf.Bytes(), nil
@@ -57,7 +57,7 @@
 		return nil
 	}
 	r := io.LimitReader(flate.NewReader(bytes.NewReader(p.Packed)), maxUnpacked)
-	if err := cbor.NewDecoder(r).Decode(&p.Records); err != nil {
+	if err := tackcbor.Decode(r, &p.Records); err != nil {
 		return &PartError{Space: p.Space, Err: err}
 	}
 	p.Packed = nil
--- a/core/tackreplica/membership.go
+++ b/core/tackreplica/membership.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -222,7 +221,7 @@
 }
 
 func encodeMembers(members []Member) []byte {
-	data, err := cbor.Marshal(members)
+	data, err := tackcbor.Marshal(members)
 	if err != nil {
 		panic("tackreplica: members cannot be encoded: " + err.Error())
 	}
@@ -231,6 +230,6 @@
 
 func decodeMembers(data []byte) ([]Member, error) {
 	var members []Member
-	err := cbor.Unmarshal(data, &members)
+	err := tackcbor.Unmarshal(data, &members)
 	return members, err
 }
--- a/core/tackstate/state.go
+++ b/core/tackstate/state.go
@@ -10,12 +10,11 @@
 	"io"
 
 	"auburntack/core/tackburn"
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
 	"auburntack/core/tackledger"
 	"auburntack/core/tackreplica"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // snapshotVersion is increased when older programs cannot read a newer snapshot.
@@ -81,7 +80,7 @@
 
 // Encode encodes the proposal as the data of a log entry.
 func (p *Proposal) Encode() ([]byte, error) {
-	data, err := cbor.Marshal(p)
+	data, err := tackcbor.Marshal(p)
 	if err != nil {
 		return nil, fmt.Errorf("tackstate: encode proposal: %w", err)
 	}
@@ -96,7 +95,7 @@
 	if e.Kind != tackreplica.EntryNormal {
 		return p, out, nil
 	}
-	if err := cbor.Unmarshal(e.Data, &p); err != nil {
+	if err := tackcbor.Unmarshal(e.Data, &p); err != nil {
 		return p, out, &EntryError{Index: e.Index, Err: err}
 	}
 	switch {
@@ -136,7 +135,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("tackstate: compress snapshot: %w", err)
 	}
-	if err := cbor.NewEncoder(w).Encode(s); err != nil {
+	if err := tackcbor.Encode(w, s); err != nil {
 		return nil, fmt.Errorf("tackstate: compress snapshot: %w", err)
 	}
 	if err := w.Close(); err != nil {
@@ -152,7 +151,7 @@
 	if err != nil {
 		return s, fmt.Errorf("tackstate: decompress snapshot: %w", err)
 	}
-	if err := cbor.Unmarshal(plain, &s); err != nil {
+	if err := tackcbor.Unmarshal(plain, &s); err != nil {
 		return s, fmt.Errorf("tackstate: decode snapshot: %w", err)
 	}
 	return s, nil
--- a/core/tackwork/state.go
+++ b/core/tackwork/state.go
@@ -6,10 +6,9 @@
 	"cmp"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"auburntack/core/tackadmit"
 	"auburntack/core/tackcatalog"
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackjob"
@@ -100,7 +99,7 @@
 
 // Encode returns the log encoding of the change.
 func (c *Change) Encode() []byte {
-	data, err := cbor.Marshal(c)
+	data, err := tackcbor.Marshal(c)
 	if err != nil {
 		panic("tackwork: change cannot be encoded: " + err.Error())
 	}
@@ -114,7 +113,7 @@
 	if e.Kind != tackreplica.EntryNormal {
 		return c, Outcome{}, nil
 	}
-	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+	if err := tackcbor.Unmarshal(e.Data, &c); err != nil {
 		return c, Outcome{}, fmt.Errorf("tackwork: entry %d: %w", e.Index, err)
 	}
 	s.expire(e.Time)
@@ -221,7 +220,7 @@
 
 // Snapshot returns the encoded state, which Restore reads.
 func (s *State) Snapshot() ([]byte, error) {
-	return cbor.Marshal(snapshot{
+	return tackcbor.Marshal(snapshot{
 		Catalog: s.Catalog, Jobs: s.Jobs.All(), Waves: s.Waves.All(), Expired: s.expired, Grants: s.Grants, Promises: s.Promises.All(),
 	})
 }
@@ -229,7 +228,7 @@
 // Restore replaces the state by that of a snapshot.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := cbor.Unmarshal(data, &snap); err != nil {
+	if err := tackcbor.Unmarshal(data, &snap); err != nil {
 		return fmt.Errorf("tackwork: snapshot: %w", err)
 	}
 	s.Catalog, s.holders = snap.Catalog, tackworkspace.HoldersOf(snap.Catalog.Workspaces)
--- a/core/tackwork/state_test.go
+++ b/core/tackwork/state_test.go
@@ -14,27 +14,27 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// fill sets every field that can be reached from v to a non-zero value.
-func fill(v reflect.Value) {
+// fill sets every field that can be reached from v to a non-zero value, and strings to text.
+func fill(v reflect.Value, text string) {
 	switch v.Kind() {
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
-		fill(v.Elem())
+		fill(v.Elem(), text)
 	case reflect.Struct:
 		for i := range v.NumField() {
-			fill(v.Field(i))
+			fill(v.Field(i), text)
 		}
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
-		fill(v.Index(0))
+		fill(v.Index(0), text)
 	case reflect.Map:
 		v.Set(reflect.MakeMap(v.Type()))
 		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
-		fill(key)
-		fill(value)
+		fill(key, text)
+		fill(value, text)
 		v.SetMapIndex(key, value)
 	case reflect.String:
-		v.SetString("x")
+		v.SetString(text)
 	case reflect.Bool:
 		v.SetBool(true)
 	case reflect.Float64:
@@ -55,7 +55,7 @@
 func TestLogKeepsEveryField(t *testing.T) {
 	assertKept := func(t *testing.T, sent, got any) {
 		t.Helper()
-		fill(reflect.ValueOf(sent).Elem())
+		fill(reflect.ValueOf(sent).Elem(), "x")
 		data, err := cbor.Marshal(sent)
 		if err != nil {
 			t.Fatal(err)
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
@@ -187,7 +186,7 @@
 
 func (c *Control) onReplica(from tackid.Peer, body []byte) {
 	var m tackreplica.Message
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := tackcbor.Unmarshal(body, &m); err != nil {
 		c.log.WithField("peer", from).WithError(err).Warn("message cannot be decoded")
 		return
 	}
--- a/io/tackcontrol/relay.go
+++ b/io/tackcontrol/relay.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
@@ -144,7 +143,7 @@
 // onReports answers the reports that a relay forwards.
 func (c *Control) onReports(from tackid.Peer, body []byte) {
 	var m tackrelay.Reports
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := tackcbor.Unmarshal(body, &m); err != nil {
 		c.log.WithField("peer", from).WithError(err).Warn("relayed reports cannot be decoded")
 		return
 	}
@@ -186,7 +185,7 @@
 // onAnswers handles the leader's answers.
 func (c *Control) onAnswers(from tackid.Peer, body []byte) {
 	var m tackrelay.Answers
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := tackcbor.Unmarshal(body, &m); err != nil {
 		c.log.WithField("peer", from).WithError(err).Warn("answers to relayed reports cannot be decoded")
 		return
 	}
--- a/io/tackdisk/folder.go
+++ b/io/tackdisk/folder.go
@@ -11,8 +11,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
 )
@@ -91,7 +90,7 @@
 	if !ok {
 		return d.corrupt(identityName, 0, errFrame)
 	}
-	if err := decoding.Unmarshal(payload, &d.id); err != nil {
+	if err := tackcbor.Unmarshal(payload, &d.id); err != nil {
 		return d.corrupt(identityName, 0, err)
 	}
 	if d.id.Version > formatVersion {
@@ -114,7 +113,7 @@
 	var random [8]byte
 	_, _ = rand.Read(random[:]) // never fails
 	d.id = identity{Version: formatVersion, Peer: d.opt.Peer, Folder: binary.LittleEndian.Uint64(random[:])}
-	payload, err := cbor.Marshal(d.id)
+	payload, err := tackcbor.Marshal(d.id)
 	if err != nil {
 		return err
 	}
@@ -140,14 +139,14 @@
 		return tackreplica.Snapshot{}, d.corrupt(name, 0, errFrame)
 	}
 	var s tackreplica.Snapshot
-	if err := decoding.Unmarshal(payload, &s); err != nil {
+	if err := tackcbor.Unmarshal(payload, &s); err != nil {
 		return tackreplica.Snapshot{}, d.corrupt(name, 0, err)
 	}
 	return s, nil
 }
 
 func encodeSnapshot(s tackreplica.Snapshot, salt uint64, limit int) ([]byte, error) {
-	payload, err := cbor.Marshal(s)
+	payload, err := tackcbor.Marshal(s)
 	if err != nil {
 		return nil, err
 	}
--- a/io/tackdisk/record.go
+++ b/io/tackdisk/record.go
@@ -4,8 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackreplica"
 )
 
@@ -16,10 +15,7 @@
 	frameBytes = 12
 )
 
-var (
-	castagnoli = crc32.MakeTable(crc32.Castagnoli)
-	decoding   = mustDecMode()
-)
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 type (
 	// record is a record of the log. The first of a file has a Header. Records that are
@@ -93,12 +89,12 @@
 // release can read the records of a newer one.
 func decodeRecord(payload []byte) (record, error) {
 	var r record
-	err := decoding.Unmarshal(payload, &r)
+	err := tackcbor.Unmarshal(payload, &r)
 	return r, err
 }
 
 func encodeRecord(r record, at recordLocation, limit int) ([]byte, error) {
-	payload, err := cbor.Marshal(r)
+	payload, err := tackcbor.Marshal(r)
 	if err != nil {
 		return nil, err
 	}
@@ -107,11 +103,3 @@
 	}
 	return frame(payload, at), nil
 }
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -16,9 +16,9 @@
 	"syscall"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackwork"
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, sentTimeout)
 	defer cancel()
 	began := time.Now()
-	data, err := cbor.Marshal(r)
+	data, err := tackcbor.Marshal(r)
 	if err != nil {
 		return tackwork.Answer{Verdict: tackwork.Invalid, Reason: err.Error()}
 	}
@@ -228,7 +228,7 @@
 
 // Join asks a control VM to add self as a member, and returns the control VMs that it knows.
 func (c *Client) Join(ctx context.Context, p, self tackid.Peer, dc tackid.DataCentre) ([]tackid.Peer, error) {
-	data, err := cbor.Marshal(join{Peer: self, DataCentre: dc})
+	data, err := tackcbor.Marshal(join{Peer: self, DataCentre: dc})
 	if err != nil {
 		return nil, err
 	}
@@ -268,7 +268,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("tackforward: %s answered %d", p, resp.StatusCode)
 	}
-	return cbor.Unmarshal(body, into)
+	return tackcbor.Unmarshal(body, into)
 }
 
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
--- a/io/tackforward/server.go
+++ b/io/tackforward/server.go
@@ -8,9 +8,9 @@
 	"io"
 	"net/http"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackid"
 	"auburntack/core/tackwork"
 )
@@ -89,7 +89,7 @@
 func (h *handler) read(w http.ResponseWriter, r *http.Request, into any) bool {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	if err == nil {
-		err = cbor.Unmarshal(data, into)
+		err = tackcbor.Unmarshal(data, into)
 	}
 	if err != nil {
 		h.log.WithError(err).WithField("remote", r.RemoteAddr).Warn("request cannot be decoded")
@@ -100,7 +100,7 @@
 }
 
 func (h *handler) write(w http.ResponseWriter, answer any) {
-	data, err := cbor.Marshal(answer)
+	data, err := tackcbor.Marshal(answer)
 	if err != nil {
 		h.log.WithError(err).Error("encoding the answer failed")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/io/tackpeer/codec.go
+++ b/io/tackpeer/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackid"
 )
 
@@ -12,8 +13,6 @@
 // understood if that version only adds fields and kinds.
 const Version = 1
 
-var decoding = mustDecMode()
-
 type (
 	// Kind is the type of a message. A peer ignores kinds that it does not know.
 	Kind string
@@ -45,11 +44,11 @@
 
 // encode returns the encoded envelope of a message.
 func encode(kind Kind, body any) ([]byte, error) {
-	raw, err := cbor.Marshal(body)
+	raw, err := tackcbor.Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("tackpeer: encode %s: %w", kind, err)
 	}
-	data, err := cbor.Marshal(Envelope{Kind: kind, Body: raw})
+	data, err := tackcbor.Marshal(Envelope{Kind: kind, Body: raw})
 	if err != nil {
 		return nil, fmt.Errorf("tackpeer: encode %s: %w", kind, err)
 	}
@@ -62,7 +61,7 @@
 func decode(batch []byte, from tackid.Peer, f func(Envelope)) error {
 	for len(batch) > 0 {
 		var e Envelope
-		rest, err := decoding.UnmarshalFirst(batch, &e)
+		rest, err := tackcbor.UnmarshalFirst(batch, &e)
 		if err != nil {
 			return &MalformedError{Peer: from, Err: err}
 		}
@@ -78,7 +77,7 @@
 
 func decodeHello(data []byte) (hello, error) {
 	var h hello
-	if err := decoding.Unmarshal(data, &h); err != nil {
+	if err := tackcbor.Unmarshal(data, &h); err != nil {
 		return hello{}, &MalformedError{Err: err}
 	}
 	if h.Refused != "" {
@@ -89,11 +88,3 @@
 	}
 	return h, nil
 }
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 22, MaxMapPairs: 1 << 22}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
--- a/io/tackpeer/outgoing.go
+++ b/io/tackpeer/outgoing.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackid"
 )
 
@@ -231,7 +231,7 @@
 }
 
 func writeHello(ctx context.Context, ws *websocket.Conn, h hello) error {
-	data, err := cbor.Marshal(h)
+	data, err := tackcbor.Marshal(h)
 	if err != nil {
 		return err
 	}
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackstate"
 	"auburntack/io/tackpeer"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // runLoop runs the replicated log until ctx is done. It returns an error only if the VM
@@ -224,7 +223,7 @@
 // decode decodes the body of a peer's message. A message that cannot be decoded is
 // logged and dropped; the sender retransmits the messages that matter.
 func (v *VM) decode(from tackid.Peer, body []byte, into any) bool {
-	if err := cbor.Unmarshal(body, into); err != nil {
+	if err := tackcbor.Unmarshal(body, into); err != nil {
 		v.log.WithField("peer", from).WithError(err).Warn("message cannot be decoded")
 		return false
 	}
