A queue that moves takes along nothing but steps that wait

Cause: a step stays queued until the next review of its pool, up to 10 ms and more after its last item started. Rebind moved such steps as well, and waitingSummary.add reads the first waiting item of each step that is queued.

Change: enqueue leaves out steps of which nothing waits. On the same path, found by reading: what else a pool keeps of a step that leaves it. A reservation for a gang, the lists of steps for exposed workers and the confinement of the queue stayed in the former pool, and a start that was planned there was still sent, to a worker of the service to which the queue no longer belongs.

--- a/core/tackdispatch/confine.go
+++ b/core/tackdispatch/confine.go
@@ -122,6 +122,27 @@
 	return u
 }
 
+// rebindUnits moves the units whose queue now belongs to another service.
+func (d *Dispatcher) rebindUnits(now tackclock.Time) {
+	if len(d.units) == 0 {
+		return
+	}
+	services := make(map[tackcatalog.QueueKey]tackid.Service)
+	for _, o := range d.jobs {
+		services[o.Queue] = o.Service
+	}
+	for key, u := range d.units {
+		to, open := services[key.queue]
+		if !open || to == u.service {
+			continue
+		}
+		for _, p := range []*pool{d.pool(u.service), d.pool(to)} {
+			p.exposure.reviewAt, p.reviewAt = now, now
+		}
+		u.service = to
+	}
+}
+
 // confine begins to confine a unit.
 func (d *Dispatcher) confine(now tackclock.Time, u *unit, key unitKey, why string) {
 	d.note(Event{Kind: EventQueueConfined, At: now, Reason: fmt.Sprintf("%s: %s", key, why)})
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -168,9 +168,9 @@
 	}
 }
 
-// enqueue puts a step in its pool's queue, if it is not there.
+// enqueue puts a step in its pool's queue, if any of its items wait and it is not there.
 func (d *Dispatcher) enqueue(now tackclock.Time, p *pool, s *openStep) {
-	if s.queued {
+	if s.queued || len(s.waiting) == 0 {
 		return
 	}
 	s.queued, s.partition = true, d.partitionOf(now, s)
@@ -267,24 +267,46 @@
 	return false
 }
 
+// serves reports whether the step's queue belongs to the pool's service.
+func (p *pool) serves(s *openStep) bool {
+	return s.job.Service == p.service
+}
+
 // Rebind applies a changed catalog: steps move whose jobs' queue now belongs to another
 // service, and the workspaces' caps are updated.
 func (d *Dispatcher) Rebind(now tackclock.Time, workspaces []tackworkspace.Workspace) {
 	d.quota.SetCaps(workspaces)
+	var moved []*openStep
 	for _, p := range d.pools {
-		var moved []*openStep
-		for s := range p.steps.All() {
-			if s.job.Service != p.service {
-				moved = append(moved, s)
-			}
-		}
-		for _, s := range moved {
-			p.dequeue(s)
-			d.enqueue(now, d.pool(s.job.Service), s)
-		}
+		moved = append(moved, p.release()...)
+	}
+	for _, s := range moved {
+		d.enqueue(now, d.pool(s.job.Service), s)
 	}
 	for _, o := range d.jobs {
 		d.removeWork(o)
 		d.addWork(o)
 	}
+	d.rebindUnits(now)
+}
+
+// release removes from the pool all steps whose queue belongs to another service, and
+// returns those that were queued.
+func (p *pool) release() []*openStep {
+	var moved []*openStep
+	for s := range p.steps.All() {
+		if !p.serves(s) {
+			moved = append(moved, s)
+		}
+	}
+	for _, s := range moved {
+		p.dequeue(s)
+	}
+	if s := p.reserved.gang; s != nil && !p.serves(s) {
+		p.reserved = reservation{}
+	}
+	elsewhere := func(s *openStep) bool { return !p.serves(s) }
+	x := &p.exposure
+	x.stranded, x.onlyExposed = slices.DeleteFunc(x.stranded, elsewhere), slices.DeleteFunc(x.onlyExposed, elsewhere)
+	return moved
 }
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -25,6 +25,7 @@
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
 		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "relay", "foreign", "resize", "crasher", "caps", "restart",
+		"move", "other",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -79,6 +80,10 @@
 		m.resize(tackroom.Resources{MilliCores: 1000 * rapid.IntRange(0, 16).Draw(t, "cores"), MemoryMB: 32768})
 	case "caps":
 		w.putRandomCaps(t)
+	case "move":
+		w.moveQueue(rapid.SampledFrom([]tackid.Service{"names-api", otherService}).Draw(t, "service"))
+	case "other":
+		w.addWorker(tackid.VM(fmt.Sprintf("o-%d", w.incarnationCount)), 2).service = otherService
 	case "crasher":
 		w.submitRandom(t, jobs)
 		item := tackjob.Item{Job: job(*jobs), Index: int32(rapid.IntRange(0, 11).Draw(t, "index"))}
@@ -227,7 +232,7 @@
 		}
 		w.putCaps(map[tackid.Workspace]tackroom.Resources{"mairies": {}, "postes": {}})
 		for n := range 4 {
-			w.addWorker(tackid.VM("fresh-"+string(rune('a'+n))), 7)
+			w.addWorker(tackid.VM("fresh-"+string(rune('a'+n))), 7).service = w.queue.Service
 		}
 		w.run(60 * tackclock.Second)
 		w.checkEnds(jobs)
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -49,16 +49,32 @@
 // putWorkspaces applies a catalog with these workspaces.
 func (w *world) putWorkspaces(list []tackworkspace.Workspace) {
 	w.version++
+	w.workspaces = list
 	w.caps = make(map[tackid.Workspace]tackroom.Resources)
 	for i := range list {
 		w.caps[list[i].Name] = list[i].Cap
 	}
 	w.apply(tackwork.Change{Catalog: &tackcatalog.Catalog{
-		Version: w.version, Queues: []tackcatalog.Queue{testQueue}, Workspaces: list,
-		Services: []tackcatalog.Service{{Name: "names-api", EnforcesCapacity: true}},
+		Version: w.version, Queues: []tackcatalog.Queue{w.queue}, Workspaces: list,
+		Services: []tackcatalog.Service{{Name: "names-api", EnforcesCapacity: true}, {Name: otherService, EnforcesCapacity: true}},
 	}})
 }
 
+// moveQueue applies a catalog that sends the queue to a service.
+func (w *world) moveQueue(to tackid.Service) {
+	w.queue.Service = to
+	w.putWorkspaces(w.workspaces)
+}
+
+// checkService fails the test if an item starts on a worker of another service than that to
+// which its queue is sent.
+func (w *world) checkService(j *tackjob.Job, m *modelWorker, item tackjob.Item) {
+	w.t.Helper()
+	if m.service != j.Service {
+		w.t.Fatalf("%v starts on %s of %s, its queue is sent to %s", item, m.id, m.service, j.Service)
+	}
+}
+
 // checkCap fails the test if with an item that starts its workspace has more running than
 // its cap, on all workers that are up, whichever leader ordered it. An item that is
 // larger than the cap may run by itself.
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -28,6 +28,8 @@
 	startsTolerated   = 2
 	heartbeatEvery    = 1500 * tackclock.Millisecond
 	heartbeatAfterEnd = 50 * tackclock.Millisecond
+	// otherService is a service to which a catalog may send the queue.
+	otherService tackid.Service = "pages-api"
 )
 
 type (
@@ -65,9 +67,12 @@
 		reboots        []reboot
 		// caps are what each workspace may have running. Lowering one does not stop
 		// anything.
-		caps    map[tackid.Workspace]tackroom.Resources
-		version tackcatalog.Version
-		grants  []tackquota.Grant // yet to be logged
+		caps       map[tackid.Workspace]tackroom.Resources
+		workspaces []tackworkspace.Workspace
+		version    tackcatalog.Version
+		// queue is the queue of all jobs.
+		queue  tackcatalog.Queue
+		grants []tackquota.Grant // yet to be logged
 		// unseen counts crashes under such an item that no leader saw.
 		unseen map[tackjob.Item]int
 		// sendsStartTimes says that workers report when their incarnation began.
@@ -143,7 +148,7 @@
 }
 
 func newWorld(t failer, workers int) *world {
-	w := &world{t: t, now: 1_000_000, started: make(map[tackjob.Item]int), acknowledged: make(map[tackjob.Item]bool),
+	w := &world{t: t, now: 1_000_000, queue: testQueue, started: make(map[tackjob.Item]int), acknowledged: make(map[tackjob.Item]bool),
 		failed:  make(map[tackjob.Item]map[RunNumber]bool),
 		saved:   make(map[tackjob.Item]map[string]bool),
 		crashes: make(map[tackjob.Item]tackclock.Duration), crashed: make(map[tackjob.Item]int), after: make(map[tackjob.Item]int),
@@ -466,6 +471,7 @@
 	}
 	w.checkOrder(j, s.Item)
 	w.checkContent(j, &s)
+	w.checkService(j, m, s.Item)
 	w.countCrashing(s.Item)
 	duration := step.Estimate
 	if w.actual != nil {
