A panic with the lock of the state held ends the process

Cause: the loop's recovery made the panic an error, but the lock of the state stayed locked, so everything else waited for it. The supervisors waited ten seconds for the parts of the control VM and ten more for the ports, which end only when they are closed. On the same path: net/http recovers a panic of a handler, and suture restarts a part that panics, both with the lock as it was.

Change: tackloop.Mutex guards the state of a control VM (and of tackvm). Its Unlock is deferred everywhere and ends the process if the goroutine panics, with a line and the stack in the log. tackloop.Service does the same for each supervised part. Parts of the process have names in the log.

--- a/io/tackcontrol/advice.go
+++ b/io/tackcontrol/advice.go
@@ -8,6 +8,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackdispatch"
+	"auburntack/core/tackreplica"
 	"auburntack/io/tackloop"
 )
 
@@ -26,6 +27,20 @@
 	Advise(ctx context.Context, r tackdispatch.AdviceRequest) ([]tackdispatch.Ticket, tackclock.Duration, error)
 }
 
+// nextAdviceRequest returns the next call to make in the term in which this VM leads, or
+// false if there is none.
+func (c *Control) nextAdviceRequest() (tackreplica.Term, tackdispatch.AdviceRequest, bool) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	term, leads := c.leads(now)
+	if !leads || c.dispatchTerm != term {
+		return 0, tackdispatch.AdviceRequest{}, false
+	}
+	request, wanted := c.dispatch.NextAdviceRequest(now)
+	return term, request, wanted
+}
+
 // serveAdvice requests advice for the steps that need it while this VM is the leader.
 func (c *Control) serveAdvice(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -36,15 +51,7 @@
 }
 
 func (c *Control) requestAdvice(ctx context.Context) {
-	now := c.clock.Now()
-	c.mu.Lock()
-	term, leads := c.leads(now)
-	if !leads || c.dispatchTerm != term {
-		c.mu.Unlock()
-		return
-	}
-	request, wanted := c.dispatch.NextAdviceRequest(now)
-	c.mu.Unlock()
+	term, request, wanted := c.nextAdviceRequest()
 	if !wanted {
 		return
 	}
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
@@ -114,7 +113,7 @@
 		moveSlots chan struct{}
 
 		// mu guards the fields below, up to relay. Only the loop writes state.
-		mu           sync.Mutex
+		mu           tackloop.Mutex
 		state        tackwork.State
 		dispatch     *tackdispatch.Dispatcher
 		dispatchTerm tackreplica.Term // the term for which dispatch was reset, 0 if none
@@ -153,6 +152,8 @@
 	c := &Control{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Logger, meters: newMeters(cfg.Registry),
 		loop:      tackloop.New(eventQueue),
+		mu:        tackloop.Mutex{Log: cfg.Logger},
+		relay:     relay{mu: tackloop.Mutex{Log: cfg.Logger}},
 		waiters:   make(map[tackid.Revision]waiter),
 		dispatch:  tackdispatch.New(cfg.Dispatch),
 		moveSlots: make(chan struct{}, maxMovesInFlight),
--- a/io/tackcontrol/disk.go
+++ b/io/tackcontrol/disk.go
@@ -64,12 +64,7 @@
 		c.log.WithError(err).Warn("reopening the data folder failed; it will be retried")
 		return false, nil
 	}
-	c.mu.Lock()
-	c.state = tackwork.State{ClosedRetention: c.cfg.ClosedRetention}
-	c.snapshotAt = 0
-	err = c.restore(stored)
-	c.mu.Unlock()
-	if err != nil {
+	if err := c.restoreAgain(stored); err != nil {
 		return false, err
 	}
 	c.reopenAt = 0
@@ -78,6 +73,15 @@
 	return true, nil
 }
 
+// restoreAgain replaces the state by what is stored.
+func (c *Control) restoreAgain(stored tackreplica.Stored) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = tackwork.State{ClosedRetention: c.cfg.ClosedRetention}
+	c.snapshotAt = 0
+	return c.restore(stored)
+}
+
 // permanent reports whether a later attempt to open the folder would fail in the same way.
 func permanent(err error) bool {
 	return errors.As(err, new(*tackdisk.CorruptError)) || errors.As(err, new(*tackdisk.VersionError)) ||
--- a/io/tackcontrol/jobs.go
+++ b/io/tackcontrol/jobs.go
@@ -153,12 +153,17 @@
 	return tackwork.Answer{Progress: tackwork.ProgressOf(j, c.dispatch.Started(k.id))}
 }
 
-func (c *Control) cancel(ctx context.Context, k *call) tackwork.Answer {
+// phase reports whether the caller may access the job, and whether it is open.
+func (c *Control) phase(k *call) (known, open bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	j := c.state.Jobs.Get(k.id)
-	known := k.mayAccess(j)
-	open := known && j.Phase == tackjob.Open
-	c.mu.Unlock()
+	known = k.mayAccess(j)
+	return known, known && j.Phase == tackjob.Open
+}
+
+func (c *Control) cancel(ctx context.Context, k *call) tackwork.Answer {
+	known, open := c.phase(k)
 	if !known {
 		return tackwork.Answer{Verdict: tackwork.NoJob}
 	}
@@ -294,11 +299,15 @@
 	return c.answerProposal(p)
 }
 
+func (c *Control) catalog() tackcatalog.Catalog {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.state.Catalog
+}
+
 // Catalog returns the current catalog, or false if this VM cannot be sure that it is current.
 func (c *Control) Catalog() (tackcatalog.Catalog, bool) {
-	c.mu.Lock()
-	catalog := c.state.Catalog
-	c.mu.Unlock()
+	catalog := c.catalog()
 	// The lease is checked after the catalog was read: had it expired in between, another
 	// leader could already have activated a newer catalog.
 	_, leads := c.leads(c.clock.Now())
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -5,8 +5,10 @@
 
 	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
+	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
+	"auburntack/core/tackwork"
 )
 
 // snapshotInterval is the number of entries applied between two snapshots. At about 100
@@ -22,18 +24,22 @@
 	c.node.Tick(now)
 	c.updateMembers(now)
 	c.sendHello(now)
+	events, left := c.tickDispatch(now)
+	c.logEvents(events, left)
+}
+
+// tickDispatch handles what is due by time, and returns the events since the last call.
+func (c *Control) tickDispatch(now tackclock.Time) (events []tackdispatch.Event, left int) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if _, leads := c.leads(now); leads && c.dispatchTerm != 0 {
 		c.dispatch.Tick(now)
 		c.queueEnds("", nil)
 		c.updateRelays(now)
 	}
-	events, left := c.dispatch.Events()
-	known, examined := c.state.Jobs.Len(), c.dispatch.Examined()
-	c.mu.Unlock()
-	c.updateGauges(now, known)
-	c.meters.examined.Update(int64(examined))
-	c.logEvents(events, left)
+	c.updateGauges(now, c.state.Jobs.Len())
+	c.meters.examined.Update(int64(c.dispatch.Examined()))
+	return c.dispatch.Events()
 }
 
 func (c *Control) updateGauges(now tackclock.Time, jobs int) {
@@ -120,11 +126,7 @@
 }
 
 func (c *Control) install(snap tackreplica.Snapshot) error {
-	c.mu.Lock()
-	err := c.state.Restore(snap.Data)
-	c.orders.reset(c.clock.Now())
-	c.mu.Unlock()
-	if err != nil {
+	if err := c.installState(snap.Data); err != nil {
 		return &StoppedError{What: "install the leader's snapshot", Err: err}
 	}
 	c.snapshotAt = snap.Index
@@ -133,14 +135,15 @@
 	return nil
 }
 
-func (c *Control) apply(e tackreplica.Entry) error {
+func (c *Control) installState(data []byte) error {
 	c.mu.Lock()
-	change, out, err := c.state.Apply(e)
-	c.orders.recordEntry(c.clock.Now(), &e, change.PendingVMOrders)
-	if err == nil && c.dispatchTerm != 0 {
-		c.updateDispatch(&change, out)
-	}
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.orders.reset(c.clock.Now())
+	return c.state.Restore(data)
+}
+
+func (c *Control) apply(e tackreplica.Entry) error {
+	out, err := c.applyState(&e)
 	if err != nil {
 		return &StoppedError{What: "apply the log", Err: err}
 	}
@@ -151,14 +154,24 @@
 	return nil
 }
 
+// applyState applies an entry to the state and, on the leader, to dispatch.
+func (c *Control) applyState(e *tackreplica.Entry) (tackwork.Outcome, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change, out, err := c.state.Apply(*e)
+	c.orders.recordEntry(c.clock.Now(), e, change.PendingVMOrders)
+	if err == nil && c.dispatchTerm != 0 {
+		c.updateDispatch(&change, out)
+	}
+	return out, err
+}
+
 func (c *Control) snapshotWhenDue() error {
 	applied := c.status.Load().Applied
 	if applied < c.snapshotAt+snapshotInterval {
 		return nil
 	}
-	c.mu.Lock()
-	data, err := c.state.Snapshot()
-	c.mu.Unlock()
+	data, err := c.encodeState()
 	if err != nil {
 		return &StoppedError{What: "take a snapshot", Err: err}
 	}
@@ -175,6 +188,12 @@
 	return nil
 }
 
+func (c *Control) encodeState() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Snapshot()
+}
+
 func (c *Control) refreshStatus(now tackclock.Time) {
 	s := c.node.Status(now)
 	before := c.status.Swap(&s)
--- a/io/tackcontrol/moves.go
+++ b/io/tackcontrol/moves.go
@@ -37,13 +37,7 @@
 // refreshInventory reads the platform's list of VMs when that is due.
 func (c *Control) refreshInventory(ctx context.Context) {
 	now := c.clock.Now()
-	c.mu.Lock()
-	term, leads := c.leads(now)
-	due := leads && c.dispatchTerm == term && now >= c.upkeep.inventoryAt
-	if due {
-		c.upkeep.inventoryAt = now.Add(inventoryInterval)
-	}
-	c.mu.Unlock()
+	term, due := c.inventoryDue(now)
 	if !due {
 		return
 	}
@@ -62,6 +56,18 @@
 	}
 }
 
+// inventoryDue reports whether the list of VMs is to be read now, and in which term.
+func (c *Control) inventoryDue(now tackclock.Time) (tackreplica.Term, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	term, leads := c.leads(now)
+	if !leads || c.dispatchTerm != term || now < c.upkeep.inventoryAt {
+		return 0, false
+	}
+	c.upkeep.inventoryAt = now.Add(inventoryInterval)
+	return term, true
+}
+
 // moveRound moves VMs to the pools that need them. The caller holds mu.
 func (c *Control) moveRound(ctx context.Context, now tackclock.Time, order Order) {
 	if now.Sub(c.upkeep.leadingSince) < moveDelay {
--- a/io/tackcontrol/propose.go
+++ b/io/tackcontrol/propose.go
@@ -200,21 +200,27 @@
 	}
 }
 
-// flushEnds proposes what queueEnds has collected. It is called by the loop.
-func (c *Control) flushEnds() {
+// takeQueued returns what is queued for the log, with the ends apart from the rest, and the
+// term in which it was queued.
+func (c *Control) takeQueued() (tackwork.Change, []workerEnd, tackreplica.Term) {
 	c.mu.Lock()
-	waiting, found, grants, promises := c.ends, c.findings, c.grants, c.promises
+	defer c.mu.Unlock()
+	change, ends := tackwork.Change{Grants: c.grants, Promises: c.promises}, c.ends
+	if found := c.findings; !found.Empty() {
+		change.Findings = &found
+	}
 	c.dropQueued()
-	term := c.dispatchTerm
-	c.mu.Unlock()
-	if len(waiting) == 0 && found.Empty() && len(grants) == 0 {
-		c.appendPromises(promises)
+	return change, ends, c.dispatchTerm
+}
+
+// flushEnds proposes what queueEnds has collected. It is called by the loop.
+func (c *Control) flushEnds() {
+	change, waiting, term := c.takeQueued()
+	if len(waiting) == 0 && change.Findings == nil && len(change.Grants) == 0 {
+		c.appendPromises(change.Promises)
 		return
 	}
-	change := tackwork.Change{Ends: make([]tackjob.End, 0, len(waiting)), Grants: grants, Promises: promises}
-	if !found.Empty() {
-		change.Findings = &found
-	}
+	change.Ends = make([]tackjob.End, 0, len(waiting))
 	byWorker := make(map[tackdispatch.WorkerID][]tackjob.End)
 	for _, e := range waiting {
 		change.Ends = append(change.Ends, e.end)
--- a/io/tackcontrol/relay.go
+++ b/io/tackcontrol/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"auburntack/core/tackcbor"
@@ -11,6 +10,7 @@
 	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
 	"auburntack/core/tackrelay"
+	"auburntack/io/tackloop"
 	"auburntack/io/tackpeer"
 )
 
@@ -35,7 +35,7 @@
 type (
 	// relay is the state of a VM that forwards reports to the leader.
 	relay struct {
-		mu      sync.Mutex
+		mu      tackloop.Mutex
 		outbox  tackrelay.Outbox
 		enabled bool
 		heard   tackclock.Time // when the leader last reported the value of enabled
@@ -68,9 +68,7 @@
 func (c *Control) forwardReport(ctx context.Context, r *tackdispatch.Report) (Reply, error) {
 	began := c.clock.Now()
 	answers := make(chan tackrelay.Answer, 1)
-	c.relay.mu.Lock()
-	number, err := c.relay.outbox.Add(r, func(a tackrelay.Answer) { answers <- a })
-	c.relay.mu.Unlock()
+	number, err := c.relay.add(r, func(a tackrelay.Answer) { answers <- a })
 	if err != nil {
 		c.meters.relayShed.Inc(1)
 		return Reply{}, &BusyError{Reason: err.Error()}
@@ -88,13 +86,33 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	c.relay.mu.Lock()
-	c.relay.outbox.Drop(number)
-	c.relay.mu.Unlock()
+	c.relay.drop(number)
 	c.meters.relayGivenUp.Inc(1)
 	return Reply{}, &BusyError{Reason: "the leader has not answered"}
 }
 
+// add queues a report for the leader; answered is called with the answer.
+func (r *relay) add(report *tackdispatch.Report, answered func(tackrelay.Answer)) (uint64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outbox.Add(report, answered)
+}
+
+// drop gives up waiting for an answer.
+func (r *relay) drop(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outbox.Drop(number)
+}
+
+// next returns the reports to send now, and how many wait for their answers.
+func (r *relay) next(now tackclock.Time, leader tackid.Peer) ([]tackrelay.NumberedReport, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flushScheduled = false
+	return r.outbox.Next(now, leader), r.outbox.Len()
+}
+
 // scheduleFlush calls flushReports after the delay, unless a flush is already scheduled.
 func (c *Control) scheduleFlush(delay time.Duration) {
 	c.relay.mu.Lock()
@@ -108,11 +126,7 @@
 // flushReports sends the leader the reports that have not been sent to it.
 func (c *Control) flushReports() {
 	leader := c.Leader()
-	c.relay.mu.Lock()
-	c.relay.flushScheduled = false
-	list := c.relay.outbox.Next(c.clock.Now(), leader)
-	waiting := c.relay.outbox.Len()
-	c.relay.mu.Unlock()
+	list, waiting := c.relay.next(c.clock.Now(), leader)
 	c.meters.relayWaiting.Update(int64(waiting))
 	if len(list) > 0 {
 		c.sendReports(leader, list)
@@ -147,18 +161,23 @@
 		c.log.WithField("peer", from).WithError(err).Warn("relayed reports cannot be decoded")
 		return
 	}
+	answers := tackrelay.Answers{On: c.heardRelay(from, &m)}
+	for i := range m.List {
+		answers.List = append(answers.List, c.answerReport(from, &m.List[i]))
+	}
+	c.sendAnswers(from, answers)
+}
+
+// heardRelay records a message of a relay, and reports whether workers report to relays.
+func (c *Control) heardRelay(from tackid.Peer, m *tackrelay.Reports) bool {
 	now := c.clock.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.roster.Heard(now, from, m.DataCentre)
 	if m.On && c.dispatchTerm != 0 && !c.dispatch.EarlierLeasesEnded(now) {
 		c.roster.Inherit()
 	}
-	answers := tackrelay.Answers{On: c.roster.Enabled()}
-	c.mu.Unlock()
-	for i := range m.List {
-		answers.List = append(answers.List, c.answerReport(from, &m.List[i]))
-	}
-	c.sendAnswers(from, answers)
+	return c.roster.Enabled()
 }
 
 func (c *Control) sendAnswers(to tackid.Peer, answers tackrelay.Answers) {
--- a/io/tackcontrol/serve.go
+++ b/io/tackcontrol/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -15,48 +14,53 @@
 const (
 	handOverTimeout      = 2 * time.Second
 	handOverPollInterval = 20 * time.Millisecond
+	// failedStopTimeout is how long Serve waits for its parts if the VM cannot continue. One
+	// of them may be waiting for a call or for the disk.
+	failedStopTimeout = 250 * time.Millisecond
 )
 
 // Serve runs the VM until ctx ends or the VM cannot continue. The error is a *StoppedError in
-// the latter case.
+// the latter case; the process must end then.
 func (c *Control) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	supervisor := suture.New("control", suture.Spec{
 		EventHook: func(e suture.Event) { c.log.WithField("event", e.String()).Warn("part of the process restarted") },
 	})
-	supervisor.Add(tackloop.Service{Name: "log", Run: func(ctx context.Context) error {
-		cancel(c.guardLoop(ctx))
+	add := func(name string, run func(context.Context) error) {
+		supervisor.Add(tackloop.Service{Name: name, Run: run, Log: c.log})
+	}
+	add("log", func(ctx context.Context) error {
+		cancel(c.runLoop(ctx))
 		return suture.ErrDoNotRestart
-	}})
-	supervisor.Add(tackloop.Service{Name: "links", Run: c.links.Serve})
-	supervisor.Add(tackloop.Service{Name: "upkeep", Run: c.serveUpkeep})
+	})
+	add("links", c.links.Serve)
+	add("upkeep", c.serveUpkeep)
 	if c.cfg.Advisor != nil {
-		supervisor.Add(tackloop.Service{Name: "advice", Run: c.serveAdvice})
-	}
-	_ = supervisor.Serve(ctx) // returns when ctx ends; the cause of ctx is the reason
-	err := context.Cause(ctx)
-	if closeErr := c.disk.Close(); closeErr != nil {
-		c.log.WithError(closeErr).Warn("closing the data folder failed")
+		add("advice", c.serveAdvice)
 	}
+	done := supervisor.ServeBackground(ctx)
+	<-ctx.Done()
 	var stopped *StoppedError
-	if errors.As(err, &stopped) {
+	if errors.As(context.Cause(ctx), &stopped) {
+		c.log.WithError(stopped).Error("this VM cannot continue")
+		select {
+		case <-done:
+		case <-time.After(failedStopTimeout):
+			return stopped // the data folder may be in use
+		}
+	} else {
+		<-done
+	}
+	if err := c.disk.Close(); err != nil {
+		c.log.WithError(err).Warn("closing the data folder failed")
+	}
+	if stopped != nil {
 		return stopped
 	}
 	return nil
 }
 
-// guardLoop runs the loop. The state of the loop cannot be rebuilt without a restart, so a
-// panic stops the process instead of restarting the loop alone.
-func (c *Control) guardLoop(ctx context.Context) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = &StoppedError{What: "run the log", Err: fmt.Errorf("panic: %v", r)}
-		}
-	}()
-	return c.runLoop(ctx)
-}
-
 // HandOver transfers leadership to another VM before a planned stop, so that no caller waits
 // for an election.
 func (c *Control) HandOver(ctx context.Context) {
--- a/io/tackcontrol/waves.go
+++ b/io/tackcontrol/waves.go
@@ -94,19 +94,23 @@
 // Wave reports whether a wave is complete. The verdict is Done, NoJob if there is no such
 // wave, or Unavailable.
 func (c *Control) Wave(n tackupkeep.Number) (tackwork.Answer, bool) {
-	c.mu.Lock()
-	w := c.state.Waves.Get(n)
-	complete := w != nil && w.Complete()
-	c.mu.Unlock()
+	known, complete := c.waveProgress(n)
 	if _, leads := c.leads(c.clock.Now()); !leads {
 		return c.notLeader(), false
 	}
-	if w == nil {
+	if !known {
 		return tackwork.Answer{Verdict: tackwork.NoJob}, false
 	}
 	return tackwork.Answer{}, complete
 }
 
+func (c *Control) waveProgress(n tackupkeep.Number) (known, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.state.Waves.Get(n)
+	return w != nil, w != nil && w.Complete()
+}
+
 // serveUpkeep carries out upkeep waves and moves while this VM is the leader, until ctx ends.
 func (c *Control) serveUpkeep(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -164,11 +168,7 @@
 	c.log.WithFields(logrus.Fields{"vm": string(vm), "wave": int64(wave), "fence": order.Fence}).WithError(err).Info("upkeep ordered")
 	var refused *CloudError
 	started := err == nil || errors.As(err, &refused) && refused.NotFound
-	c.mu.Lock()
-	if uint64(c.dispatchTerm) == order.Fence {
-		c.dispatch.UpkeepCalled(now, vm, err == nil, refused != nil)
-	}
-	c.mu.Unlock()
+	c.recordUpkeepCall(now, order, vm, err == nil, refused != nil)
 	if started {
 		// The call may have used up the time of ctx.
 		p := c.propose(context.WithoutCancel(ctx), tackwork.Change{Upkeep: &tackwork.UpkeepBegun{Wave: wave, VM: vm}})
@@ -176,9 +176,23 @@
 			c.log.WithField("vm", string(vm)).WithField("wave", int64(wave)).Warn("start of upkeep not committed; the platform will be called again")
 		}
 	}
+	c.endUpkeepCall(vm)
+}
+
+// recordUpkeepCall records the result of a call to the platform, unless another leader has
+// followed since.
+func (c *Control) recordUpkeepCall(now tackclock.Time, order Order, vm tackid.VM, done, refused bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if uint64(c.dispatchTerm) == order.Fence {
+		c.dispatch.UpkeepCalled(now, vm, done, refused)
+	}
+}
+
+func (c *Control) endUpkeepCall(vm tackid.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.upkeep.pendingCalls, vm)
-	c.mu.Unlock()
 }
 
 // stillLeads returns a *CloudError if this VM lost its lease since the order was decided, for
--- a/io/tackloop/loop.go
+++ b/io/tackloop/loop.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -23,10 +25,13 @@
 		ended  chan struct{}
 	}
 
-	// Service adapts a function to suture.Service.
+	// Service adapts a function to suture.Service. If Run panics the process ends, since the
+	// state that Run shares with others may be half changed. Without Log the supervisor
+	// restarts it instead.
 	Service struct {
 		Name string
 		Run  func(context.Context) error
+		Log  logrus.FieldLogger
 	}
 )
 
@@ -88,7 +93,10 @@
 }
 
 // Serve implements suture.Service.
-func (s Service) Serve(ctx context.Context) error { return s.Run(ctx) }
+func (s Service) Serve(ctx context.Context) error {
+	defer EndOnPanic(s.Log, s.Name)
+	return s.Run(ctx)
+}
 
 // String returns the name of the service for suture's events.
 func (s Service) String() string { return s.Name }
--- a/io/tackvm/loop.go
+++ b/io/tackvm/loop.go
@@ -124,11 +124,15 @@
 	return nil
 }
 
-func (v *VM) apply(e tackreplica.Entry) error {
+func (v *VM) applyState(e *tackreplica.Entry) (tackstate.Proposal, tackstate.Outcome, error) {
 	v.mu.Lock()
-	p, out, err := v.state.Apply(e)
+	defer v.mu.Unlock()
 	v.applied = tackreplica.Entry{Index: e.Index, Term: e.Term, Time: e.Time}
-	v.mu.Unlock()
+	return v.state.Apply(*e)
+}
+
+func (v *VM) apply(e tackreplica.Entry) error {
+	p, out, err := v.applyState(&e)
 	if err != nil {
 		return &StoppedError{
 			What:   "apply the log",
@@ -175,13 +179,17 @@
 	v.sharer.SetPeers(v.clock.Now(), peerLocations(plain))
 }
 
+func (v *VM) encodeState() ([]byte, error) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.state.Snapshot()
+}
+
 func (v *VM) maybeSnapshot() error {
 	if v.applied.Index < v.snapshotIndex+snapshotInterval {
 		return nil
 	}
-	v.mu.RLock()
-	data, err := v.state.Snapshot()
-	v.mu.RUnlock()
+	data, err := v.encodeState()
 	if err != nil {
 		return &StoppedError{What: "take a snapshot", Advice: "report this as a bug", Err: err}
 	}
--- a/io/tackvm/reconcile.go
+++ b/io/tackvm/reconcile.go
@@ -8,6 +8,7 @@
 	"auburntack/core/tackclock"
 	"auburntack/core/tackfleet"
 	"auburntack/core/tackid"
+	"auburntack/core/tackplace"
 	"auburntack/core/tackreplica"
 	"auburntack/core/tackstate"
 	"auburntack/core/tackwave"
@@ -99,12 +100,7 @@
 	if v.changesPending(now) {
 		return
 	}
-	v.mu.RLock()
-	placement := v.decideTasks(now)
-	decision := v.reconciler.planner.Decide(view{v: v, now: now}, v.waveSettings(now))
-	changes := append(v.observations(now), v.withoutTaskVMs(decision.Changes)...)
-	changes = append(changes, placement.Changes...)
-	v.mu.RUnlock()
+	changes, decision, placement := v.decide(now)
 	for i := range changes {
 		v.proposeChange(now, &changes[i])
 	}
@@ -116,6 +112,16 @@
 	v.pollUsage(now)
 }
 
+// decide returns the changes to propose, and the decisions of which they are a part.
+func (v *VM) decide(now tackclock.Time) ([]tackfleet.Change, tackwave.Decision, tackplace.Decision) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	placement := v.decideTasks(now)
+	decision := v.reconciler.planner.Decide(view{v: v, now: now}, v.waveSettings(now))
+	changes := append(v.observations(now), v.withoutTaskVMs(decision.Changes)...)
+	return append(changes, placement.Changes...), decision, placement
+}
+
 func (v *VM) changesPending(now tackclock.Time) bool {
 	s := v.status.Load()
 	return v.reconciler.proposedTerm == s.Term && v.applied.Index < v.reconciler.proposedIndex && now.Sub(v.reconciler.proposedAt) < reconcileTimeout
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"auburntack/core/tackclock"
@@ -121,19 +122,23 @@
 		EventHook: v.logEvent,
 		Timeout:   5 * time.Second,
 	})
-	supervisor.Add(tackloop.Service{Name: "log", Run: v.serveLoop})
-	supervisor.Add(tackloop.Service{Name: "links", Run: v.links.Serve})
-	supervisor.Add(tackloop.Service{Name: "caller", Run: serveCallers(caller, ports.caller)})
-	supervisor.Add(tackloop.Service{Name: "operator", Run: serveHTTP(operator, ports.operator)})
-	supervisor.Add(tackloop.Service{Name: "burn", Run: v.serveBurn})
+	add := func(name string, run func(context.Context) error) {
+		supervisor.Add(tackloop.Service{Name: name, Run: run, Log: v.log})
+	}
+	add("log", v.serveLoop)
+	add("links", v.links.Serve)
+	add("caller", serveCallers(caller, ports.caller))
+	add("operator", serveHTTP(operator, ports.operator))
+	add("burn", v.serveBurn)
 	return supervisor
 }
 
 // serveLoop runs the loop. Its state cannot be rebuilt without a restart, so a failure
-// or panic ends the whole process.
+// or panic ends the whole process. A panic with mu held ends it at once.
 func (v *VM) serveLoop(ctx context.Context) error {
 	defer func() {
 		if r := recover(); r != nil {
+			v.log.WithField("stack", string(debug.Stack())).Errorf("panic: %v", r)
 			v.fail(&StoppedError{What: "run the log", Advice: "report this as a bug", Err: fmt.Errorf("panic: %v", r)})
 		}
 	}()
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -59,7 +59,7 @@
 		failedSignal chan struct{} // closed once failed is set
 
 		// mu guards state and applied. Only the loop writes them.
-		mu      sync.RWMutex
+		mu      tackloop.Mutex
 		state   tackstate.State
 		applied tackreplica.Entry
 
@@ -118,6 +118,7 @@
 		loop:         tackloop.New(eventQueueSize),
 		failedSignal: make(chan struct{}),
 	}
+	v.mu.Log = v.log
 	v.gauges = newGauges(v.registry)
 	v.meter.clock = clock
 	stored, err := v.openDisk(logger)
