Advice: every worker and every step gets its turn

Cause: a call named the 30 workers with the most room, of equal ones those with the lowest ids, chosen anew each time. Nothing of the answers was kept, so the advisor was asked about the same 30 for ever. On the same path: steps went by rank, so that a few which no worker may run kept those behind them from being asked for; as long as any ticket was valid there was no call, even if the worker that had it was lost or full; a queue that had moved kept tickets for workers of the former service. A planned start went out with an expired ticket.

Change: a step keeps which workers were denied, since that does not change, and a call names the others: those that had a ticket, then those with the most room, 30 at first and up to 100 after a call that allowed none. When all were named in vain they are asked about again. Steps not asked for yet take turns with the one asked for longest ago. Further calls beside valid tickets only after an item has waited for 1.5 s with no room on a worker that has one.

Tests, each of which failed on the code before: TestAdviceReachesEveryWorker, TestEveryStepIsAdvised, TestAdviceIsNotAskedForInVain, TestAdviceAfterAMove. TestAdviceForOthersIsPassedOver reads the ticket's text from its new field.

--- a/core/tackdispatch/dispatch_test.go
+++ b/core/tackdispatch/dispatch_test.go
@@ -374,7 +374,7 @@
 	r := AdviceRequest{Job: job(1), Workers: []WorkerID{"i-1"}}
 	w.d.AdviceReceived(w.now, r, []Ticket{{Worker: "i-1", Text: "t"}, {Worker: "i-2", Text: "u"}}, tackclock.Second, true)
 	s := w.d.stepOf(stepKey{job: job(1)})
-	if len(s.advice.tickets) != 1 || s.advice.tickets["i-1"] != "t" {
+	if len(s.advice.tickets) != 1 || s.advice.tickets["i-1"].text != "t" {
 		t.Errorf("tickets %v, want that of the worker that was asked about", s.advice.tickets)
 	}
 }
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -175,6 +175,9 @@
 		findings      tackjob.Findings
 		orderedBefore func(tackclock.Time, tackid.VM) bool
 		silences      tacksilence.Watch
+		// adviceRepeats says that the next call for advice is for a step for which there was
+		// one before, if there are any.
+		adviceRepeats bool
 		// units hold the evidence about queues whose items crashed workers.
 		units map[unitKey]*unit
 
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -256,8 +256,9 @@
 		}
 		// A worker's room may have shrunk since the start was planned, and a worker that
 		// does not enforce its limits would run what does not fit. A workspace's cap may
-		// have shrunk as well, and the queue may have moved to another service.
-		if now > p.until || r.stopping || r.step.job.Service != w.service || !w.room().Fits(tackroom.Resources{}) || !r.step.job.account.WithinCap(now, r.step.Resources) {
+		// have shrunk as well, the queue may have moved to another service, and a ticket may
+		// have expired.
+		if now > p.until || r.stopping || r.step.job.Service != w.service || !r.step.hasTicket(now, w) || !w.room().Fits(tackroom.Resources{}) || !r.step.job.account.WithinCap(now, r.step.Resources) {
 			d.removeRun(now, r)
 			d.requeue(now, r)
 			d.withdrawDoubt(r)
--- a/io/tackcontrol/advice.go
+++ b/io/tackcontrol/advice.go
@@ -62,7 +62,7 @@
 	asked := c.clock.Now()
 	tickets, valid, err := c.cfg.Advisor.Advise(ctx, request)
 	c.log.WithFields(logrus.Fields{
-		"job": string(request.Job), "step": request.Step, "asked": len(request.Workers), "allowed": len(tickets),
+		"job": string(request.Job), "step": request.Step, "asked": len(request.Workers), "further": request.Further, "allowed": len(tickets),
 		"valid_ms": int64(valid), "took_ms": int64(c.clock.Now().Sub(asked)),
 	}).WithError(err).Info("advice")
 	c.mu.Lock()
