A wave goes on beside a VM that the platform refuses

What operators may see: a wave with one VM down at a time stands still until its time is over, although all VMs but one could be taken down.

Cause: VMs that are being emptied go first. One that has failed has no runs, is chosen first, is refused each time, and holds its place for ever.

Change: after three refused calls it is given work again, and the others of the wave go first.

--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -1,6 +1,9 @@
 package tackdispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackupkeep"
@@ -21,8 +24,10 @@
 	// uncertainFor is how long a heartbeat may have been under way when the platform
 	// consented to an upkeep.
 	uncertainFor = tackclock.Second
-	// callRetryDelay is the least interval between calls for one VM.
+	// callRetryDelay is the least interval between calls for one VM, and maxRefusals the
+	// number of refused calls after which other VMs of the wave go first.
 	callRetryDelay = tackclock.Second
+	maxRefusals    = 3
 	// silentAfter is the silence after which a worker's last report is no longer relied
 	// on: four heartbeat intervals of a busy worker.
 	silentAfter = 1600 * tackclock.Millisecond
@@ -45,6 +50,9 @@
 	incarnation WorkerID
 	// callFrom is when the next call may be made at the earliest.
 	callFrom tackclock.Time
+	// refusals counts the calls that the platform refused since the VM was last chosen, and
+	// postponed how often others went first because of them.
+	refusals, postponed int
 	// consentIsFinal says that no earlier call can have been carried out, so the
 	// platform's consent means that the incarnation is over. callMade is set once a call
 	// was made that the platform may have carried out.
@@ -135,39 +143,37 @@
 	return n
 }
 
-// soonest returns the VMs that come next: those already being emptied, then those with
-// the fewest runs.
+// soonest returns the VMs that come next: those that were postponed least often, of these
+// the ones already being emptied, then those with the fewest runs.
 func (d *Dispatcher) soonest(w *tackupkeep.Wave, n int) []tackid.VM {
-	var chosen []tackid.VM
-	for len(chosen) < n {
-		best, bestScore := tackid.VM(""), 0
-		for _, vm := range w.Remaining() {
-			if contains(chosen, vm) || d.upkeepOf(vm).calledAt != 0 {
-				continue
-			}
-			score := d.loadOf(vm)
-			if d.upkeepOf(vm).drainedFrom != 0 {
-				score = -1
-			}
-			if best == "" || score < bestScore {
-				best, bestScore = vm, score
-			}
+	var list []tackid.VM
+	for _, vm := range w.Remaining() {
+		if d.upkeepOf(vm).calledAt == 0 {
+			list = append(list, vm)
 		}
-		if best == "" {
-			break
+	}
+	load := func(vm tackid.VM) int {
+		if d.upkeepOf(vm).drainedFrom != 0 {
+			return -1
 		}
-		chosen = append(chosen, best)
+		return d.loadOf(vm)
 	}
-	return chosen
+	slices.SortStableFunc(list, func(a, b tackid.VM) int {
+		return cmp.Or(cmp.Compare(d.upkeepOf(a).postponed, d.upkeepOf(b).postponed), cmp.Compare(load(a), load(b)))
+	})
+	return list[:min(n, len(list))]
 }
 
-func contains(list []tackid.VM, vm tackid.VM) bool {
-	for _, o := range list {
-		if o == vm {
-			return true
-		}
+// refusedUpkeep records that the platform refused to take a VM down. A VM that has failed is
+// refused until it is repaired, so after some refusals others go first.
+func (d *Dispatcher) refusedUpkeep(now tackclock.Time, vm tackid.VM, st *upkeepState) {
+	if st.refusals++; st.refusals < maxRefusals {
+		return
 	}
-	return false
+	st.refusals = 0
+	st.postponed++
+	st.drainedFrom = 0
+	d.setCordon(now, vm, false)
 }
 
 func (d *Dispatcher) loadOf(vm tackid.VM) int {
@@ -274,6 +280,7 @@
 			current.leaving = false
 			d.updateTotals(now, current)
 		}
+		d.refusedUpkeep(now, vm, st)
 		return
 	}
 	if st.calledAt == 0 {
--- a/core/tackdispatch/upkeep_test.go
+++ b/core/tackdispatch/upkeep_test.go
@@ -232,3 +232,38 @@
 		assertPhase(t, w, job(2), tackjob.Complete)
 	}
 }
+
+// Guards against a wave that waits for ever for a VM that the platform refuses to take down,
+// such as one that has failed, while the others of the wave could be taken down.
+func TestWaveGoesOnBesideARefusedVM(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(200)
+	wave := newWave(w, 1, "m-0", "m-1", "m-2")
+	w.workers[0].dead = true
+	w.run(5 * tackclock.Second)
+	calls := make(map[tackid.VM]int)
+	for range 120 {
+		for _, vm := range w.d.NextUpkeep(w.now, wave) {
+			calls[vm]++
+			if vm == "m-0" {
+				w.d.UpkeepCalled(w.now, vm, false, true)
+				continue
+			}
+			m := w.workers[slices.IndexFunc(w.workers, func(m *modelWorker) bool { return m.vm == vm && !m.dead })]
+			m.dead = true
+			w.d.UpkeepCalled(w.now, vm, true, false)
+			wave.Begin(vm)
+			w.addWorker(vm, 0).heartbeatAt = w.now.Add(2 * tackclock.Second)
+		}
+		w.run(150)
+	}
+	if calls["m-1"] != 1 || calls["m-2"] != 1 {
+		t.Errorf("calls %v, want one for m-1 and one for m-2", calls)
+	}
+	if calls["m-0"] < 6 {
+		t.Errorf("calls %v, want m-0 to be tried again", calls)
+	}
+	if w.d.cordon["m-1"] || w.d.cordon["m-2"] {
+		t.Error("a VM that is back gets no work")
+	}
+}
