--- a/core/tackdispatch/advice_test.go
+++ b/core/tackdispatch/advice_test.go
@@ -185,3 +185,24 @@
 	a.run(tackclock.Second)
 	assertRuns(t, w, job(1), 4)
 }
+
+// Guards against a start that its worker refuses, since the ticket expired while the start
+// waited for the worker's heartbeat.
+func TestPlannedStartNeedsAValidTicket(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(tackclock.Second)
+	gang := batch(2, 9, 5*tackclock.Second)
+	gang.Gang = true
+	w.submit(job(1), gang)
+	w.state.Jobs.Get(job(1)).Advised = true
+	r, wanted := w.d.NextAdviceRequest(w.now)
+	if !wanted {
+		t.Fatal("no advice wanted")
+	}
+	w.workers[0].heartbeatAt, w.workers[1].heartbeatAt = w.now, w.now.Add(500)
+	w.d.AdviceReceived(w.now, r, []Ticket{{Worker: "i-1", Text: "t"}, {Worker: "i-2", Text: "u"}}, ticketMargin+200, true)
+	w.run(100)
+	assertRuns(t, w, job(1), 1)
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 1)
+}
