--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -216,3 +216,16 @@
 		}
 	}
 }
+
+// runsOf counts the items of a job that run on workers that are up.
+func (w *world) runsOf(id tackjob.ID) int {
+	n := 0
+	for _, m := range w.workers {
+		for item := range m.runs {
+			if item.Job == id && !m.dead {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -488,16 +488,3 @@
 		number: s.Run, step: step, began: w.now, pace: 100, saved: s.Checkpoint, endsAt: w.now.Add(duration * tackclock.Duration(max(1, m.slow))),
 	}
 }
-
-// runsOf counts the items of a job that run on workers that are up.
-func (w *world) runsOf(id tackjob.ID) int {
-	n := 0
-	for _, m := range w.workers {
-		for item := range m.runs {
-			if item.Job == id && !m.dead {
-				n++
-			}
-		}
-	}
-	return n
-}
