Log what showed that a run was over before its item starts again

A work item that ran twice could not be traced: nothing said whether its worker had been silent or had been refused, what the leader took for the end of the former run and how old that was, nor what became of an end that a worker listed. Lines above 200 in 25 ms were left out in the order of their time, starts and losses among them.

'run ordered' now names the item's run before, the proof of its end and the age of the proof; 'run ended' its outcome; 'run lost' how many heartbeats of the worker reached the leader while its lease was out; 'run ended late' a run that ended as done after its item had been started again; 'run not owed' why. 'leader lease renewed late' and leader_lease_gap_ms, control_tick_ms and worker_heartbeats_without_lease tell a silent worker from a leader that does not answer. Lines about restarts are left out last.

--- a/core/tackdispatch/copy.go
+++ b/core/tackdispatch/copy.go
@@ -54,6 +54,7 @@
 		return false // the worker may have crashed at the start, and the log would not know
 	}
 	d.noteRun(now, EventCopied, r, reason)
+	r.endProof = reason
 	delete(d.running, r.item)
 	s.running--
 	d.requeueLost(now, r)
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -221,6 +221,10 @@
 		tailLatency     int
 		pace            int
 		stopping        bool
+		// former is the item's run before this one, and endProof what showed that this one
+		// is over.
+		former   FormerRun
+		endProof string
 		// copyReason says why the item waits, or runs, elsewhere as well; it is empty if
 		// it does not.
 		copyReason string
@@ -452,6 +456,7 @@
 		return
 	}
 	s.addWaiting(now, r.item.Index, r.checkpoint)
+	s.waiting[len(s.waiting)-1].former = FormerRun{Run: r.number, Proof: r.endProof, At: r.worker.heardAt}
 	d.enqueue(now, d.pool(s.job.Service), s)
 }
 
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -84,6 +84,9 @@
 	// EventReturnHabit says that the refused callers of a pool begin to return when they
 	// were told to, or before.
 	EventReturnHabit
+	// EventEndedLate is the end of a run that was taken to be over, after its item was
+	// started again.
+	EventEndedLate
 )
 
 const (
@@ -99,7 +102,7 @@
 	EventKind uint8
 
 	// Event is a decision, or a change in what the dispatcher knows, with its reason. Age
-	// is the age of the input that led to it.
+	// is the age of the input that led to it. Outcome is what became of an end.
 	Event struct {
 		Kind   EventKind
 		At     tackclock.Time
@@ -111,8 +114,24 @@
 		Age    tackclock.Duration
 		// Ran is how long the worker had listed a lost run, zero if it never did, and
 		// Beside how many other runs were lost with it, or how many promises expired.
-		Ran    tackclock.Duration
-		Beside int
+		Ran     tackclock.Duration
+		Beside  int
+		Outcome string
+		// Other is another run of the same item: the one before a start, or the one that
+		// is under way beside an orphan or a late end.
+		Other FormerRun
+		// Refused is how many heartbeats of a lost worker were refused since the last
+		// that was accepted, and RefusedAge is how long ago the last of them was.
+		Refused    int
+		RefusedAge tackclock.Duration
+	}
+
+	// FormerRun is a run of an item before its next start. Proof is what showed that the run
+	// was over, and At is when its worker had last been heard from.
+	FormerRun struct {
+		Run   RunNumber
+		Proof string
+		At    tackclock.Time
 	}
 )
 
@@ -123,6 +142,21 @@
 	"forecast changed", "forecast hit", "forecast missed",
 	"queue confined", "queue released", "worker exposed", "canary survived",
 	"return promised", "promise kept", "promise broken", "promises expired", "return habit changed",
+	"run ended late",
+}
+
+// TellsOfRestart reports whether the event tells why an item is started again, or that two
+// of its runs overlap.
+func (e *Event) TellsOfRestart() bool {
+	switch e.Kind {
+	case EventRunLost, EventNotStarted, EventCopied, EventEndedLate, EventOrphaned, EventLost:
+		return true
+	case EventStarted:
+		return e.Other.Run != 0
+	case EventEnded:
+		return e.Outcome != endToLog.String() && e.Outcome != endNotCounted.String()
+	}
+	return false
 }
 
 // String returns the event's log message.
@@ -153,6 +187,14 @@
 	})
 }
 
+// noteStarted records an order to start, and what showed that the run before it was over.
+func (d *Dispatcher) noteStarted(now tackclock.Time, r *run, reason string) {
+	d.note(Event{
+		Kind: EventStarted, At: now, Worker: r.worker.id, VM: r.worker.vm, Item: r.item, Run: r.number, Reason: reason,
+		Age: now.Sub(r.worker.heardAt), Other: r.former,
+	})
+}
+
 // noteHeld records that the items of a step wait because of their workspace's cap.
 func (d *Dispatcher) noteHeld(now tackclock.Time, s *openStep) {
 	if now < s.heldNoteAt {
@@ -172,7 +214,10 @@
 	w := r.worker
 	e := Event{
 		Kind: EventRunLost, At: now, Worker: w.id, VM: w.vm, Item: r.item, Run: r.number, Reason: reason,
-		Age: now.Sub(w.heardAt), Beside: len(w.runs) - 1,
+		Age: now.Sub(w.heardAt), Beside: len(w.runs) - 1, Refused: w.refused,
+	}
+	if w.refused > 0 {
+		e.RefusedAge = now.Sub(w.refusedAt)
 	}
 	if r.listed {
 		e.Ran = max(1, w.heardAt.Sub(r.listedAt))
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -260,6 +260,7 @@
 		// have expired.
 		if now > p.until || r.stopping || r.step.job.Service != w.service || !r.step.hasTicket(now, w) || !w.room().Fits(tackroom.Resources{}) || !r.step.job.account.WithinCap(now, r.step.Resources) {
 			d.removeRun(now, r)
+			r.endProof = "order was not sent"
 			d.requeue(now, r)
 			d.withdrawDoubt(r)
 			continue
@@ -269,7 +270,7 @@
 			continue
 		}
 		r.sentIn, r.started, r.progressAt = sequence, now, now
-		d.noteRun(now, EventStarted, r, r.planReason())
+		d.noteStarted(now, r, r.planReason())
 		o.Start = append(o.Start, Start{
 			Item: r.item, Run: r.number, Text: r.step.job.Text, Checkpoint: r.checkpoint, Ticket: r.step.ticket(w),
 		})
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -60,6 +60,7 @@
 	w.sequence = r.Sequence
 	w.reports++
 	w.heardAt = now
+	w.refused = 0
 	d.setSilent(w, false)
 	if w.doubted {
 		w.doubted = false
@@ -146,7 +147,22 @@
 
 // processEnd removes the run and returns its end with true if the log must hold it.
 func (d *Dispatcher) processEnd(now tackclock.Time, w *worker, e *Ended) (tackjob.End, bool) {
-	d.note(Event{Kind: EventEnded, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run, Reason: e.Kind.String()})
+	other := d.running[e.Item]
+	end, outcome := d.recordEnd(now, w, e)
+	d.note(Event{
+		Kind: EventEnded, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run, Reason: e.Kind.String(), Outcome: outcome.String(),
+	})
+	if outcome == endToLog && e.Kind == EndDone && other != nil && other.number > e.Run {
+		d.note(Event{
+			Kind: EventEndedLate, At: now, Worker: w.id, VM: w.vm, Item: e.Item, Run: e.Run,
+			Other: FormerRun{Run: other.number, Proof: other.former.Proof, At: other.former.At},
+		})
+	}
+	return end, outcome == endToLog
+}
+
+// recordEnd removes the run that has ended and returns what becomes of its end.
+func (d *Dispatcher) recordEnd(now tackclock.Time, w *worker, e *Ended) (tackjob.End, endOutcome) {
 	d.recordOutcome(now, w, e)
 	r := w.runs[e.Item]
 	if r != nil && r.number == e.Run {
@@ -158,32 +174,37 @@
 		}
 		d.withdrawDoubt(r)
 		d.removeRun(now, r)
-		r.checkpoint = e.Checkpoint
+		r.checkpoint, r.endProof = e.Checkpoint, e.Kind.String()
 	} else {
 		r = nil
 	}
 	o := d.jobs[e.Item.Job]
-	if o == nil || !o.Has(e.Item) || o.Done(e.Item) {
-		return tackjob.End{}, false
+	switch {
+	case o == nil:
+		return tackjob.End{}, endOfClosedJob
+	case !o.Has(e.Item):
+		return tackjob.End{}, endOfNoItem
+	case o.Done(e.Item):
+		return tackjob.End{}, endOfDoneItem
 	}
 	counts := e.Kind == EndDone || e.Kind == EndFailed
 	if !counts || o.Steps[e.Item.Step].LongRunning {
 		if r != nil {
 			d.requeue(now, r)
 		}
-		return tackjob.End{}, false
+		return tackjob.End{}, endNotCounted
 	}
 	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
-		return tackjob.End{}, false
+		return tackjob.End{}, endBeforeLaterRun
 	}
 	s := o.steps[stepKey{job: o.ID, occurrence: e.Item.Occurrence, step: e.Item.Step}]
 	if s == nil {
-		return tackjob.End{}, false
+		return tackjob.End{}, endOfClosedStep
 	}
 	s.dropWaiting(e.Item.Index)
 	s.ending++
 	d.markStarted(o)
-	return tackjob.End{Item: e.Item, Failed: e.Kind == EndFailed, Gang: s.Gang, Run: uint64(e.Run)}, true
+	return tackjob.End{Item: e.Item, Failed: e.Kind == EndFailed, Gang: s.Gang, Run: uint64(e.Run)}, endToLog
 }
 
 // laterRunUnderWay reports whether a later run of the item than the one that ended is under
@@ -236,6 +257,7 @@
 	for _, run := range w.runsInOrder() {
 		if !listed[run.item] && run.sentIn < r.Sequence {
 			d.noteRun(now, EventNotStarted, run, "worker does not list it")
+			run.endProof = "worker does not list it"
 			d.withdrawDoubt(run)
 			d.removeRun(now, run)
 			d.requeue(now, run)
@@ -268,7 +290,7 @@
 	}
 	if s == nil || !o.Has(row.Item) || o.Done(row.Item) || d.running[row.Item] != nil || w.runs[row.Item] != nil {
 		w.stops = append(w.stops, Stop{Item: row.Item, Run: row.Run})
-		d.note(Event{Kind: EventOrphaned, At: now, Worker: w.id, VM: w.vm, Item: row.Item, Run: row.Run})
+		d.noteOrphan(now, w, row, o)
 		d.addOrphan(w, row)
 		return nil
 	}
@@ -285,6 +307,24 @@
 	return r
 }
 
+// noteOrphan records that a run must stop, and why.
+func (d *Dispatcher) noteOrphan(now tackclock.Time, w *worker, row *Running, o *openJob) {
+	e := Event{Kind: EventOrphaned, At: now, Worker: w.id, VM: w.vm, Item: row.Item, Run: row.Run}
+	other := d.running[row.Item]
+	switch {
+	case o == nil:
+		e.Reason = "its job is closed or unknown"
+	case !o.Has(row.Item) || o.Done(row.Item):
+		e.Reason = "its item is done"
+	case other != nil:
+		e.Reason = "another run of its item is under way"
+		e.Other = FormerRun{Run: other.number, Proof: other.former.Proof, At: other.former.At}
+	default:
+		e.Reason = "its step is not open"
+	}
+	d.note(e)
+}
+
 // fromEarlierLeader reports whether another leader assigned the run number.
 func (d *Dispatcher) fromEarlierLeader(n RunNumber) bool {
 	return tackreplica.Term(n>>runBits) != d.term
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -38,6 +38,7 @@
 	lost := w.runsInOrder()
 	for _, r := range lost {
 		d.noteLost(now, r, reason)
+		r.endProof = reason
 	}
 	for _, r := range lost {
 		if !w.doubted || r.sentIn == notSent {
@@ -61,6 +62,15 @@
 	d.noteWorker(now, EventLost, w, reason)
 }
 
+// Refused records that a heartbeat of a worker was refused, since the leader could not
+// answer it.
+func (d *Dispatcher) Refused(now tackclock.Time, id WorkerID) {
+	if w := d.workers[id]; w != nil {
+		w.refused++
+		w.refusedAt = now
+	}
+}
+
 // Leave handles a worker's goodbye: the worker runs nothing any more. A goodbye without
 // the time when the incarnation began may be a delayed one of a former incarnation; it is
 // accepted for an incarnation that drains and ignored otherwise.
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -80,6 +80,7 @@
 		index      int32
 		checkpoint string
 		since      tackclock.Time
+		former     FormerRun
 	}
 )
 
@@ -238,6 +239,7 @@
 		if d.running[e.Item] == nil && !o.Done(e.Item) {
 			s.dropWaiting(e.Item.Index)
 			s.addWaiting(now, e.Item.Index, "")
+			s.waiting[len(s.waiting)-1].former = FormerRun{Run: RunNumber(e.Run), Proof: EndFailed.String(), At: now}
 			d.enqueue(now, d.pool(o.Service), s)
 		}
 		return
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -182,7 +182,7 @@
 func (d *Dispatcher) sendStart(now tackclock.Time, r *run, sequence uint64, reason string, o *Orders) {
 	r.sentIn = sequence
 	d.addRun(now, r)
-	d.noteRun(now, EventStarted, r, reason)
+	d.noteStarted(now, r, reason)
 	o.Start = append(o.Start, Start{
 		Item: r.item, Run: r.number, Text: r.step.job.Text, Checkpoint: r.checkpoint, Ticket: r.step.ticket(r.worker),
 	})
@@ -191,7 +191,7 @@
 func (d *Dispatcher) newRun(now tackclock.Time, w *worker, s *openStep, item waitingItem) *run {
 	return &run{
 		item: s.item(item.index), number: d.nextRun(), worker: w, step: s, reserved: s.Reserved(),
-		started: now, progressAt: now, checkpoint: item.checkpoint, pace: fullPace,
+		started: now, progressAt: now, checkpoint: item.checkpoint, pace: fullPace, former: item.former,
 		suspected: len(s.crashRecord(item.index).Crashes) > 0,
 	}
 }
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -36,6 +36,10 @@
 	// emptiedUntil is until when it gets nothing new, because its VM is to move.
 	emptiedUntil tackclock.Time
 	heardAt      tackclock.Time
+	// refused is the number of heartbeats that were refused since the last one that was
+	// accepted, and refusedAt is when the last of them was.
+	refused   int
+	refusedAt tackclock.Time
 	// exposed says that it starts nothing but canaries and suspects of confined queues, and
 	// exposedAt is when it was last chosen for it.
 	exposed   bool
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -102,6 +102,9 @@
 		waiters    map[tackid.Revision]waiter
 		snapshotAt tackid.Revision
 		members    members
+		// tickedAt is the time of the last tick, and leaseOutSince is when the leader lease
+		// ran out, or zero if it holds or this VM does not lead.
+		tickedAt, leaseOutSince tackclock.Time
 		// reopenAt is when to reopen the data folder after a failure; zero if it has not
 		// failed.
 		reopenAt tackclock.Time
@@ -109,6 +112,8 @@
 		submissions submissions
 
 		status atomic.Pointer[tackreplica.Status]
+		// unanswered counts the heartbeats that came while the leader lease was out.
+		unanswered atomic.Int64
 		// moveSlots limits the number of concurrent move calls to the platform.
 		moveSlots chan struct{}
 
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -21,11 +21,15 @@
 }
 
 func (c *Control) tick(now tackclock.Time) {
+	if c.tickedAt != 0 {
+		c.meters.tickInterval.Update(int64(now.Sub(c.tickedAt)))
+	}
+	c.tickedAt = now
 	c.node.Tick(now)
 	c.updateMembers(now)
 	c.sendHello(now)
 	events, left := c.tickDispatch(now)
-	c.logEvents(events, left)
+	c.logEvents(now, events, left)
 }
 
 // tickDispatch handles what is due by time, and returns the events since the last call.
@@ -201,6 +205,29 @@
 		c.log.WithField("role", s.Role.String()).WithField("leader", s.Leader).
 			WithField("term", uint64(s.Term)).WithField("revision", uint64(s.Applied)).Info("leadership changed")
 	}
+	if before != nil {
+		c.watchLease(now, before, &s)
+	}
+}
+
+// watchLease logs how long the leader lease was out while this VM remained the leader. In
+// that time it refuses workers' heartbeats.
+func (c *Control) watchLease(now tackclock.Time, before, s *tackreplica.Status) {
+	if s.Role != tackreplica.Leader || before.Term != s.Term {
+		c.leaseOutSince = 0
+		return
+	}
+	if before.LeaderLease && before.LeaderLeaseUntil <= now {
+		c.leaseOutSince = before.LeaderLeaseUntil
+	}
+	if c.leaseOutSince == 0 || !s.LeaderLease {
+		return
+	}
+	gap := now.Sub(c.leaseOutSince)
+	c.leaseOutSince = 0
+	c.meters.leaseGap.Update(int64(gap))
+	c.log.WithField("term", uint64(s.Term)).WithField("gap_ms", int64(gap)).WithField("heartbeats", c.unanswered.Swap(0)).
+		Info("leader lease renewed late")
 }
 
 func (c *Control) onReplica(from tackid.Peer, body []byte) {
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -18,10 +18,13 @@
 	unsure     metrics.Counter
 	noKey      metrics.Counter
 	heartbeats metrics.Counter
+	unanswered metrics.Counter
 	starts     metrics.Counter
 	stops      metrics.Counter
 	ends       metrics.Counter
 	runsLost   metrics.Counter
+	endedLate  metrics.Counter
+	runBeside  metrics.Counter
 	lost       metrics.Counter
 	suspected  metrics.Counter
 	excused    metrics.Counter
@@ -41,6 +44,9 @@
 	examined   metrics.Gauge
 	decided    metrics.Histogram
 	committed  metrics.Histogram
+	leaseGap   metrics.Histogram
+
+	tickInterval metrics.Histogram
 
 	promised        metrics.Counter
 	promiseKept     metrics.Counter
@@ -66,10 +72,13 @@
 		unsure:     counter("job_requests_unsure"),
 		noKey:      counter("job_requests_without_key"),
 		heartbeats: counter("worker_heartbeats"),
+		unanswered: counter("worker_heartbeats_without_lease"),
 		starts:     counter("runs_ordered"),
 		stops:      counter("runs_stopped"),
 		ends:       counter("run_ends_logged"),
 		runsLost:   counter("runs_lost"),
+		endedLate:  counter("runs_ended_late"),
+		runBeside:  counter("runs_beside_another"),
 		lost:       counter("workers_lost"),
 		suspected:  counter("items_suspected"),
 		excused:    counter("crashes_excused"),
@@ -89,6 +98,9 @@
 		examined:   gauge("dispatch_looked"),
 		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
 		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
+		leaseGap:   metrics.GetOrRegisterHistogram("leader_lease_gap_ms", r, sample()),
+
+		tickInterval: metrics.GetOrRegisterHistogram("control_tick_ms", r, sample()),
 
 		promised:        counter("returns_promised"),
 		promiseKept:     counter("promises_kept"),
@@ -109,6 +121,12 @@
 		m.lost.Inc(1)
 	case tackdispatch.EventRunLost:
 		m.runsLost.Inc(1)
+	case tackdispatch.EventEndedLate:
+		m.endedLate.Inc(1)
+	case tackdispatch.EventOrphaned:
+		if e.Other.Run != 0 {
+			m.runBeside.Inc(1)
+		}
 	case tackdispatch.EventItemSuspected:
 		m.suspected.Inc(1)
 	case tackdispatch.EventCrashExcused:
--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 
+	"auburntack/core/tackclock"
 	"auburntack/core/tackdispatch"
 	"auburntack/core/tackid"
+	"auburntack/core/tackreplica"
 )
 
 type (
@@ -46,6 +48,7 @@
 	defer c.mu.Unlock()
 	term, leads := c.leads(now)
 	if !leads || c.dispatchTerm != term {
+		c.countUnanswered(now, r.Worker)
 		return Reply{}, &NotLeaderError{}
 	}
 	if !c.dispatch.Knows(r.Worker) && !c.poolExists(r.Service) {
@@ -70,6 +73,17 @@
 	return Reply{Orders: orders, NextPeer: cmp.Or(next, c.cfg.Self)}, nil
 }
 
+// countUnanswered counts a heartbeat that comes while this VM is the leader and its lease is
+// out. The caller holds mu.
+func (c *Control) countUnanswered(now tackclock.Time, id tackdispatch.WorkerID) {
+	if s := c.status.Load(); s.Role != tackreplica.Leader || c.dispatchTerm != s.Term {
+		return
+	}
+	c.unanswered.Add(1)
+	c.meters.unanswered.Inc(1)
+	c.dispatch.Refused(now, id)
+}
+
 // poolExists reports whether the catalog names the service, or an earlier catalog did and
 // jobs are still open there. Without a catalog it returns true, since workers report before
 // the first catalog is put. The caller holds mu.
