--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -3,6 +3,7 @@
 import (
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
 )
 
 // lapse removes a worker whose lease ran out. All that ran there has ended, but the
@@ -62,13 +63,14 @@
 	d.noteWorker(now, EventLost, w, reason)
 }
 
-// Refused records that a heartbeat of a worker was refused, since the leader could not
-// answer it.
-func (d *Dispatcher) Refused(now tackclock.Time, id WorkerID) {
-	if w := d.workers[id]; w != nil {
+// Refused handles a heartbeat that the leader cannot answer at the moment. It returns the
+// ends that the log must hold, like Heartbeat.
+func (d *Dispatcher) Refused(now tackclock.Time, r *Report) []tackjob.End {
+	if w := d.workers[r.Worker]; w != nil {
 		w.refused++
 		w.refusedAt = now
 	}
+	return nil
 }
 
 // Leave handles a worker's goodbye: the worker runs nothing any more. A goodbye without
--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -48,7 +48,7 @@
 	defer c.mu.Unlock()
 	term, leads := c.leads(now)
 	if !leads || c.dispatchTerm != term {
-		c.countUnanswered(now, r.Worker)
+		c.refuse(now, r)
 		return Reply{}, &NotLeaderError{}
 	}
 	if !c.dispatch.Knows(r.Worker) && !c.poolExists(r.Service) {
@@ -73,15 +73,15 @@
 	return Reply{Orders: orders, NextPeer: cmp.Or(next, c.cfg.Self)}, nil
 }
 
-// countUnanswered counts a heartbeat that comes while this VM is the leader and its lease is
-// out. The caller holds mu.
-func (c *Control) countUnanswered(now tackclock.Time, id tackdispatch.WorkerID) {
+// refuse handles a heartbeat that comes while this VM is the leader and its lease is out. The
+// caller holds mu.
+func (c *Control) refuse(now tackclock.Time, r *tackdispatch.Report) {
 	if s := c.status.Load(); s.Role != tackreplica.Leader || c.dispatchTerm != s.Term {
 		return
 	}
 	c.unanswered.Add(1)
 	c.meters.unanswered.Inc(1)
-	c.dispatch.Refused(now, id)
+	c.queueEnds(r.Worker, c.dispatch.Refused(now, r))
 }
 
 // poolExists reports whether the catalog names the service, or an earlier catalog did and
