The leader does not take its own refusals and stalls for a worker's silence

Callers saw a work item run again after it had ended. The leader answers heartbeats only while its leader lease (600 ms) holds. While the lease is renewed late it refused them and used nothing that they say; a worker refused four times in a row, each time with the end of a run in its report, was declared lost 3.7 s after the last report that was accepted, and its items were started elsewhere just before the end was accepted. The same goes for a process that stalls: its next tick came before the heartbeats of that time were read.

The expired lease of a worker proves that nothing runs there any more. It does not prove that nothing has ended as done; only a report, or real silence, tells that.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -144,6 +144,9 @@
 		unstarted   map[tackcatalog.QueueKey]int
 		// silenceChecks schedules the checks whether workers have fallen silent.
 		silenceChecks silenceChecks
+		// tickedAt is the time of the last tick, and listeningSince is when the leader's
+		// process last went on after a stall.
+		tickedAt, listeningSince tackclock.Time
 		// silentWorkers is the number of workers that are silent.
 		silentWorkers int
 		expireAt      tackclock.Time
@@ -305,6 +308,7 @@
 	d.unlisted = d.cfg.Listed
 	d.moves = make(map[tackid.VM]*moving)
 	d.spareVMs, d.promisesAt, d.now = spareVMs{}, now, now
+	d.tickedAt, d.listeningSince = now, now
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
 	d.units = make(map[unitKey]*unit)
@@ -378,12 +382,13 @@
 // of repeated jobs.
 func (d *Dispatcher) Tick(now tackclock.Time) {
 	d.now = now
+	d.noteTick(now)
 	silent := d.overdueWorkers(now)
 	// If most workers are silent, the likely cause is this VM or its network. Recording
 	// doubts would write thousands of them to the log, and as many dismissals later.
 	mostSilent := 2*d.silentWorkers > len(d.workers)
 	for _, w := range silent {
-		if now >= w.leaseUntil {
+		if d.leaseOver(now, w) {
 			d.doubtRuns(now, w)
 			d.lapse(now, w)
 			continue
@@ -457,6 +462,9 @@
 	}
 	s.addWaiting(now, r.item.Index, r.checkpoint)
 	s.waiting[len(s.waiting)-1].former = FormerRun{Run: r.number, Proof: r.endProof, At: r.worker.heardAt}
+	if r.sentIn == notSent {
+		s.waiting[len(s.waiting)-1].former = r.former
+	}
 	d.enqueue(now, d.pool(s.job.Service), s)
 }
 
--- a/core/tackdispatch/foreign.go
+++ b/core/tackdispatch/foreign.go
@@ -35,8 +35,10 @@
 		return &ForeignError{Worker: r.Worker, Problem: fmt.Sprintf("in pool %q, known in %q", r.Service, w.service)}
 	case w.vm != r.VM:
 		return &ForeignError{Worker: r.Worker, Problem: fmt.Sprintf("on VM %q, known on %q", r.VM, w.vm)}
-	case r.Sequence > w.sequence && r.Sequence-w.sequence > uint64(now.Sub(w.heardAt))+sequenceSlack:
-		return &ForeignError{Worker: r.Worker, Problem: fmt.Sprintf("heartbeat %d, %d ms after %d", r.Sequence, now.Sub(w.heardAt), w.sequence)}
+	}
+	last := max(w.sequence, w.refusedSequence)
+	if r.Sequence > last && r.Sequence-last > uint64(now.Sub(w.heardAt))+sequenceSlack {
+		return &ForeignError{Worker: r.Worker, Problem: fmt.Sprintf("heartbeat %d, %d ms after %d", r.Sequence, now.Sub(w.heardAt), last)}
 	}
 	return nil
 }
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -260,7 +260,6 @@
 		// have expired.
 		if now > p.until || r.stopping || r.step.job.Service != w.service || !r.step.hasTicket(now, w) || !w.room().Fits(tackroom.Resources{}) || !r.step.job.account.WithinCap(now, r.step.Resources) {
 			d.removeRun(now, r)
-			r.endProof = "order was not sent"
 			d.requeue(now, r)
 			d.withdrawDoubt(r)
 			continue
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -14,10 +14,14 @@
 	if err := d.checkReport(now, r); err != nil {
 		return Orders{}, nil, err
 	}
-	w := d.acceptReport(now, r)
+	w := d.reporter(now, r)
 	if w == nil {
 		return Orders{}, nil, nil
 	}
+	w.sequence = r.Sequence
+	w.reports++
+	w.refused = 0
+	d.hear(now, w, r)
 	finished := d.processEnds(now, w, r.Ended)
 	d.processRunning(now, w, r)
 	d.clearItems(now, w)
@@ -41,9 +45,9 @@
 	return o, finished, nil
 }
 
-// acceptReport updates the worker of a report and returns it, or nil if the report is
-// outdated: its incarnation is over, or a later heartbeat has been handled.
-func (d *Dispatcher) acceptReport(now tackclock.Time, r *Report) *worker {
+// reporter returns the worker of a report, or nil if the report is outdated: its
+// incarnation is over, or a later heartbeat has been handled.
+func (d *Dispatcher) reporter(now tackclock.Time, r *Report) *worker {
 	if _, over := d.endedIncarnations[r.Worker]; over {
 		return nil
 	}
@@ -54,13 +58,15 @@
 	if w == nil {
 		w = d.join(now, r)
 	}
-	if r.Sequence <= w.sequence {
+	if r.Sequence <= w.sequence || r.Sequence < w.refusedSequence {
 		return nil
 	}
-	w.sequence = r.Sequence
-	w.reports++
+	return w
+}
+
+// hear updates a worker by its report.
+func (d *Dispatcher) hear(now tackclock.Time, w *worker, r *Report) {
 	w.heardAt = now
-	w.refused = 0
 	d.setSilent(w, false)
 	if w.doubted {
 		w.doubted = false
@@ -72,7 +78,6 @@
 		d.noteWorker(now, EventDraining, w, "")
 	}
 	w.capacity, w.labels = r.Capacity, r.Labels
-	return w
 }
 
 // join registers a new incarnation of a worker. A previous incarnation on the same VM or
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -3,7 +3,6 @@
 import (
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
-	"auburntack/core/tackjob"
 )
 
 // lapse removes a worker whose lease ran out. All that ran there has ended, but the
@@ -63,16 +62,6 @@
 	d.noteWorker(now, EventLost, w, reason)
 }
 
-// Refused handles a heartbeat that the leader cannot answer at the moment. It returns the
-// ends that the log must hold, like Heartbeat.
-func (d *Dispatcher) Refused(now tackclock.Time, r *Report) []tackjob.End {
-	if w := d.workers[r.Worker]; w != nil {
-		w.refused++
-		w.refusedAt = now
-	}
-	return nil
-}
-
 // Leave handles a worker's goodbye: the worker runs nothing any more. A goodbye without
 // the time when the incarnation began may be a delayed one of a former incarnation; it is
 // accepted for an incarnation that drains and ignored otherwise.
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -25,7 +25,7 @@
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
 		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "relay", "foreign", "resize", "crasher", "caps", "restart",
-		"move", "other", "advised", "advisor",
+		"move", "other", "advised", "advisor", "refuse", "stall",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -45,10 +45,16 @@
 	case "cut":
 		m.cut = true
 	case "heal":
-		m.cut, m.stalled, m.failing = false, false, false
+		m.cut, m.stalled, m.failing, m.refused = false, false, false, false
 	case "leave":
 		m.draining = true
 		w.addWorker(tackid.VM(fmt.Sprintf("n-%d", w.incarnationCount)), 1)
+	case "refuse":
+		m.refused = true
+	case "stall":
+		w.stall(tackclock.Duration(rapid.IntRange(300, 4500).Draw(t, "stall")))
+		w.step()
+		w.deliverDelayed()
 	case "leader":
 		w.newLeader()
 	case "hold":
--- a/core/tackdispatch/silence.go
+++ b/core/tackdispatch/silence.go
@@ -57,7 +57,7 @@
 
 // silentAt returns when action is needed on the worker if no further heartbeat comes.
 func (d *Dispatcher) silentAt(w *worker) tackclock.Time {
-	return min(w.heardAt.Add(min(doubtAfter, d.cfg.CopyAfter)+w.silenceAllowance), w.leaseUntil)
+	return min(w.heardAt.Add(min(doubtAfter, d.cfg.CopyAfter)+w.silenceAllowance), w.leaseOverAt())
 }
 
 // setSilent records whether a worker is silent.
@@ -85,7 +85,7 @@
 		default:
 			d.setSilent(w, true)
 			list = append(list, w)
-			d.silenceChecks.add(w, max(now+1, min(now.Add(silentEvery), w.leaseUntil)))
+			d.silenceChecks.add(w, max(now+1, min(now.Add(silentEvery), w.leaseOverAt())))
 		}
 	}
 	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -40,6 +40,8 @@
 	// accepted, and refusedAt is when the last of them was.
 	refused   int
 	refusedAt tackclock.Time
+	// refusedSequence is the sequence number of the last heartbeat that was refused.
+	refusedSequence uint64
 	// exposed says that it starts nothing but canaries and suspects of confined queues, and
 	// exposedAt is when it was last chosen for it.
 	exposed   bool
