Heartbeats wait for a leader lease that is renewed late

A heartbeat that comes while this VM is the leader and its lease is out now waits up to 400 ms for the renewal, as those that relays forward do.

--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -112,8 +112,10 @@
 		submissions submissions
 
 		status atomic.Pointer[tackreplica.Status]
-		// unanswered counts the heartbeats that came while the leader lease was out.
+		// unanswered counts the heartbeats that came while the leader lease was out, and
+		// renewal notifies those that wait for it.
 		unanswered atomic.Int64
+		renewal    renewal
 		// moveSlots limits the number of concurrent move calls to the platform.
 		moveSlots chan struct{}
 
@@ -159,6 +161,7 @@
 		loop:      tackloop.New(eventQueue),
 		mu:        tackloop.Mutex{Log: cfg.Logger},
 		relay:     relay{mu: tackloop.Mutex{Log: cfg.Logger}},
+		renewal:   renewal{mu: tackloop.Mutex{Log: cfg.Logger}},
 		waiters:   make(map[tackid.Revision]waiter),
 		dispatch:  tackdispatch.New(cfg.Dispatch),
 		moveSlots: make(chan struct{}, maxMovesInFlight),
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -81,6 +81,9 @@
 	now := c.clock.Now()
 	c.refreshStatus(now)
 	c.updateLeadership(now)
+	if s := c.status.Load(); s.LeaderLease || s.Role != tackreplica.Leader {
+		c.renewal.notify()
+	}
 	return c.snapshotWhenDue()
 }
 
--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -34,8 +34,11 @@
 // be used; such a report changes nothing.
 func (c *Control) Heartbeat(ctx context.Context, r *tackdispatch.Report) (Reply, error) {
 	now := c.clock.Now()
-	if _, leads := c.leads(now); !leads && c.isRelay(now) {
-		return c.forwardReport(ctx, r)
+	if _, leads := c.leads(now); !leads {
+		if c.isRelay(now) {
+			return c.forwardReport(ctx, r)
+		}
+		c.awaitLease(ctx)
 	}
 	return c.decide(r, "")
 }
