An end counts at a leader whose clock is behind that of the one before

A work item of a timed job could run again after it had ended, and a sound run was stopped: the leader that took over did not know the occurrence yet, since it was not due by its own clock. It passed the end over but told the worker to forget it, and ordered the stop of the runs that the worker listed.

A listed run or end shows that the occurrence was due by the clock of the leader that started it, so the occurrence is opened then if it is due within ten seconds.

TestOccurrenceThatAnEarlierLeaderBegan failed before: no end for the log, the worker may forget up to 1, one stop.

--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -202,7 +202,7 @@
 	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
 		return tackjob.End{}, endBeforeLaterRun
 	}
-	s := o.steps[stepKey{job: o.ID, occurrence: e.Item.Occurrence, step: e.Item.Step}]
+	s := d.listedStep(now, o, e.Item)
 	if s == nil {
 		return tackjob.End{}, endOfClosedStep
 	}
@@ -291,7 +291,7 @@
 	o := d.jobs[row.Item.Job]
 	var s *openStep
 	if o != nil {
-		s = o.steps[stepKey{job: o.ID, occurrence: row.Item.Occurrence, step: row.Item.Step}]
+		s = d.listedStep(now, o, row.Item)
 	}
 	if s == nil || !o.Has(row.Item) || o.Done(row.Item) || d.running[row.Item] != nil || w.runs[row.Item] != nil {
 		w.stops = append(w.stops, Stop{Item: row.Item, Run: row.Run})
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -10,6 +10,9 @@
 	"auburntack/core/tackquota"
 )
 
+// maxClockLead is how far the clock of an earlier leader may have been ahead.
+const maxClockLead = 10 * tackclock.Second
+
 type (
 	// openJob is a job that is accepted and neither done nor cancelled.
 	openJob struct {
@@ -148,6 +151,21 @@
 	delete(d.scheduled, o.ID)
 }
 
+// listedStep returns the open step of an item that a worker lists, or nil. What has run was due by
+// the clock of the leader that started it, so its occurrence is opened if this leader's clock
+// is behind.
+func (d *Dispatcher) listedStep(now tackclock.Time, o *openJob, item tackjob.Item) *openStep {
+	key := stepKey{job: o.ID, occurrence: item.Occurrence, step: item.Step}
+	if o.steps[key] == nil && o.Has(item) && int(item.Occurrence) >= o.opened && o.Due(item.Occurrence) <= now.Add(maxClockLead) {
+		for int(item.Occurrence) >= o.opened {
+			o.opened++
+			d.openReady(now, o, int32(o.opened-1))
+		}
+		d.openDue(now, o)
+	}
+	return o.steps[key]
+}
+
 // openReady opens the steps of an occurrence that wait for no other step any more.
 func (d *Dispatcher) openReady(now tackclock.Time, o *openJob, occurrence int32) {
 	for number := range o.Steps {
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -250,7 +250,7 @@
 		}
 		w.release()
 		for _, m := range w.workers {
-			m.cut, m.stalled, m.failing = false, false, false
+			m.cut, m.stalled, m.failing, m.refused = false, false, false, false
 			m.resize(tackroom.Resources{MilliCores: 16000, MemoryMB: 32768})
 		}
 		w.putCaps(map[tackid.Workspace]tackroom.Resources{"mairies": {}, "postes": {}})
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -5,6 +5,8 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackjob"
+	"auburntack/core/tackwork"
+	"auburntack/core/tackworkspace"
 )
 
 func assertStarts(t *testing.T, w *world, item tackjob.Item, want int) {
@@ -75,3 +77,35 @@
 	assertStarts(t, w, item, 1)
 	assertPhase(t, w, job(1), tackjob.Complete)
 }
+
+// Guards against an item that is started again after it has ended, and against a run that is
+// stopped without cause: the clock of a new leader is behind that of the one before, so that
+// an occurrence which has begun is not due yet.
+func TestOccurrenceThatAnEarlierLeaderBegan(t *testing.T) {
+	w := newWorld(t, 1)
+	spec := &tackjob.Spec{
+		ID: job(1), Queue: testQueue.QueueKey, Text: textOf(job(1)), Steps: []tackjob.Step{batch(2, 2, tackclock.Second)},
+		Repeats: 1, First: w.now.Add(tackclock.Second), Interval: tackclock.Second,
+	}
+	w.apply(tackwork.Change{Submit: spec, Key: tackworkspace.FingerprintOf("")})
+	w.run(1500)
+	m := w.workers[0]
+	ended, running := tackjob.Item{Job: job(1)}, tackjob.Item{Job: job(1), Index: 1}
+	w.end(m, ended, EndDone)
+	behind := spec.First - 500
+	d := New(w.cfg)
+	d.Reset(behind, w.term+1, w.inherited())
+	o, finished, err := d.Heartbeat(behind, m.report(w))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(finished) != 1 || o.Noted != 0 {
+		t.Errorf("%d ends are for the log and the worker may forget up to %d, want 1 and 0", len(finished), o.Noted)
+	}
+	if len(o.Stop) != 0 {
+		t.Errorf("stops %v, want none", o.Stop)
+	}
+	if r := d.running[running]; r == nil {
+		t.Errorf("the run of %v was not taken over", running)
+	}
+}
