A later run replaces one that was taken over from a late heartbeat

A work item could run twice at one time after a change of the leader. A heartbeat that was held up lists a run whose worker the former leader had given up. The new leader took it over, stopped the later run of the item on another worker as not owed, learned with the next heartbeat that the first one no longer runs, and started the item a third time while the second run was still being stopped.

Run numbers rise with each start, and a start follows only once the run before is over. So of two listed runs of an item the later one stays.

TestLaterRunReplacesOneFromALateHeartbeat failed before: 3 starts for 2, on the wrong worker.

--- a/core/tackdispatch/copy.go
+++ b/core/tackdispatch/copy.go
@@ -16,6 +16,8 @@
 	// copyReasonSilent is the reason for copying a run whose worker may still report
 	// again.
 	copyReasonSilent = "worker is silent"
+	// supersededReason is the reason for stopping a run of which a later one is listed.
+	supersededReason = "a later run of the item is listed"
 )
 
 // copyIfSilent starts copies of the worker's speculative items elsewhere if the worker is
@@ -63,6 +65,16 @@
 	return true
 }
 
+// supersede stops a run of which a worker lists a later one. It was taken over from a report of
+// a worker that an earlier leader had given up.
+func (d *Dispatcher) supersede(now tackclock.Time, r *run) {
+	d.stop(now, r, supersededReason)
+	delete(d.running, r.item)
+	r.step.running--
+	r.copyReason = supersededReason
+	r.step.copies = append(r.step.copies, r)
+}
+
 // cancelCopy undoes the copy of a run whose worker was silent, if the copy has not
 // started.
 func (d *Dispatcher) cancelCopy(r *run) {
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -109,3 +109,27 @@
 		t.Errorf("the run of %v was not taken over", running)
 	}
 }
+
+// Guards against an item that runs twice at one time: a new leader takes over a run from a
+// heartbeat that was held up, stops the later run that has replaced it, and starts the item
+// once more while that one is being stopped.
+func TestLaterRunReplacesOneFromALateHeartbeat(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 2, 30*tackclock.Second))
+	w.run(2 * tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	first := w.runningOn(item)
+	late := w.delayHeartbeat(first)
+	first.cut = true
+	w.run(6 * tackclock.Second)
+	second := w.runningOn(item)
+	w.newLeader()
+	w.receive(late)
+	w.heartbeat(second, false)
+	first.cut = false
+	w.run(6 * tackclock.Second)
+	assertStarts(t, w, item, 2)
+	if on := w.runningOn(item); on != second {
+		t.Errorf("the item runs on %s, want %s", on.id, second.id)
+	}
+}
