Dispatch: what runs on a worker that says goodbye starts elsewhere once its end is certain

Callers saw a work item run on two workers for 3.2 s: its worker says goodbye, a cut takes the ack, and the worker works on until its lease ends or it exits. Leave took the goodbye for the end of its runs.

A worker that has said goodbye now stays known. It drains, no answer extends its lease, and its items count as away. It is over when the ends of all its runs are in the log, its lease has ended, another incarnation reports, or the platform takes the VM down; at once if it runs nothing. Ends in its further heartbeats are logged and acknowledged, for which answers without a lease carry them. Items that may have copies start elsewhere at once.

The price: the leader cannot tell whether its ack arrived, so the wait holds also where it did.

The model of workers applies answers without a lease, and fails the test where one of them starts anything.

--- a/core/tackdispatch/excuse.go
+++ b/core/tackdispatch/excuse.go
@@ -53,7 +53,7 @@
 // around.
 func (d *Dispatcher) excuseRuns(now tackclock.Time, w *worker) {
 	reason := d.excuseFor(now, w)
-	if w.doubted || reason == "" {
+	if w.doubted || w.left || reason == "" {
 		return
 	}
 	for _, r := range w.runsInOrder() {
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -23,14 +23,11 @@
 	d.clearItems(now, w)
 	d.checkSurvivors(now, w)
 	d.inspect(now, w)
-	w.leaseUntil = d.leaseEnd(now)
-	o := Orders{Hold: d.cfg.Hold, Fence: uint64(d.term), Stop: w.stops}
-	w.stops = nil
-	for _, run := range w.runs {
-		if run.stopping {
-			o.Stop = append(o.Stop, Stop{Item: run.item, Run: run.number})
-		}
+	if w.left {
+		return d.answerDeparted(now, w), finished, nil
 	}
+	w.leaseUntil = d.leaseEnd(now)
+	o := Orders{Hold: d.cfg.Hold, Fence: uint64(d.term), Stop: w.takeStops()}
 	d.start(now, w, r.Sequence, &o)
 	d.sendPlanned(now, w, r.Sequence, &o)
 	o.Pace = d.pace(now, w)
--- a/core/tackdispatch/incarnation_test.go
+++ b/core/tackdispatch/incarnation_test.go
@@ -171,8 +171,12 @@
 	t.Run("of a worker that drains", func(t *testing.T) {
 		next.draining = true
 		w.run(tackclock.Second)
-		next.dead = true
 		w.d.Leave(w.now, WorkerID(m.name))
+		if o := w.receive(next.report(w)); o.Hold != 0 {
+			t.Errorf("its lease is extended by %d ms after its goodbye", o.Hold)
+		}
+		next.dead = true
+		w.run(leaseMost)
 		assertKnown(t, w, next, false)
 	})
 }
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -8,7 +8,13 @@
 // lapse removes a worker whose lease ran out. All that ran there has ended, but the
 // process may still be running behind a partition. It joins again with a heartbeat later
 // than those that it sent before.
+//
+// One that has said goodbye does not join again.
 func (d *Dispatcher) lapse(now tackclock.Time, w *worker) {
+	if w.left {
+		d.lose(now, w, "left")
+		return
+	}
 	d.remove(now, w, "lease ran out")
 	d.lapsed[w.id] = lapse{at: now, vm: w.vm, sequence: w.sequence}
 }
@@ -61,9 +67,10 @@
 	d.noteWorker(now, EventLost, w, reason)
 }
 
-// Leave handles a worker's goodbye: the worker runs nothing any more. A goodbye without
-// the time when the incarnation began may be a delayed one of a former incarnation; it is
-// accepted for an incarnation that drains and ignored otherwise.
+// Leave handles a worker's goodbye. What runs there may go on until its lease ends, see
+// depart. A goodbye without the time when the incarnation began may be a delayed one of a
+// former incarnation; it is accepted for an incarnation that drains and ignored otherwise.
+// A worker that is not known has no lease of this leader.
 func (d *Dispatcher) Leave(now tackclock.Time, id WorkerID) {
 	if w := d.workersByName[id.Name()]; w != nil && id.StartedAt() == 0 && w.id != id {
 		if !w.draining {
@@ -73,7 +80,9 @@
 	}
 	if w := d.workers[id]; w != nil {
 		d.resolveDoubts(now, w.vm, id)
-		d.lose(now, w, "left")
+		w.doubted = false
+		d.depart(now, w)
+		return
 	}
 	if l, ok := d.lapsed[id]; ok {
 		d.resolveDoubts(now, l.vm, id)
--- a/core/tackdispatch/message.go
+++ b/core/tackdispatch/message.go
@@ -76,7 +76,7 @@
 	}
 
 	// Orders is the answer to a heartbeat. Without a Hold the worker's lease is not
-	// extended and nothing is started.
+	// extended and nothing is started. Without a Fence it says nothing.
 	Orders struct {
 		Hold tackclock.Duration `cbor:"1,keyasint,omitempty"`
 		// Noted is the number up to which the worker may forget ends.
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -25,7 +25,7 @@
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
 		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "relay", "foreign", "resize", "crasher", "caps", "restart",
-		"move", "other", "advised", "advisor",
+		"move", "other", "advised", "advisor", "goodbye",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -49,6 +49,8 @@
 	case "leave":
 		m.draining = true
 		w.addWorker(tackid.VM(fmt.Sprintf("n-%d", w.incarnationCount)), 1)
+	case "goodbye":
+		w.sayGoodbyeRandom(t, m)
 	case "leader":
 		w.newLeader()
 	case "hold":
@@ -118,7 +120,7 @@
 		w.newLeader()
 	}
 	w.run(tackclock.Duration(rapid.IntRange(0, givenUp).Draw(t, "to the worker")))
-	if !m.dead && o.Hold > 0 && w.now.Sub(sent) <= givenUp {
+	if !m.dead && o.Fence > 0 && w.now.Sub(sent) <= givenUp {
 		w.applyOrders(m, sent, &o)
 	}
 }
@@ -205,6 +207,29 @@
 	w.putCaps(caps)
 }
 
+// sayGoodbyeRandom lets a worker say goodbye. With an ack it exits at once, without one some
+// seconds later, and it may say goodbye again before.
+func (w *world) sayGoodbyeRandom(t *rapid.T, m *modelWorker) {
+	m.draining = true
+	if m.cut {
+		return
+	}
+	id := m.id
+	if rapid.Bool().Draw(t, "goodbye without a start time") {
+		id = WorkerID(m.name)
+	}
+	w.d.Leave(w.now, id)
+	if rapid.IntRange(0, 2).Draw(t, "ack") == 0 {
+		w.exit(m)
+		return
+	}
+	m.cut = rapid.Bool().Draw(t, "cut at the goodbye")
+	if m.exitAt == 0 {
+		m.exitAt = w.now.Add(tackclock.Duration(rapid.IntRange(0, 6000).Draw(t, "exits after")))
+		w.addWorker(tackid.VM(fmt.Sprintf("n-%d", w.incarnationCount)), 1)
+	}
+}
+
 // takeDownRandom runs a wave of one VM as far as it goes at once.
 func (w *world) takeDownRandom(m *modelWorker) {
 	wave := newWave(w, 1, m.vm)
--- a/core/tackdispatch/upkeep.go
+++ b/core/tackdispatch/upkeep.go
@@ -258,7 +258,7 @@
 func (d *Dispatcher) unavailable(now tackclock.Time, s *openStep, w *worker) (all, elsewhere int) {
 	for i := range s.Count {
 		r := d.running[s.item(int32(i))]
-		working := r != nil && r.percent >= servingPercent && !r.stopping && !r.worker.leaving && !r.worker.silent(now)
+		working := r != nil && r.percent >= servingPercent && !r.stopping && !r.worker.leaving && !r.worker.left && !r.worker.silent(now)
 		if working {
 			continue
 		}
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -33,6 +33,8 @@
 	draining   bool
 	suspicion  suspicion
 	leaving    bool // a move or an upkeep that ends it was ordered
+	// left says that it has said goodbye, and may work on until its lease ends.
+	left bool
 	// emptiedUntil is until when it gets nothing new, because its VM is to move.
 	emptiedUntil tackclock.Time
 	heardAt      tackclock.Time
--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -20,6 +20,16 @@
 	w.reboots = append(w.reboots, reboot{at: w.now.Add(cmp.Or(w.away, worldReboot)), before: m})
 }
 
+// exit ends a worker's incarnation after its goodbye, and its VM with it.
+func (w *world) exit(m *modelWorker) {
+	m.dead = true
+	for _, r := range m.runs {
+		if r.step.Gang {
+			w.breakGang(r.number)
+		}
+	}
+}
+
 // breakGang ends the other members of a gang after one was lost.
 func (w *world) breakGang(number RunNumber) {
 	for _, m := range w.workers {
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -119,6 +119,7 @@
 		lapsed      map[uint64]bool
 		lease       tackclock.Time
 		heartbeatAt tackclock.Time
+		exitAt      tackclock.Time // when it exits after a goodbye without an ack; zero if it said none
 		// unanswered says that a heartbeat is under way; a worker sends one at a time.
 		unanswered bool
 		highest    map[tackjob.Item]RunNumber // of runs that ended or were stopped here
@@ -303,6 +304,10 @@
 	if w.crashDue(m); m.dead {
 		return
 	}
+	if m.exitAt != 0 && w.now >= m.exitAt {
+		w.exit(m)
+		return
+	}
 	for _, item := range sorted(m.runs) {
 		r := m.runs[item]
 		if w.now.Sub(r.began)%worldSave == 0 {
@@ -379,7 +384,7 @@
 		return
 	}
 	o := w.receive(m.report(w))
-	if lost || o.Hold == 0 {
+	if lost || o.Fence == 0 {
 		return
 	}
 	w.applyOrders(m, sent, &o)
@@ -426,7 +431,11 @@
 
 // applyOrders applies an answer as a worker does.
 func (w *world) applyOrders(m *modelWorker, sent tackclock.Time, o *Orders) {
-	m.lease = max(m.lease, sent.Add(o.Hold))
+	if o.Hold > 0 {
+		m.lease = max(m.lease, sent.Add(o.Hold))
+	} else if len(o.Start) > 0 {
+		w.t.Fatalf("%s is told to start %v without a lease", m.id, o.Start)
+	}
 	m.heartbeatAt = w.now.Add(o.Retry)
 	for _, e := range m.ended {
 		if e.Number > o.Noted || m.lapsed[e.Number] {
