--- a/core/tackdispatch/listen.go
+++ b/core/tackdispatch/listen.go
@@ -15,8 +15,8 @@
 	// maxListening bounds how long after the end of a lease stalls can put off the restart
 	// of what ran under it.
 	maxListening = 3 * tackclock.Second
-	// unansweredFor is how long a worker whose lease has ended counts as running after a
-	// heartbeat that was refused. The next one says what became of its runs.
+	// unansweredFor is how long a worker whose lease has ended is kept after a heartbeat
+	// that did not extend it. The next one says what became of its runs.
 	unansweredFor = 1500 * tackclock.Millisecond
 )
 
@@ -61,11 +61,9 @@
 	d.tickedAt = now
 }
 
-// leaseOverAt returns when the lease of a worker is over that is not heard from again.
+// leaseOverAt returns when the lease of a worker is over that is not heard from again. One
+// whose heartbeats do not extend its lease may be heard from after the lease has ended.
 func (w *worker) leaseOverAt() tackclock.Time {
-	if w.refused == 0 {
-		return w.leaseUntil
-	}
 	return max(w.leaseUntil, w.heardAt.Add(unansweredFor))
 }
 
