Goodbyes wait for a leader lease that is renewed late, like heartbeats

A goodbye that came while the lease was out was refused, and a worker that gets no ack exits some seconds later: until then its work cannot start elsewhere.

--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -96,6 +96,7 @@
 
 // Leave records that a worker has stopped. It returns false if this VM is not the leader.
 func (c *Control) Leave(id tackdispatch.WorkerID) bool {
+	c.awaitLease(context.Background())
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
