Dispatcher: benchmarks of heartbeats after crashes with a backlog, and of looking for calls for advice

BenchmarkRoundAfterCrashes plays 349 workers with 2,500 open jobs of four items: 100 workers crash at the start of their items, with and without a cap of their workspace that is lowered at that moment.

--- /dev/null
+++ b/core/tackdispatch/trialcost_test.go
@@ -0,0 +1,108 @@
+package tackdispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
+	"auburntack/core/tackworkspace"
+)
+
+// backlogCrowd is a crowd with a backlog of jobs of one workspace.
+type backlogCrowd struct {
+	*crowd
+}
+
+// newBacklog returns a crowd whose workers have started as much as they have room for, and
+// have not listed it.
+func newBacklog(cfg Config, workers, jobs int) backlogCrowd {
+	b := backlogCrowd{newCrowdOf(cfg, workers, "names-api")}
+	b.now = b.d.earlierLeasesEnd
+	for n := range jobs {
+		spec := tackjob.Spec{ID: job(n), Queue: testQueue.QueueKey, Steps: []tackjob.Step{batch(4, 2, tackclock.Hour)}}
+		j := &tackjob.Job{Spec: spec, Service: "names-api", Workspace: "mairies", Attempts: 2, Stretch: 1.6, Objective: tackclock.Hour}
+		b.d.Accepted(b.now, b.jobs.Accept(j, 1, b.now))
+	}
+	b.playRound()
+	return b
+}
+
+func (b *backlogCrowd) playRound() {
+	b.d.GrantsLogged(b.d.Grants(b.now))
+	b.round()
+	b.d.Events()
+}
+
+// setCap sets the workspace's cap.
+func (b *backlogCrowd) setCap(cores int) {
+	b.d.Rebind(b.now, []tackworkspace.Workspace{{Name: "mairies", Cap: tackroom.Resources{MilliCores: 1000 * cores}}})
+	b.d.GrantsLogged(b.d.Grants(b.now))
+}
+
+// restrained returns how many waiting items have a restraint.
+func (b *backlogCrowd) restrained() int {
+	n := 0
+	for s := range b.d.pools["names-api"].steps.All() {
+		n += len(s.restraints)
+	}
+	return n
+}
+
+// BenchmarkRoundAfterCrashes has every worker of a pool with a backlog send one heartbeat
+// in each of the rounds after some of them have crashed at the start of their items, with
+// and without a cap that was lowered at that moment.
+func BenchmarkRoundAfterCrashes(b *testing.B) {
+	const workers, jobs, crashes, rounds = 349, 2500, 100, 6
+	for _, test := range []struct {
+		name     string
+		crashes  int
+		capCores int
+	}{
+		{"no crashes", 0, 0},
+		{"crashes", crashes, 0},
+		{"crashes and a cap", crashes, 8 * workers},
+	} {
+		for _, cfg := range []Config{{}, loadControl} {
+			b.Run(fmt.Sprintf("%s/on=%t", test.name, cfg.Confine), func(b *testing.B) {
+				var examined, restrained float64
+				for b.Loop() {
+					b.StopTimer()
+					c := newBacklog(cfg, workers, jobs)
+					for n := range test.crashes {
+						c.crash(n)
+					}
+					if test.capCores > 0 {
+						c.setCap(test.capCores)
+					}
+					before := c.d.Examined()
+					b.StartTimer()
+					for range rounds {
+						c.playRound()
+						restrained += float64(c.restrained()) / rounds
+					}
+					examined += float64(c.d.Examined()-before) / (rounds * workers)
+				}
+				b.ReportMetric(examined/float64(b.N), "examined/heartbeat")
+				b.ReportMetric(restrained/float64(b.N), "restrained")
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*rounds*workers), "us/heartbeat")
+			})
+		}
+	}
+}
+
+// BenchmarkNextAdviceRequest looks for a call to make while no queue has advice.
+func BenchmarkNextAdviceRequest(b *testing.B) {
+	for _, jobs := range []int{250, 2500} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			c := newBacklog(Config{}, 4, jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, wanted := c.d.NextAdviceRequest(c.now); wanted {
+					b.Fatal("a call is wanted")
+				}
+			}
+		})
+	}
+}
