Dispatcher: index the steps that have restraints

Cause: startTrials went over all steps that fit the worker on each heartbeat while any item of the pool had a restraint, and trialsDue over all steps of the pool every 100 ms.

Change: a pool keeps its steps with restraints in a queue of their own, updated where a restraint is set or removed and where a step enters or leaves the pool's queue. Both go over that one. A worker with runs that it has not listed starts no trial, so nothing is examined for it. The order stays the same: the key of a queued step now has the number of its insertion, which decides between steps of one job as their order of insertion did.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -344,7 +344,7 @@
 func (d *Dispatcher) Examined() uint64 {
 	examined := d.examined
 	for _, p := range d.pools {
-		examined += p.steps.Examined
+		examined += p.steps.Examined + p.restrained.Examined
 	}
 	return examined
 }
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -241,7 +241,7 @@
 		hosts[i].planned = append(hosts[i].planned, planned{run: r, until: now.Add(d.cfg.GangWait * gangHoldPercent / 100), unlogged: unlogged})
 	}
 	s.waiting = s.waiting[:0]
-	clear(s.restraints)
+	s.clearRestraints()
 }
 
 // sendPlanned adds the starts planned for this worker to its answer. A start that has
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -49,8 +49,12 @@
 		ending     int    // number of ends that are not in the log yet
 		copies     []*run // runs whose items wait, or run, elsewhere as well
 		queued     bool
-		advice     advice
-		retryAt    tackclock.Time // when placement is next attempted, for a gang
+		// pool is the one whose queue holds the step, or held it last, and inserted the
+		// number of its insertion there.
+		pool     *pool
+		inserted int64
+		advice   advice
+		retryAt  tackclock.Time // when placement is next attempted, for a gang
 		// heldNoteAt is when the next event may say that the workspace's cap holds items
 		// back.
 		heldNoteAt tackclock.Time
@@ -85,7 +89,7 @@
 
 // QueueKey implements tackqueue.Entry.
 func (s *openStep) QueueKey() tackqueue.Key {
-	return tackqueue.Key{Rank: s.rank, MilliCores: s.Reserved().MilliCores, Partition: s.partition}
+	return tackqueue.Key{Rank: s.rank, Order: -s.inserted, MilliCores: s.Reserved().MilliCores, Partition: s.partition}
 }
 
 func (s *openStep) key() stepKey {
@@ -107,7 +111,7 @@
 func (s *openStep) dropWaiting(index int32) bool {
 	before := len(s.waiting)
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waitingItem) bool { return w.index == index })
-	delete(s.restraints, index)
+	s.setRestraint(index, restraint{})
 	return len(s.waiting) < before
 }
 
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -47,9 +47,14 @@
 		// totals are the totals over the pool's workers.
 		totals totals
 		// steps are those with items that wait, and some that recently had such items.
-		steps    tackqueue.Queue[*openStep]
-		reviewAt tackclock.Time
-		summary  waitingSummary
+		steps tackqueue.Queue[*openStep]
+		// insertions counts the insertions into steps.
+		insertions int64
+		// restrained are those of the steps that have restraints. Without it, each heartbeat
+		// would look for the few that wait for an isolated start among thousands of steps.
+		restrained tackqueue.Queue[*openStep]
+		reviewAt   tackclock.Time
+		summary    waitingSummary
 		// clear holds workers reserved for items that must start on an idle worker.
 		clear trialReservation
 		// arrivals are the recently submitted jobs.
@@ -174,14 +179,25 @@
 		return
 	}
 	s.queued, s.partition = true, d.partitionOf(now, s)
-	p.steps.Insert(s)
+	p.insert(s)
 	p.summary.add(now, s)
 }
 
+// insert puts a step in the queue.
+func (p *pool) insert(s *openStep) {
+	p.insertions++
+	s.pool, s.inserted = p, p.insertions
+	p.steps.Insert(s)
+	if len(s.restraints) > 0 {
+		p.restrained.Insert(s)
+	}
+}
+
 func (p *pool) dequeue(s *openStep) {
 	if s.queued {
 		s.queued = false
 		p.steps.Remove(s)
+		p.restrained.Remove(s)
 	}
 }
 
@@ -229,11 +245,13 @@
 	p.steps.RemoveFunc(func(s *openStep) bool {
 		if len(s.waiting) == 0 {
 			s.queued = false
+			p.restrained.Remove(s)
 			return true
 		}
 		p.summary.add(now, s)
 		if partition := d.partitionOf(now, s); partition != s.partition {
 			moved = append(moved, s)
+			p.restrained.Remove(s)
 			return true
 		}
 		return false
@@ -241,7 +259,7 @@
 	slices.SortFunc(moved, func(a, b *openStep) int { return b.rank.Compare(a.rank) })
 	for _, s := range moved {
 		s.partition = d.partitionOf(now, s)
-		p.steps.Insert(s)
+		p.insert(s)
 	}
 }
 
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -56,14 +56,32 @@
 
 // setRestraint sets the restraint of a waiting item.
 func (s *openStep) setRestraint(index int32, x restraint) {
+	before := len(s.restraints)
 	if x == (restraint{}) {
 		delete(s.restraints, index)
+	} else {
+		if s.restraints == nil {
+			s.restraints = make(map[int32]restraint)
+		}
+		s.restraints[index] = x
+	}
+	if !s.queued {
 		return
 	}
-	if s.restraints == nil {
-		s.restraints = make(map[int32]restraint)
+	switch after := len(s.restraints); {
+	case before == 0 && after > 0:
+		s.pool.restrained.Insert(s)
+	case before > 0 && after == 0:
+		s.pool.restrained.Remove(s)
+	}
+}
+
+// clearRestraints removes all restraints.
+func (s *openStep) clearRestraints() {
+	clear(s.restraints)
+	if s.queued {
+		s.pool.restrained.Remove(s)
 	}
-	s.restraints[index] = x
 }
 
 // startable reports whether no restraint keeps the item from starting now.
@@ -151,8 +169,11 @@
 	if !p.summary.trials {
 		return false
 	}
-	for s := range p.steps.Fitting(w.room().MilliCores, d.startsNow(now)) {
-		if len(s.restraints) == 0 || s.Gang || d.needsCanary(s) || !d.mayStart(now, w, s) || d.cordon[w.vm] && !d.stranded(now, p, s) || !w.room().Fits(s.Reserved()) {
+	if w.unlisted() > 0 {
+		return p.clear.holds(now, w)
+	}
+	for s := range p.restrained.Fitting(w.room().MilliCores, d.startsNow(now)) {
+		if s.Gang || d.needsCanary(s) || !d.mayStart(now, w, s) || d.cordon[w.vm] && !d.stranded(now, p, s) || !w.room().Fits(s.Reserved()) {
 			continue
 		}
 		at := slices.IndexFunc(s.waiting, func(i waitingItem) bool { return d.mayStartTrial(now, p, w, s, &i) })
@@ -178,10 +199,11 @@
 	return r
 }
 
-// mayStartTrial reports whether the waiting item may be tried on the worker.
+// mayStartTrial reports whether the waiting item may be tried on the worker, which has
+// listed all its runs.
 func (d *Dispatcher) mayStartTrial(now tackclock.Time, p *pool, w *worker, s *openStep, i *waitingItem) bool {
 	x := s.restraints[i.index]
-	if !x.isolated || !s.startable(now, i.index) || w.runs[s.item(i.index)] != nil || w.unlisted() > 0 {
+	if !x.isolated || !s.startable(now, i.index) || w.runs[s.item(i.index)] != nil {
 		return false
 	}
 	if s.MaxPerWorker > 0 && w.steps[s.key()] >= s.MaxPerWorker {
@@ -251,12 +273,12 @@
 // of jobs that need a canary have the exposed workers.
 func (d *Dispatcher) trialsDue(now tackclock.Time, p *pool) int {
 	n := 0
-	for s := range p.steps.All() {
+	for s := range p.restrained.All() {
+		if d.needsCanary(s) {
+			continue
+		}
 		for i := range s.waiting {
 			item := &s.waiting[i]
-			if len(s.restraints) == 0 || d.needsCanary(s) {
-				break
-			}
 			if s.restraints[item.index].alone && s.startable(now, item.index) && now.Sub(item.since) > trialReserveAfter {
 				n++
 			}
--- a/core/tackdispatch/trialcost_test.go
+++ b/core/tackdispatch/trialcost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"auburntack/core/tackclock"
@@ -106,3 +107,21 @@
 		})
 	}
 }
+
+// assertRestrained fails the test if the index of a pool's steps with restraints, which is
+// updated with each change, differs from what its queue holds, or has another order. Guards
+// against items that wait for an isolated start and are not found, or start out of turn.
+func assertRestrained(t failer, d *Dispatcher) {
+	t.Helper()
+	for _, p := range d.pools {
+		var want []*openStep
+		for s := range p.steps.All() {
+			if len(s.restraints) > 0 {
+				want = append(want, s)
+			}
+		}
+		if got := slices.Collect(p.restrained.All()); !slices.Equal(got, want) {
+			t.Fatalf("the index has %d steps with restraints, the queue %d, or the order differs", len(got), len(want))
+		}
+	}
+}
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -184,6 +184,7 @@
 	w.t.Helper()
 	w.checkCrashCounts()
 	assertSums(w.t, w.d, w.now)
+	assertRestrained(w.t, w.d)
 	on := make(map[tackjob.Item]WorkerID)
 	for _, m := range w.workers {
 		if m.dead {
--- a/core/tackqueue/queue.go
+++ b/core/tackqueue/queue.go
@@ -51,6 +51,9 @@
 	// Key determines the place of an entry. It must not change while the entry is queued.
 	Key struct {
 		Rank Rank
+		// Order orders the entries of one rank, size class and partition. Of those with
+		// the same order, the one that was inserted last goes first.
+		Order int64
 		// MilliCores is the size of one item, in millicores.
 		MilliCores int
 		// Partition is the partition of the entry, below Partitions. Entries that some
@@ -126,15 +129,20 @@
 		}
 		s.bySize[SizeClass(key.MilliCores)] = b
 	}
-	b.entries = slices.Insert(b.entries, b.insertionIndex(key.Rank), e)
+	b.entries = slices.Insert(b.entries, b.insertionIndex(key), e)
 	q.partitions[key.Partition].nonEmpty |= 1 << SizeClass(key.MilliCores)
 	q.n++
 }
 
-// insertionIndex returns the index at which to insert an entry of the rank, before others
-// of the same rank.
-func (b *bucket[E]) insertionIndex(rank Rank) int {
-	at, _ := slices.BinarySearchFunc(b.entries, rank, func(e E, r Rank) int { return e.QueueKey().Rank.Compare(r) })
+// compare compares the places of two entries of one bucket.
+func (k Key) compare(o Key) int {
+	return cmp.Or(k.Rank.Compare(o.Rank), cmp.Compare(k.Order, o.Order))
+}
+
+// insertionIndex returns the index at which to insert an entry with the key, before others
+// of the same rank and order.
+func (b *bucket[E]) insertionIndex(key Key) int {
+	at, _ := slices.BinarySearchFunc(b.entries, key, func(e E, k Key) int { return e.QueueKey().compare(k) })
 	return at
 }
 
@@ -145,7 +153,7 @@
 	if b == nil {
 		return
 	}
-	for at := b.insertionIndex(key.Rank); at < len(b.entries) && b.entries[at].QueueKey().Rank.Compare(key.Rank) == 0; at++ {
+	for at := b.insertionIndex(key); at < len(b.entries) && b.entries[at].QueueKey().compare(key) == 0; at++ {
 		if b.entries[at] == e {
 			b.entries = slices.Delete(b.entries, at, at+1)
 			q.removed(key, b, 1)
