Dispatcher: look up a step's unit once in a review, and not for proven jobs

Change: partitionOf asks once, and needsCanary looks at the job first.

Steps examined stay the same.

--- a/core/tackdispatch/confine.go
+++ b/core/tackdispatch/confine.go
@@ -61,7 +61,7 @@
 // needsCanary reports whether the step's items wait until an item of their job has
 // survived its start.
 func (d *Dispatcher) needsCanary(s *openStep) bool {
-	return d.confined(s) && !s.job.trust.proven
+	return !s.job.trust.proven && d.confined(s)
 }
 
 // canaryUnderWay reports whether the job's canary runs, so that no other is to start.
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -213,9 +213,9 @@
 	if s.late(now) {
 		partition |= partitionLate
 	}
-	if d.needsCanary(s) && d.canaryUnderWay(s.job) {
+	if needsCanary := d.needsCanary(s); needsCanary && d.canaryUnderWay(s.job) {
 		partition |= partitionDistrusted
-	} else if d.needsCanary(s) {
+	} else if needsCanary {
 		partition |= partitionUnproven
 		if s.job.trust.suspect {
 			partition |= partitionDistrusted
