An end cancels the start of its item that is planned and not sent

A work item could run again after it had ended: its worker had been given up, the next start was planned and waited for its worker's next heartbeat, and meanwhile the first worker's end was listed. Until the log held that end the planned start still went out: processEnd took the item only from those that wait.

A listed end, done or failed, now cancels such a start, of a gang with all its members. If the end has failed, the item waits again once the log holds the failure.

TestEndCancelsAPlannedStart failed before for both kinds of end: 2 starts for 1.

--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -196,13 +196,14 @@
 		}
 		return tackjob.End{}, endNotCounted
 	}
-	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
-		return tackjob.End{}, endBeforeLaterRun
-	}
 	s := d.listedStep(now, o, e.Item)
 	if s == nil {
 		return tackjob.End{}, endOfClosedStep
 	}
+	d.cancelPlanned(now, s, e.Item)
+	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
+		return tackjob.End{}, endBeforeLaterRun
+	}
 	s.dropWaiting(e.Item.Index)
 	s.ending++
 	d.markStarted(o)
--- a/core/tackdispatch/listen.go
+++ b/core/tackdispatch/listen.go
@@ -48,6 +48,29 @@
 	return finished
 }
 
+// cancelPlanned cancels the start of an item that was planned and not sent yet, since an end
+// of the item has been listed. What follows is decided once the log holds that end.
+func (d *Dispatcher) cancelPlanned(now tackclock.Time, s *openStep, item tackjob.Item) {
+	if r := d.running[item]; r == nil || r.sentIn != notSent {
+		return
+	}
+	first, last := item.Index, item.Index
+	if s.Gang {
+		first, last = 0, int32(s.Count-1) // its members start together
+	}
+	for i := first; i <= last; i++ {
+		r := d.running[s.item(i)]
+		if r == nil || r.sentIn != notSent {
+			continue
+		}
+		d.withdrawDoubt(r)
+		d.removeRun(now, r)
+		if i != item.Index {
+			d.requeue(now, r)
+		}
+	}
+}
+
 // noteTick records that the leader's process runs. After a stall, heartbeats may wait to be
 // read which show that a worker was not silent.
 func (d *Dispatcher) noteTick(now tackclock.Time) {
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -133,3 +133,44 @@
 		t.Errorf("the item runs on %s, want %s", on.id, second.id)
 	}
 }
+
+// Guards against an item that is started again after it has ended: its next start is planned
+// and waits for its worker's heartbeat when the end of the run before is listed, and the log
+// does not hold that end yet.
+func TestEndCancelsAPlannedStart(t *testing.T) {
+	for _, kind := range []EndKind{EndDone, EndFailed} {
+		t.Run(kind.String(), func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.submit(job(1), batch(1, 2, 2*tackclock.Second))
+			w.run(tackclock.Second)
+			item := tackjob.Item{Job: job(1)}
+			first := w.runningOn(item)
+			if kind == EndFailed {
+				w.end(first, item, EndFailed)
+			}
+			first.cut = true
+			planned := func() *run { return w.d.running[item] }
+			for range 400 {
+				if w.step(); planned() != nil && planned().sentIn == notSent {
+					break
+				}
+			}
+			if planned() == nil || planned().sentIn != notSent {
+				t.Fatal("no start is planned")
+			}
+			second := planned().worker
+			w.held = true
+			first.cut = false
+			w.heartbeat(first, false)
+			for _, m := range w.workers {
+				if m.id == second.id {
+					w.heartbeat(m, false)
+				}
+			}
+			assertStarts(t, w, item, 1)
+			w.release()
+			w.run(6 * tackclock.Second)
+			assertPhase(t, w, job(1), tackjob.Complete)
+		})
+	}
+}
