Dispatcher: pass over steps that their workspace's cap holds back

Change: such steps are in partitions of their own (partitionHeld), where a step enters the queue and in each review. A pool keeps the least that such steps of each account need. While no account's cap allows that, no step of them can start, and a heartbeat passes them over; otherwise it goes over them as before. No start waits for a review. Reviews write the 'items held' lines of steps that were passed over. A queue now knows which of its partitions have entries, and visits only these, since there are twice as many.

What may differ: of two parallel steps of one job that need different amounts, of which the cap held back only one at the last review, the other may be visited first. 'items held' also names steps for which the worker that asked lacked a label or a ticket.

--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -27,7 +27,8 @@
 	// partitionGang is set for gangs, which placeGangs starts, and partitionUnproven for
 	// steps that wait for the canary of their job. partitionDistrusted is set as well
 	// for those of them whose job is most likely at fault, and by itself for those whose
-	// canary is under way.
+	// canary is under way. partitionHeld is set for other steps, except gangs, whose
+	// workspace's cap kept their items from starting when they were put there.
 	partitionLabelled = 1 << iota
 	partitionLate
 	partitionInherited
@@ -35,6 +36,7 @@
 	partitionGang
 	partitionUnproven
 	partitionDistrusted
+	partitionHeld
 )
 
 type (
@@ -53,6 +55,10 @@
 		// restrained are those of the steps that have restraints. Without it, each heartbeat
 		// would look for the few that wait for an isolated start among thousands of steps.
 		restrained tackqueue.Queue[*openStep]
+		// held are the accounts with steps in partitionHeld, and passedOver says that these
+		// were passed over since the last review.
+		held       heldAccounts
+		passedOver bool
 		reviewAt   tackclock.Time
 		summary    waitingSummary
 		// clear holds workers reserved for items that must start on an idle worker.
@@ -183,14 +189,20 @@
 	p.summary.add(now, s)
 }
 
-// insert puts a step in the queue.
+// insert puts a step in the queue, before others of its rank.
 func (p *pool) insert(s *openStep) {
 	p.insertions++
 	s.pool, s.inserted = p, p.insertions
+	p.insertAgain(s)
+}
+
+// insertAgain puts a step that was in the queue back at its place.
+func (p *pool) insertAgain(s *openStep) {
 	p.steps.Insert(s)
 	if len(s.restraints) > 0 {
 		p.restrained.Insert(s)
 	}
+	p.held.add(s)
 }
 
 func (p *pool) dequeue(s *openStep) {
@@ -230,6 +242,9 @@
 			partition |= partitionCopied
 		}
 	}
+	if partition&(partitionGang|confinedPartitions) == 0 && s.job.account.CapReached(now, s.Resources) {
+		partition |= partitionHeld
+	}
 	return partition
 }
 
@@ -241,6 +256,8 @@
 	}
 	p.reviewAt = now.Add(max(reviewEvery, tackclock.Duration(p.steps.Len()/reviewSteps)))
 	p.summary = waitingSummary{simple: true, since: now}
+	clear(p.held)
+	starts := d.startsNow(now)
 	var moved []*openStep
 	p.steps.RemoveFunc(func(s *openStep) bool {
 		if len(s.waiting) == 0 {
@@ -254,11 +271,20 @@
 			p.restrained.Remove(s)
 			return true
 		}
+		if p.held.add(s); p.passedOver && s.partition&partitionHeld != 0 && starts(s.partition) {
+			d.noteHeld(now, s)
+		}
 		return false
 	})
+	p.passedOver = false
 	slices.SortFunc(moved, func(a, b *openStep) int { return b.rank.Compare(a.rank) })
 	for _, s := range moved {
+		before := s.partition
 		s.partition = d.partitionOf(now, s)
+		if s.partition^before == partitionHeld {
+			p.insertAgain(s)
+			continue
+		}
 		p.insert(s)
 	}
 }
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -39,7 +39,8 @@
 	if d.startExposed(now, p, w, sequence, o) || d.startStrandedCanary(now, p, w, sequence, o) {
 		return
 	}
-	if d.startTrials(now, p, w) {
+	held := d.startsHeld(now, p, w)
+	if d.startTrials(now, p, w, held) {
 		return
 	}
 	d.placeGangs(now, p)
@@ -47,7 +48,7 @@
 		return
 	}
 	for _, group := range [...]int{partitionLabelled, 0, partitionLabelled | partitionLate, partitionLate} {
-		d.startPartition(now, p, w, group, sequence, o)
+		d.startPartition(now, p, w, group, held, sequence, o)
 	}
 }
 
@@ -63,11 +64,11 @@
 
 // startPartition starts items of the steps that are labelled, or late, as the partition
 // says: first those of workspaces within their shares, then the others in the order of
-// their excess.
-func (d *Dispatcher) startPartition(now tackclock.Time, p *pool, w *worker, group int, sequence uint64, o *Orders) {
+// their excess. held says that those in partitionHeld may start.
+func (d *Dispatcher) startPartition(now tackclock.Time, p *pool, w *worker, group int, held bool, sequence uint64, o *Orders) {
 	starts := d.startsNow(now)
 	has := func(partition int) bool {
-		return partition&(partitionLabelled|partitionLate) == group && starts(partition)
+		return partition&(partitionLabelled|partitionLate) == group && (held || partition&partitionHeld == 0) && starts(partition)
 	}
 	var over [][]*openStep // by the excess of their workspaces over their shares
 	for s := range p.steps.Fitting(w.room().MilliCores, has) {
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -160,19 +160,22 @@
 }
 
 // startTrials starts an item that must start isolated or needs a trial, and reports
-// whether the worker must get nothing else.
+// whether the worker must get nothing else. held says that the steps in partitionHeld may
+// start.
 //
 // Load pattern: an item crashes each worker that starts it. If it starts beside other
 // items, they are lost with the worker, and each of them becomes suspect; a pool of
 // thirty VMs loses one a second.
-func (d *Dispatcher) startTrials(now tackclock.Time, p *pool, w *worker) bool {
+func (d *Dispatcher) startTrials(now tackclock.Time, p *pool, w *worker, held bool) bool {
 	if !p.summary.trials {
 		return false
 	}
 	if w.unlisted() > 0 {
 		return p.clear.holds(now, w)
 	}
-	for s := range p.restrained.Fitting(w.room().MilliCores, d.startsNow(now)) {
+	starts := d.startsNow(now)
+	has := func(partition int) bool { return (held || partition&partitionHeld == 0) && starts(partition) }
+	for s := range p.restrained.Fitting(w.room().MilliCores, has) {
 		if s.Gang || d.needsCanary(s) || !d.mayStart(now, w, s) || d.cordon[w.vm] && !d.stranded(now, p, s) || !w.room().Fits(s.Reserved()) {
 			continue
 		}
--- a/core/tackdispatch/trialcost_test.go
+++ b/core/tackdispatch/trialcost_test.go
@@ -125,3 +125,51 @@
 		}
 	}
 }
+
+// assertHeld fails the test if steps that their workspaces' caps held back are passed over
+// although the cap lets an item start. Guards against items that wait with room for them.
+func assertHeld(t failer, d *Dispatcher, now tackclock.Time) {
+	t.Helper()
+	for _, p := range d.pools {
+		mayStart := p.held.mayStart(now)
+		for s := range p.steps.All() {
+			if s.partition&partitionHeld != 0 && !mayStart && !s.job.account.CapReached(now, s.Resources) {
+				t.Fatalf("%v is passed over, but its cap allows %v: %v", s.key(), s.Resources, s.job.account)
+			}
+		}
+	}
+}
+
+// Guards against heartbeats whose cost grows with the number of steps that the cap of their
+// workspace holds back while workers have room: with a lowered cap and thousands of waiting
+// steps, the leader would have no time for anything else.
+func TestHeartbeatCostBoundAtCap(t *testing.T) {
+	const workers = 349
+	examined := func(jobs, crashes int) float64 {
+		c := newBacklog(Config{}, workers, jobs)
+		for n := range crashes {
+			c.crash(n)
+		}
+		for n := crashes; n < workers; n++ {
+			if n%2 == 0 {
+				c.reports[n].Capacity.MilliCores += 8000 // room that the cap leaves unused
+			}
+		}
+		c.setCap(8 * workers)
+		for range 2 {
+			c.playRound()
+		}
+		before := c.d.Examined()
+		// All at one time, so that at most the first of them reviews the queue.
+		for _, r := range c.reports {
+			r.Sequence++
+			if o, _, _ := c.d.Heartbeat(c.now, r); len(o.Start) > 0 {
+				t.Fatal("an item starts although the cap is reached")
+			}
+		}
+		return float64(c.d.Examined()-before) / workers
+	}
+	for _, crashes := range []int{0, 100} {
+		assertFlat(t, fmt.Sprintf("examined for a heartbeat after %d crashes", crashes), examined(800, crashes), examined(8000, crashes))
+	}
+}
--- a/core/tackdispatch/world_check_test.go
+++ b/core/tackdispatch/world_check_test.go
@@ -185,6 +185,7 @@
 	w.checkCrashCounts()
 	assertSums(w.t, w.d, w.now)
 	assertRestrained(w.t, w.d)
+	assertHeld(w.t, w.d, w.now)
 	on := make(map[tackjob.Item]WorkerID)
 	for _, m := range w.workers {
 		if m.dead {
--- a/core/tackqueue/queue.go
+++ b/core/tackqueue/queue.go
@@ -24,7 +24,7 @@
 	// number of bits in a mask of them.
 	SizeClasses = 64
 	// Partitions is the number of partitions of a queue.
-	Partitions = 128
+	Partitions = 256
 )
 
 const (
@@ -70,7 +70,9 @@
 	// Queue holds entries. Its zero value is empty. It is not safe for concurrent use.
 	Queue[E Entry] struct {
 		partitions [Partitions]partition[E]
-		n          int
+		// nonEmpty has a bit for each partition, set if it has entries.
+		nonEmpty [Partitions / 64]uint64
+		n        int
 		// Examined counts the entries that iterations have visited.
 		Examined uint64
 	}
@@ -131,6 +133,7 @@
 	}
 	b.entries = slices.Insert(b.entries, b.insertionIndex(key), e)
 	q.partitions[key.Partition].nonEmpty |= 1 << SizeClass(key.MilliCores)
+	q.nonEmpty[key.Partition/64] |= 1 << (key.Partition % 64)
 	q.n++
 }
 
@@ -166,21 +169,41 @@
 func (q *Queue[E]) removed(k Key, b *bucket[E], n int) {
 	q.n -= n
 	if len(b.entries) == 0 {
-		q.partitions[k.Partition].nonEmpty &^= 1 << SizeClass(k.MilliCores)
+		q.emptied(k.Partition, SizeClass(k.MilliCores))
+	}
+}
+
+// emptied records that a size class of a partition has no entries any more.
+func (q *Queue[E]) emptied(partition, size int) {
+	s := &q.partitions[partition]
+	if s.nonEmpty &^= 1 << size; s.nonEmpty == 0 {
+		q.nonEmpty[partition/64] &^= 1 << (partition % 64)
+	}
+}
+
+// inUse returns the partitions that have entries, in order.
+func (q *Queue[E]) inUse() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for word, left := range q.nonEmpty {
+			for ; left != 0; left &= left - 1 {
+				if !yield(word*64 + bits.TrailingZeros64(left)) {
+					return
+				}
+			}
+		}
 	}
 }
 
 // RemoveFunc removes all entries for which f returns true.
 func (q *Queue[E]) RemoveFunc(f func(E) bool) {
-	for i := range q.partitions {
-		s := &q.partitions[i]
-		for at, b := range s.bySize {
+	for i := range q.inUse() {
+		for at, b := range q.partitions[i].bySize {
 			before := len(b.entries)
 			q.Examined += uint64(before)
 			b.entries = slices.DeleteFunc(b.entries, f)
 			q.n -= before - len(b.entries)
 			if len(b.entries) == 0 {
-				s.nonEmpty &^= 1 << at
+				q.emptied(i, at)
 			}
 		}
 	}
@@ -214,7 +237,7 @@
 
 // Fits reports whether any entry of these partitions may fit in the given millicores.
 func (q *Queue[E]) Fits(milliCores int, has func(partition int) bool) bool {
-	for i := range q.partitions {
+	for i := range q.inUse() {
 		if q.partitions[i].nonEmpty&fitting(milliCores) != 0 && has(i) {
 			return true
 		}
@@ -230,7 +253,7 @@
 // heads appends the entry list of each bucket that may fit.
 func (q *Queue[E]) heads(to [][]E, milliCores int, has func(partition int) bool) [][]E {
 	fits := fitting(milliCores)
-	for i := range q.partitions {
+	for i := range q.inUse() {
 		s := &q.partitions[i]
 		if s.nonEmpty&fits == 0 || !has(i) {
 			continue
--- a/core/tackquota/book.go
+++ b/core/tackquota/book.go
@@ -223,6 +223,15 @@
 	return false
 }
 
+// CapReached reports whether the cap keeps the workspace from starting need at now.
+func (a *Account) CapReached(now tackclock.Time, need tackroom.Resources) bool {
+	if a == nil || !a.capped() {
+		return false
+	}
+	runs := a.running(now)
+	return !a.within(runs, runs.Plus(need))
+}
+
 // RequestAhead requests, within the cap, the grant that allows need to start soon, so
 // that the start need not wait for the log once there is a worker for it.
 func (a *Account) RequestAhead(now tackclock.Time, need tackroom.Resources) {
