A failure counts beside a later run of its item

What is acknowledged has to be in the log.

TestFailureOfARunThatWasGivenUpCounts failed before: 0 failures for 1.

--- a/core/tackdispatch/endoutcome.go
+++ b/core/tackdispatch/endoutcome.go
@@ -16,12 +16,10 @@
 	endOfNoItem
 	// endOfClosedStep: the step still waits for another one.
 	endOfClosedStep
-	// endBeforeLaterRun: the run failed after it was given up, and a later one is under way.
-	endBeforeLaterRun
 )
 
 var endOutcomeNames = [...]string{
-	"to the log", "not counted", "item is done", "job is closed or unknown", "no such item", "step is not open", "a later run is under way",
+	"to the log", "not counted", "item is done", "job is closed or unknown", "no such item", "step is not open",
 }
 
 // String returns the name of the outcome.
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -201,23 +201,12 @@
 		return tackjob.End{}, endOfClosedStep
 	}
 	d.cancelPlanned(now, s, e.Item)
-	if e.Kind == EndFailed && r == nil && !o.Steps[e.Item.Step].Speculative && d.laterRunUnderWay(e) {
-		return tackjob.End{}, endBeforeLaterRun
-	}
 	s.dropWaiting(e.Item.Index)
 	s.ending++
 	d.markStarted(o)
 	return tackjob.End{Item: e.Item, Failed: e.Kind == EndFailed, Gang: s.Gang, Run: uint64(e.Run)}, endToLog
 }
 
-// laterRunUnderWay reports whether a later run of the item than the one that ended is under
-// way, so that the one that ended had been given up. An earlier one may be listed in a
-// heartbeat that was delayed, and says nothing of it.
-func (d *Dispatcher) laterRunUnderWay(e *Ended) bool {
-	r := d.running[e.Item]
-	return r != nil && r.number > e.Run
-}
-
 // EndsLogged records that the log holds these ends of a worker. Two ends of one item may
 // be pending, of a copy that failed and of a later run; the log may hold only the first.
 func (d *Dispatcher) EndsLogged(id WorkerID, noted []tackjob.End) {
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -174,3 +174,23 @@
 		})
 	}
 }
+
+// Guards against an item that is started more often than its attempts allow: its worker is
+// given up, and the failure that it reports later was not counted beside the next run.
+func TestFailureOfARunThatWasGivenUpCounts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 2, 30*tackclock.Second))
+	w.run(tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	first := w.runningOn(item)
+	first.cut = true
+	w.end(first, item, EndFailed)
+	w.run(8 * tackclock.Second)
+	assertRuns(t, w, job(1), 1)
+	first.cut = false
+	w.run(2 * tackclock.Second)
+	if got := w.state.Jobs.Get(job(1)).Failures(item); got != 1 {
+		t.Errorf("%d failures are recorded, want 1", got)
+	}
+	assertRuns(t, w, job(1), 1)
+}
