Refused heartbeats of a pool that no catalog names register no worker

A heartbeat that came while the leader lease was out was handled before the check of its pool, and once the worker was known the check was passed over. Found by the review of this change. TestRefusedHeartbeatOfAnUnknownPoolRegistersNoWorker failed before.

--- a/io/tackcontrol/workers.go
+++ b/io/tackcontrol/workers.go
@@ -84,7 +84,9 @@
 	}
 	c.unanswered.Add(1)
 	c.meters.unanswered.Inc(1)
-	c.queueEnds(r.Worker, c.dispatch.Refused(now, r))
+	if c.dispatch.Knows(r.Worker) || c.poolExists(r.Service) {
+		c.queueEnds(r.Worker, c.dispatch.Refused(now, r))
+	}
 }
 
 // poolExists reports whether the catalog names the service, or an earlier catalog did and
