A later run replaces one from a late heartbeat on the same worker as well

A new leader that had taken over a run from a heartbeat that was held up stopped the later run that the same worker listed, and started the item a third time. Found by the review of this change. A worker runs one run of an item at a time, so the earlier one is over.

TestLaterRunOnTheSameWorkerReplacesOneFromALateHeartbeat failed before: 3 starts for 2.

--- a/core/tackdispatch/copy.go
+++ b/core/tackdispatch/copy.go
@@ -65,9 +65,14 @@
 	return true
 }
 
-// supersede stops a run of which a worker lists a later one. It was taken over from a report of
-// a worker that an earlier leader had given up.
-func (d *Dispatcher) supersede(now tackclock.Time, r *run) {
+// supersede ends a run of which a worker lists a later one. It was taken over from a report
+// that was held up.
+func (d *Dispatcher) supersede(now tackclock.Time, w *worker, r *run) {
+	if r.worker == w { // it runs one of an item at a time
+		d.withdrawDoubt(r)
+		d.removeRun(now, r)
+		return
+	}
 	d.stop(now, r, supersededReason)
 	delete(d.running, r.item)
 	r.step.running--
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -280,8 +280,8 @@
 	if o != nil {
 		s = d.listedStep(now, o, row.Item)
 	}
-	if other := d.running[row.Item]; other != nil && other.worker != w && other.number < row.Run && !other.step.Speculative {
-		d.supersede(now, other)
+	if other := d.running[row.Item]; other != nil && other.number < row.Run && !other.step.Speculative {
+		d.supersede(now, w, other)
 	}
 	if s == nil || !o.Has(row.Item) || o.Done(row.Item) || d.running[row.Item] != nil || w.runs[row.Item] != nil {
 		w.stops = append(w.stops, Stop{Item: row.Item, Run: row.Run})
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -194,3 +194,24 @@
 	}
 	assertRuns(t, w, job(1), 1)
 }
+
+// Guards against a run that is stopped without cause: a new leader takes over a run from a
+// heartbeat that was held up, and the same worker lists the later run that has replaced it.
+func TestLaterRunOnTheSameWorkerReplacesOneFromALateHeartbeat(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(1, 2, 30*tackclock.Second))
+	w.run(2 * tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	m := w.workers[0]
+	late := w.delayHeartbeat(m)
+	w.end(m, item, EndFailed)
+	w.run(2 * tackclock.Second)
+	if w.runningOn(item); w.started[item] != 2 {
+		t.Fatalf("%d starts, want 2", w.started[item])
+	}
+	w.newLeader()
+	w.receive(late)
+	w.heartbeat(m, false)
+	w.run(6 * tackclock.Second)
+	assertStarts(t, w, item, 2)
+}
