--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -113,7 +113,7 @@
 }
 
 func (d *Dispatcher) gangWaits(now tackclock.Time, s *openStep) bool {
-	if len(s.waiting) == 0 || s.running > 0 || s.ending > 0 || !s.job.fresh && !d.EarlierLeasesEnded(now) {
+	if len(s.waiting) == 0 || s.running > 0 || s.ending > 0 || now < s.notBefore || !s.job.fresh && !d.EarlierLeasesEnded(now) {
 		return false
 	}
 	return !slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return !s.startable(now, i.index) })
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -46,12 +46,14 @@
 		*tackjob.Step
 		job        *openJob
 		occurrence int32
-		number     int32
-		waiting    []waitingItem
-		running    int
-		ending     int    // number of ends that are not in the log yet
-		copies     []*run // runs whose items wait, or run, elsewhere as well
-		queued     bool
+		// notBefore is when the occurrence is due.
+		notBefore tackclock.Time
+		number    int32
+		waiting   []waitingItem
+		running   int
+		ending    int    // number of ends that are not in the log yet
+		copies    []*run // runs whose items wait, or run, elsewhere as well
+		queued    bool
 		// pool is the one whose queue holds the step, or held it last, and inserted the
 		// number of its insertion there.
 		pool     *pool
@@ -178,7 +180,7 @@
 			continue
 		}
 		s := &openStep{Step: &o.Steps[number], job: o, occurrence: occurrence, number: int32(number)}
-		s.rank = s.newRank()
+		s.rank, s.notBefore = s.newRank(), o.Due(occurrence)
 		for i := s.Count - 1; i >= 0; i-- {
 			if !o.Done(s.item(int32(i))) {
 				s.addWaiting(now, int32(i), "")
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -236,7 +236,9 @@
 			partition |= partitionLate
 		}
 	}
-	if !s.job.fresh && !d.EarlierLeasesEnded(now) {
+	if now < s.notBefore {
+		partition |= partitionInherited
+	} else if !s.job.fresh && !d.EarlierLeasesEnded(now) {
 		partition |= partitionInherited
 		if s.Speculative {
 			partition |= partitionCopied
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -215,3 +215,39 @@
 	w.run(6 * tackclock.Second)
 	assertStarts(t, w, item, 2)
 }
+
+// Guards against items that start long before their time: one item of an occurrence that an
+// earlier leader began, by a clock that was ahead, opens it for all others.
+func TestItemsOfAnOccurrenceBegunEarlyWaitForItsTime(t *testing.T) {
+	w := newWorld(t, 1)
+	w.workers[0].capacity.MilliCores = 4000
+	spec := &tackjob.Spec{
+		ID: job(1), Queue: testQueue.QueueKey, Text: textOf(job(1)), Steps: []tackjob.Step{batch(4, 2, 20*tackclock.Second)},
+		Repeats: 1, First: w.now.Add(tackclock.Second), Interval: tackclock.Second,
+	}
+	w.apply(tackwork.Change{Submit: spec, Key: tackworkspace.FingerprintOf("")})
+	w.run(1500)
+	m := w.workers[0]
+	if len(m.runs) != 2 {
+		t.Fatalf("%d items run, want 2", len(m.runs))
+	}
+	behind := spec.First.Add(-9 * tackclock.Second)
+	d := New(w.cfg)
+	d.Reset(behind, w.term+1, w.inherited())
+	if _, _, err := d.Heartbeat(behind, m.report(w)); err != nil {
+		t.Fatal(err)
+	}
+	m.capacity.MilliCores = 16000
+	now := behind
+	for now < spec.First.Add(-2*tackclock.Second) {
+		now = now.Add(200)
+		d.Tick(now)
+		o, _, err := d.Heartbeat(now, m.report(w))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(o.Start) > 0 {
+			t.Fatalf("%d items start %d ms before their time", len(o.Start), spec.First.Sub(now))
+		}
+	}
+}
