A heartbeat read after a stall starts the listening, and incarnations wait for it too

Found by the review of this change, each with a test that failed: - A heartbeat that was read before the first tick after a stall got items whose runs could still have reported an end (2 starts for 1). Heartbeats now notice a stall as ticks do. - A report that was held up replaced the incarnation that runs, which seemed silent after a stall; its items ran twice. A worker now counts as silent only once the leader has listened. - Ticks that are always a little late put off each restart by the full three seconds, although all heartbeats were read. A process that reads heartbeats does not stall.

TestStalledNewLeaderListensBeforeItsFirstTick, TestLateTicksDoNotPutOffRestarts, TestStallDoesNotMakeALateIncarnationReplaceTheRunningOne.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -144,9 +144,9 @@
 		unstarted   map[tackcatalog.QueueKey]int
 		// silenceChecks schedules the checks whether workers have fallen silent.
 		silenceChecks silenceChecks
-		// tickedAt is the time of the last tick, and listeningSince is when the leader's
-		// process last went on after a stall.
-		tickedAt, listeningSince tackclock.Time
+		// ranAt is the time of the last tick or heartbeat, and listeningSince is when the
+		// leader's process last went on after a stall.
+		ranAt, listeningSince tackclock.Time
 		// silentWorkers is the number of workers that are silent.
 		silentWorkers int
 		expireAt      tackclock.Time
@@ -308,7 +308,7 @@
 	d.unlisted = d.cfg.Listed
 	d.moves = make(map[tackid.VM]*moving)
 	d.spareVMs, d.promisesAt, d.now = spareVMs{}, now, now
-	d.tickedAt, d.listeningSince = now, now
+	d.ranAt, d.listeningSince = now, now
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
 	d.units = make(map[unitKey]*unit)
@@ -382,7 +382,7 @@
 // of repeated jobs.
 func (d *Dispatcher) Tick(now tackclock.Time) {
 	d.now = now
-	d.noteTick(now)
+	d.noteRunning(now)
 	silent := d.overdueWorkers(now)
 	// If most workers are silent, the likely cause is this VM or its network. Recording
 	// doubts would write thousands of them to the log, and as many dismissals later.
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -11,6 +11,7 @@
 // the log must hold before the worker may forget them. Orders without a Hold leave the
 // worker as it is. The error is a *ForeignError.
 func (d *Dispatcher) Heartbeat(now tackclock.Time, r *Report) (Orders, []tackjob.End, error) {
+	d.noteRunning(now)
 	if err := d.checkReport(now, r); err != nil {
 		return Orders{}, nil, err
 	}
--- a/core/tackdispatch/incarnation.go
+++ b/core/tackdispatch/incarnation.go
@@ -97,7 +97,7 @@
 	case name == r.Worker.Name() && other.id.StartedAt() == 0:
 		return true // the other worker did not report when it began
 	}
-	return r.Sequence <= maxFirstSequence || other.silent(now)
+	return r.Sequence <= maxFirstSequence || d.unheard(now, other)
 }
 
 // laterIncarnationLapsed reports whether the lease of a later incarnation of the same
@@ -119,5 +119,5 @@
 		d.pendingIncarnations[r.Worker] = pendingIncarnation{since: now, sequence: r.Sequence}
 		return false
 	}
-	return r.Sequence > c.sequence && now.Sub(c.since) >= confirmAfter && (other == nil || other.silent(now))
+	return r.Sequence > c.sequence && now.Sub(c.since) >= confirmAfter && (other == nil || d.unheard(now, other))
 }
--- a/core/tackdispatch/listen.go
+++ b/core/tackdispatch/listen.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// stalledAfter is the time between two ticks after which heartbeats may have come that
-	// were not read yet.
+	// stalledAfter is how long the leader's process neither ticks nor reads a heartbeat
+	// when it counts as stalled: heartbeats may have come that were not read yet.
 	stalledAfter = 250 * tackclock.Millisecond
 	// listenFor is how long the leader reads heartbeats after a stall before it takes
 	// workers for silent: a worker whose call has failed tries again after a second.
@@ -25,6 +25,7 @@
 // the leader would take its own refusals for the worker's silence. Like Heartbeat it
 // returns the ends that the log must hold.
 func (d *Dispatcher) Refused(now tackclock.Time, r *Report) []tackjob.End {
+	d.noteRunning(now)
 	if d.checkReport(now, r) != nil {
 		return nil
 	}
@@ -71,17 +72,22 @@
 	}
 }
 
-// noteTick records that the leader's process runs. After a stall, heartbeats may wait to be
-// read which show that a worker was not silent.
-func (d *Dispatcher) noteTick(now tackclock.Time) {
-	stalled := now.Sub(d.tickedAt) > stalledAfter
-	if stalled && d.tickedAt < d.earlierLeasesEnd {
+// noteRunning records that the leader's process runs. After a stall, heartbeats may wait to
+// be read which show that a worker was not silent.
+func (d *Dispatcher) noteRunning(now tackclock.Time) {
+	stalled := now.Sub(d.ranAt) > stalledAfter
+	if stalled && d.ranAt < d.earlierLeasesEnd {
 		d.earlierLeasesEnd = max(d.earlierLeasesEnd, min(now.Add(listenFor), d.leaseEnd(d.began).Add(maxListening)))
 	}
 	if stalled {
 		d.listeningSince = now
 	}
-	d.tickedAt = now
+	d.ranAt = max(d.ranAt, now)
+}
+
+// unheard reports whether a worker is silent although the leader has listened.
+func (d *Dispatcher) unheard(now tackclock.Time, w *worker) bool {
+	return w.silent(now) && now >= min(d.listeningSince.Add(listenFor), w.leaseUntil)
 }
 
 // leaseOverAt returns when the lease of a worker is over that is not heard from again. One
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -251,3 +251,86 @@
 		}
 	}
 }
+
+// Guards against an item that is started again after it has ended: a new leader stalls over
+// the end of earlier leases, and a heartbeat that is read before its next tick gets the item.
+func TestStalledNewLeaderListensBeforeItsFirstTick(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 2, 2*tackclock.Second))
+	w.run(tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	ran := w.runningOn(item)
+	w.newLeader()
+	w.stall(4 * tackclock.Second)
+	for range 8 {
+		for _, m := range w.workers {
+			if m != ran {
+				w.heartbeat(m, false) // read first
+			}
+		}
+		w.now = w.now.Add(worldStep)
+		w.d.Tick(w.now)
+	}
+	w.deliverDelayed()
+	w.run(4 * tackclock.Second)
+	assertStarts(t, w, item, 1)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Guards against items that run twice: after a stall of the leader a heartbeat that was held
+// up replaces the incarnation that runs, since that one seems silent.
+func TestStallDoesNotMakeALateIncarnationReplaceTheRunningOne(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(2 * tackclock.Second)
+	former := w.workers[0]
+	for former.sequence <= maxFirstSequence {
+		former.report(w)
+	}
+	late := former.report(w)
+	former.dead = true
+	w.newLeader()
+	next := w.addWorker(former.vm, 0)
+	w.run(4 * tackclock.Second) // earlier leases have ended
+	w.submit(job(1), batch(2, 2, 20*tackclock.Second))
+	w.run(2 * tackclock.Second)
+	if len(next.runs) != 2 {
+		t.Fatalf("%d items run, want 2", len(next.runs))
+	}
+	other := w.addWorker("m-other", 1)
+	w.heartbeat(other, false)
+	w.stall(1500 * tackclock.Millisecond)
+	w.receive(late) // read first
+	w.deliverDelayed()
+	w.run(2 * tackclock.Second) // the world fails the test where an item runs twice
+	assertStarts(t, w, tackjob.Item{Job: job(1)}, 1)
+	assertKnown(t, w, next, true)
+}
+
+// Guards against items that last and stay away for longer than six seconds after a crash: a
+// leader whose ticks are always a little late reads all heartbeats, and counts each tick as the
+// end of a stall.
+func TestLateTicksDoNotPutOffRestarts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), longRunning(2, 1))
+	w.run(3 * tackclock.Second)
+	m := w.runningOn(tackjob.Item{Job: job(1)})
+	m.dead = true
+	crashed := w.now
+	for w.d.Knows(m.id) {
+		for range 12 { // 300 ms
+			w.now = w.now.Add(worldStep)
+			for _, o := range w.workers {
+				w.work(o)
+				if !o.dead && w.now >= o.heartbeatAt {
+					w.heartbeat(o, false)
+				}
+			}
+		}
+		w.d.Tick(w.now)
+		w.collect()
+		w.release()
+	}
+	if away := w.now.Sub(crashed); away > 6*tackclock.Second {
+		t.Errorf("the worker counts as lost %d ms after its crash, want 6000 at most", away)
+	}
+}
