Ends count after a goodbye to a new leader, and after the lease of a worker that left

A worker whose goodbye got no ack works on. A new leader that had not heard from it ignored its further heartbeats, so an end in them was dropped and the item done twice; so did one whose lease for it had run out. Such a worker is now known as one that has left, unless a later incarnation reports. A report that was overtaken by a refused one no longer brings a worker back after its lease.

TestEndAfterAGoodbyeToANewLeaderCounts (2 starts for 1), TestEndOfALeftWorkerCountsAfterItsLease (an end never acknowledged) and TestReportOvertakenByARefusedOneIsOutdatedAfterTheLease failed before.

--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -147,6 +147,8 @@
 		// ranAt is the time of the last tick or heartbeat, and listeningSince is when the
 		// leader's process last went on after a stall.
 		ranAt, listeningSince tackclock.Time
+		// departed are workers that said goodbye and are not known, by when they did.
+		departed map[WorkerID]tackclock.Time
 		// silentWorkers is the number of workers that are silent.
 		silentWorkers int
 		expireAt      tackclock.Time
@@ -309,6 +311,7 @@
 	d.moves = make(map[tackid.VM]*moving)
 	d.spareVMs, d.promisesAt, d.now = spareVMs{}, now, now
 	d.ranAt, d.listeningSince = now, now
+	d.departed = make(map[WorkerID]tackclock.Time)
 	d.findings, d.orderedBefore = tackjob.Findings{}, nil
 	d.silences = tacksilence.Watch{}
 	d.units = make(map[unitKey]*unit)
--- a/core/tackdispatch/goodbye.go
+++ b/core/tackdispatch/goodbye.go
@@ -39,6 +39,14 @@
 	d.endDeparture(now, w)
 }
 
+// rejoinDeparted marks a worker as one that has said goodbye, to a leader that did not know
+// it or before its lease ended. Its further heartbeats tell how its runs end.
+func (d *Dispatcher) rejoinDeparted(w *worker) {
+	delete(d.departed, w.id)
+	w.left, w.draining = true, true
+	w.leaseUntil = d.earlierLeasesEnd
+}
+
 // endDeparture removes a worker that has said goodbye once nothing runs there and all its
 // ends are in the log.
 func (d *Dispatcher) endDeparture(now tackclock.Time, w *worker) {
--- a/core/tackdispatch/goodbye_test.go
+++ b/core/tackdispatch/goodbye_test.go
@@ -175,3 +175,39 @@
 		t.Errorf("the pool's capacity is %v, want that of the other worker", got)
 	}
 }
+
+// Guards against an end that reached the leader and is passed over, so that its item is done
+// twice: a worker says goodbye to a leader that has not heard from it, gets no ack, and lists
+// the end while the leases of earlier leaders hold.
+func TestEndAfterAGoodbyeToANewLeaderCounts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 2, 2*tackclock.Second))
+	w.run(tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	m := w.runningOn(item)
+	m.draining = true
+	w.newLeader()
+	w.d.Leave(w.now, m.id)
+	w.run(8 * tackclock.Second)
+	assertStarts(t, w, item, 1)
+	assertPhase(t, w, job(1), tackjob.Complete)
+}
+
+// Guards against the same after a lapse: the end of a worker that said goodbye behind a
+// partition is listed once the partition is over, and never acknowledged.
+func TestEndOfALeftWorkerCountsAfterItsLease(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit(job(1), batch(1, 2, 2*tackclock.Second))
+	w.run(tackclock.Second)
+	m := w.workers[0]
+	m.draining = true
+	w.heartbeat(m, false)
+	w.d.Leave(w.now, m.id)
+	m.cut = true
+	w.run(4500 * tackclock.Millisecond)
+	m.cut = false
+	w.run(2 * tackclock.Second)
+	if len(m.ended) > 0 {
+		t.Errorf("%d ends were not acknowledged", len(m.ended))
+	}
+}
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -54,7 +54,14 @@
 		return nil
 	}
 	if w == nil {
+		_, left := d.departed[r.Worker]
+		if left && d.conflictingWorker(r) != nil {
+			return nil // a later incarnation reports
+		}
 		w = d.join(now, r)
+		if left {
+			d.rejoinDeparted(w)
+		}
 	}
 	if r.Sequence <= w.sequence || r.Sequence < w.refusedSequence {
 		return nil
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -8,15 +8,14 @@
 // lapse removes a worker whose lease ran out. All that ran there has ended, but the
 // process may still be running behind a partition. It joins again with a heartbeat later
 // than those that it sent before.
-//
-// One that has said goodbye does not join again.
 func (d *Dispatcher) lapse(now tackclock.Time, w *worker) {
+	reason := "lease ran out"
 	if w.left {
-		d.lose(now, w, "left")
-		return
+		reason = "left"
+		d.departed[w.id] = now
 	}
-	d.remove(now, w, "lease ran out")
-	d.lapsed[w.id] = lapse{at: now, vm: w.vm, sequence: w.sequence}
+	d.remove(now, w, reason)
+	d.lapsed[w.id] = lapse{at: now, vm: w.vm, sequence: max(w.sequence, w.refusedSequence)}
 }
 
 // endLapsed records that lapsed incarnations on a VM, or under a name, are over, because
@@ -88,8 +87,7 @@
 	if l, ok := d.lapsed[id]; ok {
 		d.resolveDoubts(now, l.vm, id)
 	}
-	delete(d.lapsed, id)
-	d.endedIncarnations[id] = now
+	d.departed[id] = now
 }
 
 // expireIncarnations drops records that are kept only to recognise late heartbeats.
@@ -111,6 +109,11 @@
 			delete(d.lapsed, id)
 		}
 	}
+	for id, at := range d.departed {
+		if now.Sub(at) > endedIncarnationKept {
+			delete(d.departed, id)
+		}
+	}
 	for id, c := range d.pendingIncarnations {
 		if now.Sub(c.since) > endedIncarnationKept {
 			delete(d.pendingIncarnations, id)
--- a/core/tackdispatch/unheard_test.go
+++ b/core/tackdispatch/unheard_test.go
@@ -334,3 +334,21 @@
 		t.Errorf("the worker counts as lost %d ms after its crash, want 6000 at most", away)
 	}
 }
+
+// Guards against a report that was overtaken by a refused one and is taken for a later one
+// after the lease of its worker has ended.
+func TestReportOvertakenByARefusedOneIsOutdatedAfterTheLease(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit(job(1), batch(1, 2, 30*tackclock.Second))
+	w.run(tackclock.Second)
+	item := tackjob.Item{Job: job(1)}
+	m := w.runningOn(item)
+	late := m.report(w)
+	w.d.Refused(w.now, m.report(w))
+	m.dead = true
+	for w.d.Knows(m.id) {
+		w.run(worldStep)
+	}
+	w.receive(late)
+	assertKnown(t, w, m, false)
+}
