--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -115,3 +115,30 @@
 		w.unseen[item] += max(0, n-w.unseen[item]-len(record.Crashes)-len(record.Doubts))
 	}
 }
+
+// refuse passes a report to a leader that cannot answer it. The worker tries again after a
+// second.
+func (w *world) refuse(m *modelWorker) {
+	r := m.report(w)
+	m.heartbeatAt = w.now.Add(tackclock.Second)
+	finished := w.d.Refused(w.now, r)
+	w.collect()
+	if len(finished) > 0 {
+		w.waiting = append(w.waiting, heldEnds{worker: r.Worker, ends: finished})
+	}
+}
+
+// stall advances time by d, in which the leader's process does nothing. The heartbeats of
+// that time are still to be read when its next tick comes.
+func (w *world) stall(d tackclock.Duration) {
+	for until := w.now.Add(d); w.now < until; {
+		w.now = w.now.Add(worldStep)
+		for _, m := range w.workers {
+			w.work(m)
+			if !m.dead && !m.cut && w.now >= m.heartbeatAt {
+				m.heartbeatAt = w.now.Add(tackclock.Second)
+				w.delayed = append(w.delayed, m.report(w))
+			}
+		}
+	}
+}
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -411,33 +411,6 @@
 	return o
 }
 
-// refuse passes a report to a leader that cannot answer it. The worker tries again after a
-// second.
-func (w *world) refuse(m *modelWorker) {
-	r := m.report(w)
-	m.heartbeatAt = w.now.Add(tackclock.Second)
-	finished := w.d.Refused(w.now, r)
-	w.collect()
-	if len(finished) > 0 {
-		w.waiting = append(w.waiting, heldEnds{worker: r.Worker, ends: finished})
-	}
-}
-
-// stall advances time by d, in which the leader's process does nothing. The heartbeats of
-// that time are still to be read when its next tick comes.
-func (w *world) stall(d tackclock.Duration) {
-	for until := w.now.Add(d); w.now < until; {
-		w.now = w.now.Add(worldStep)
-		for _, m := range w.workers {
-			w.work(m)
-			if !m.dead && !m.cut && w.now >= m.heartbeatAt {
-				m.heartbeatAt = w.now.Add(tackclock.Second)
-				w.delayed = append(w.delayed, m.report(w))
-			}
-		}
-	}
-}
-
 // delayHeartbeat delays a heartbeat. A first heartbeat of an incarnation without a start
 // time is delivered, and the next one delayed instead: that such a late heartbeat is
 // accepted by a leader which does not know the incarnation is a limit listed in
