--- a/review/standin2/flap.go
+++ b/review/standin2/flap.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { scenarios["5"] = flap }
+func init() { scenarios["6"] = flap }
 
 // Figures of the disruption, as the site files of the grown deployments have them: one of ten
 // executors goes down and up with a period of 1.4 s, for 6.5 s. It comes twice.
--- a/review/standin2/starve.go
+++ b/review/standin2/starve.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { scenarios["6"] = starve }
+func init() { scenarios["5"] = starve }
 
 // Figures of the traffic, those of bsnc-sched: 22 jobs a second, a share of which can never be
 // done.
