tackdispatch: a delayed heartbeat ends no later incarnation of its VM

A worker's first heartbeat was held up by a cut, the worker crashed, the next incarnation on its VM registered and began work, and then the heartbeat arrived. The leader declared the incarnation that ran over, started its items elsewhere, and ignored all that it reported for a minute.

Cause: the leader took the order in which it heard two incarnations of a VM for the order in which they lived. acceptsIncarnation believed that a sequence number of at most 3 shows a new incarnation; it shows one of the first reports of an incarnation, which may be the former one. The same mistake was behind two more paths: a report of any number when the other incarnation was silent for 1.6 s, as in a cut, and a later start time by a clock that was set back. And an incarnation whose lease had run out was ignored for a minute once a delayed report of a former one had registered. Nothing in a report tells which of two lives is the later one, so no rule on what it says can be right.

Why this works: incarnations of a VM follow one another. So if one of them lists a run that was ordered after another was heard, the other one is over; run numbers rise, so one comparison shows it. Until then (former.go)

- the replaced incarnation may return with a later report, and takes over what it lists,
- what it ran may start only on the incarnation that is registered on its VM.
If that one is the later one, the start takes effect and its listing is the proof; if it is over, nobody receives the start,
- its runs count against the caps of their workspaces,

and with the end of its lease all is free, as for a silent worker. A doubt whether it crashed under an item is settled once its next heartbeat is due. A repeated start under trial waits for other VMs as before.

Paths gone through, each a subtest: first and later reports, several in a row, several former incarnations, a report that the leader refuses since its lease is out, one that comes while the later incarnation is cut off, before it has work, after its goodbye, at a new leader before and after it hears the later incarnation. Reports that a follower relays reach the same code.

Where nothing but one item that had crashed its VM alone could start there, it waits for the end of the lease now.

TestHeartbeatCostBoundAfterCrashes looks at fourteen rounds instead of three: what waits for a trial waits a few rounds longer, and would be past the end of the test.

--- a/core/tackdispatch/canary.go
+++ b/core/tackdispatch/canary.go
@@ -167,7 +167,7 @@
 	if len(s.restraints) > 0 && s.restraints[i.index] == (restraint{}) {
 		return false
 	}
-	if !s.startable(now, i.index) || w.runs[s.item(i.index)] != nil || s.MaxPerWorker > 0 && w.steps[s.key()] >= s.MaxPerWorker {
+	if !s.startableOn(now, w, i.index) || w.runs[s.item(i.index)] != nil || s.MaxPerWorker > 0 && w.steps[s.key()] >= s.MaxPerWorker {
 		return false
 	}
 	waited := now.Sub(max(i.since, d.earlierLeasesEnd))
--- a/core/tackdispatch/cost_test.go
+++ b/core/tackdispatch/cost_test.go
@@ -162,23 +162,26 @@
 		}
 		return c
 	}
-	t.Run("one worker in fifty, the costliest of three rounds", func(t *testing.T) {
+	t.Run("one worker in fifty, the costliest of fourteen rounds", func(t *testing.T) {
 		assertSwitchCosts(t, "a heartbeat", func(cfg Config, workers int) (examined, allocations float64) {
 			c := crashed(cfg, workers, workers/50)
-			for range 3 {
+			for range 14 {
 				n, _ := c.round()
 				examined = max(examined, n)
 			}
 			return examined, testing.AllocsPerRun(1, func() { c.round() }) / float64(workers)
 		})
 	})
-	t.Run("six workers, the fourth round", func(t *testing.T) {
+	t.Run("six workers, the costliest from the fourth round on", func(t *testing.T) {
 		assertSwitchCosts(t, "a heartbeat", func(cfg Config, workers int) (examined, allocations float64) {
 			c := crashed(cfg, workers, 6)
 			for range 3 {
 				c.round()
 			}
-			examined, _ = c.round()
+			for range 11 {
+				n, _ := c.round()
+				examined = max(examined, n)
+			}
 			return examined, testing.AllocsPerRun(1, func() { c.round() }) / float64(workers)
 		})
 	})
--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -166,8 +166,12 @@
 // change, the silent one has crashed.
 func (d *Dispatcher) resolveDoubts(now tackclock.Time, vm tackid.VM, incarnation WorkerID) {
 	reasons := make(map[string]string) // by the excused incarnation
+	returned := d.formers.byID[incarnation] != nil
 	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string, heard tackclock.Time) bool {
 		reason := d.orderBehind(now, vm, WorkerID(id), heard)
+		if reason == "" && returned {
+			reason = "a former incarnation reports from its VM"
+		}
 		if reason != "" {
 			reasons[id] = reason
 		}
--- a/core/tackdispatch/dispatcher.go
+++ b/core/tackdispatch/dispatcher.go
@@ -128,8 +128,8 @@
 		workersByVM       map[tackid.VM]*worker
 		workersByName     map[string]*worker // by WorkerID.Name
 		endedIncarnations map[WorkerID]tackclock.Time
-		// lapsed holds the incarnations whose lease ran out and which may still go on.
-		lapsed              map[WorkerID]lapse
+		// formers are the incarnations that are not registered any more and may still go on.
+		formers             formers
 		pendingIncarnations map[WorkerID]pendingIncarnation
 		pools               map[tackid.Service]*pool
 		jobs                map[tackjob.ID]*openJob
@@ -199,13 +199,6 @@
 		Promises   []tackadmit.Promise
 	}
 
-	// lapse records when a worker's lease ran out, its VM, and its last heartbeat.
-	lapse struct {
-		at       tackclock.Time
-		vm       tackid.VM
-		sequence uint64
-	}
-
 	// run is one start of an item.
 	run struct {
 		item     tackjob.Item
@@ -296,7 +289,7 @@
 	d.workersByVM = make(map[tackid.VM]*worker)
 	d.workersByName = make(map[string]*worker)
 	d.endedIncarnations = make(map[WorkerID]tackclock.Time)
-	d.lapsed = make(map[WorkerID]lapse)
+	d.formers = formers{}
 	d.pendingIncarnations = make(map[WorkerID]pendingIncarnation)
 	d.pools = make(map[tackid.Service]*pool)
 	d.jobs = make(map[tackjob.ID]*openJob)
@@ -378,6 +371,11 @@
 
 func (d *Dispatcher) nextRun() RunNumber {
 	d.runs++
+	return d.lastRun()
+}
+
+// lastRun returns the number of the last run that was numbered.
+func (d *Dispatcher) lastRun() RunNumber {
 	return RunNumber(uint64(d.term)<<runBits + d.runs)
 }
 
@@ -402,6 +400,7 @@
 		}
 		d.copyIfSilent(now, w)
 	}
+	d.releaseLapsed(now)
 	for _, j := range d.scheduled {
 		d.openDue(now, j)
 	}
--- a/core/tackdispatch/event.go
+++ b/core/tackdispatch/event.go
@@ -9,7 +9,11 @@
 const (
 	// EventJoined is the first heartbeat of a worker's incarnation.
 	EventJoined EventKind = iota
-	// EventLost is the end of a worker's incarnation, or of its lease.
+	// EventReturned is the first heartbeat of an incarnation after another was registered in
+	// its place, or after its lease ran out.
+	EventReturned
+	// EventLost is the end of a worker's incarnation, or of its lease, or that another
+	// incarnation was registered in its place.
 	EventLost
 	// EventDraining says that a worker drains and accepts nothing new.
 	EventDraining
@@ -84,6 +88,9 @@
 	// EventReturnHabit says that the refused callers of a pool begin to return when they
 	// were told to, or before.
 	EventReturnHabit
+	// EventReleased says that a former incarnation of a worker is certain to run nothing, so
+	// that what it ran may start anywhere.
+	EventReleased
 	// EventEndedLate is the end of a run that was taken to be over, after its item was
 	// started again.
 	EventEndedLate
@@ -120,6 +127,8 @@
 		// Other is another run of the same item: the one before a start, or the one that
 		// is under way beside an orphan or a late end.
 		Other FormerRun
+		// Sequence is the sequence number of a worker's first heartbeat.
+		Sequence uint64
 		// Refused is how many heartbeats of a lost worker were refused since the last
 		// that was accepted, and RefusedAge is how long ago the last of them was.
 		Refused    int
@@ -136,20 +145,20 @@
 )
 
 var eventNames = [...]string{
-	"worker joined", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
+	"worker joined", "worker returned", "worker lost", "worker drains", "run ordered", "run stopped", "run ended",
 	"run adopted", "run not owed", "order lost", "upkeep chosen", "move chosen", "worker suspected", "worker emptied", "run copied",
 	"run lost", "item in doubt", "item suspected", "item given up", "item forgiven", "items held", "crash excused", "starts limited",
 	"forecast changed", "forecast hit", "forecast missed",
 	"queue confined", "queue released", "worker exposed", "canary survived",
 	"return promised", "promise kept", "promise broken", "promises expired", "return habit changed",
-	"run ended late",
+	"worker released", "run ended late",
 }
 
 // TellsOfRestart reports whether the event tells why an item is started again, or that two
 // of its runs overlap.
 func (e *Event) TellsOfRestart() bool {
 	switch e.Kind {
-	case EventRunLost, EventNotStarted, EventCopied, EventEndedLate, EventOrphaned, EventLost:
+	case EventRunLost, EventNotStarted, EventCopied, EventEndedLate, EventOrphaned, EventLost, EventReleased:
 		return true
 	case EventStarted:
 		return e.Other.Run != 0
@@ -225,6 +234,22 @@
 	d.note(e)
 }
 
+// noteJoined records that an incarnation was registered. Age is how long ago it was last
+// heard, if it had been registered before.
+func (d *Dispatcher) noteJoined(now tackclock.Time, w *worker, sequence uint64, before *former) {
+	e := Event{Kind: EventJoined, At: now, Worker: w.id, VM: w.vm, Reason: string(w.service), Sequence: sequence}
+	if before != nil {
+		e.Kind, e.Age = EventReturned, now.Sub(before.heardAt)
+	}
+	d.note(e)
+}
+
+// noteFormer records what has become certain about a former incarnation. Beside is the
+// number of items that it holds.
+func (d *Dispatcher) noteFormer(now tackclock.Time, k EventKind, f *former, reason string) {
+	d.note(Event{Kind: k, At: now, Worker: f.id, VM: f.vm, Reason: reason, Age: now.Sub(f.heardAt), Beside: len(f.held)})
+}
+
 func (d *Dispatcher) noteWorker(now tackclock.Time, k EventKind, w *worker, reason string) {
 	d.note(Event{Kind: k, At: now, Worker: w.id, VM: w.vm, Reason: reason, Age: now.Sub(w.heardAt)})
 }
--- /dev/null
+++ b/core/tackdispatch/former_test.go
@@ -0,0 +1,198 @@
+package tackdispatch
+
+import (
+	"testing"
+
+	"auburntack/core/tackclock"
+	"auburntack/core/tackid"
+	"auburntack/core/tackjob"
+	"auburntack/core/tackroom"
+)
+
+const replacedVM tackid.VM = "m-7"
+
+// formerWorld returns a world with a worker on replacedVM whose heartbeats never arrive, and
+// the given number of its heartbeats on their way.
+func formerWorld(t *testing.T, late int) (*world, *modelWorker) {
+	w := newWorld(t, 2)
+	m := w.addWorker(replacedVM, 1)
+	m.cut = true
+	w.run(200)
+	for range late {
+		w.delayHeartbeat(m)
+	}
+	return w, m
+}
+
+// succeed ends an incarnation, and begins the next one on its VM after a while.
+func (w *world) succeed(m *modelWorker, after tackclock.Duration) *modelWorker {
+	m.dead = true
+	w.run(after)
+	next := w.addWorker(m.vm, 1)
+	w.run(500)
+	return next
+}
+
+// fillReplaced submits a job of eight items, which run on replacedVM while the other workers
+// have room.
+func (w *world) fillReplaced(t *testing.T) {
+	step := batch(8, 2, 20*tackclock.Second)
+	step.Affinity = "r-1"
+	w.submit(job(1), step)
+	w.run(tackclock.Second)
+	assertRuns(t, w, job(1), 8)
+}
+
+// assertStartedOnce fails the test unless every item of the job was started once.
+func assertStartedOnce(t *testing.T, w *world, id tackjob.ID, count int) {
+	t.Helper()
+	for i := range count {
+		assertStarts(t, w, tackjob.Item{Job: id, Index: int32(i)}, 1)
+	}
+}
+
+// Guards against items that run twice: a heartbeat that was delayed, of an incarnation that is
+// over, ends the incarnation that runs on its VM.
+func TestLateHeartbeatOfAFormerIncarnationEndsNoLaterOne(t *testing.T) {
+	t.Run("its first one", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		w.deliverDelayed()
+		w.run(8 * tackclock.Second) // the world fails the test where an item runs twice
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("several, one after the other", func(t *testing.T) {
+		w, m := formerWorld(t, 6)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		for range 6 {
+			w.deliverFirst(1)
+			w.run(300)
+		}
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("of several incarnations", func(t *testing.T) {
+		w, m := formerWorld(t, 2)
+		second := w.addWorker(replacedVM, 1)
+		second.cut, m.dead = true, true
+		w.delayHeartbeat(second)
+		w.delayHeartbeat(second)
+		next := w.succeed(second, 500)
+		w.fillReplaced(t)
+		for range 4 {
+			w.deliverFirst(1)
+			w.run(100)
+		}
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("while the later one is cut off", func(t *testing.T) {
+		w, m := formerWorld(t, 2)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		next.cut = true
+		w.run(2 * tackclock.Second)
+		w.deliverFirst(1)
+		w.run(1200)
+		w.deliverFirst(1)
+		next.cut = false
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("refused by a leader whose lease is out", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		w.d.Refused(w.now, w.delayed[0])
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("at a new leader that knows the later one", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		w.newLeader()
+		w.run(tackclock.Second)
+		w.deliverDelayed()
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("at a new leader before it hears the later one", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		w.newLeader()
+		w.deliverDelayed()
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("before the later one has work", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.deliverDelayed()
+		w.fillReplaced(t)
+		w.run(8 * tackclock.Second)
+		assertStartedOnce(t, w, job(1), 8)
+		assertKnown(t, w, next, true)
+	})
+	t.Run("after the later one said goodbye without an ack", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		next.draining = true
+		w.run(tackclock.Second)
+		w.d.Leave(w.now, next.id)
+		w.deliverDelayed()
+		w.run(8 * tackclock.Second)
+	})
+}
+
+// Guards against a workspace that runs more than its cap: what the later incarnation runs does
+// not count while a delayed heartbeat of the former one has replaced it.
+func TestCapCountsWhatAReplacedIncarnationRuns(t *testing.T) {
+	w, m := formerWorld(t, 1)
+	w.putCaps(map[tackid.Workspace]tackroom.Resources{"mairies": {MilliCores: 16_000}})
+	w.workers[0].draining, w.workers[1].draining = true, true
+	w.run(2 * tackclock.Second)
+	next := w.succeed(m, 500)
+	w.submitFor("mairies", job(1), batch(16, 2, 20*tackclock.Second))
+	w.run(3 * tackclock.Second)
+	assertRuns(t, w, job(1), 8)
+	w.addWorker("m-8", 1)
+	next.cut = true
+	w.deliverDelayed()
+	w.run(2 * tackclock.Second) // the world fails the test where the cap is exceeded
+	assertRuns(t, w, job(1), 8)
+}
+
+// Guards against items that wait for the end of a lease although their worker has restarted and
+// runs them again: the next incarnation is the later one once it lists a run.
+func TestNextIncarnationIsBelievedOnceItListsARun(t *testing.T) {
+	gang := batch(6, 2, 20*tackclock.Second)
+	gang.Gang = true
+	for name, step := range map[string]tackjob.Step{
+		"items": batch(24, 2, 20*tackclock.Second), "items that last": longRunning(24, 2), "a gang": gang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.submit(job(1), step)
+			w.run(4 * tackclock.Second)
+			m := w.runningOn(tackjob.Item{Job: job(1)})
+			m.dead = true
+			w.run(tackclock.Second)
+			next := w.addWorker(m.vm, 0)
+			w.run(800)
+			assertKnown(t, w, next, true)
+			assertRuns(t, w, job(1), step.Count)
+		})
+	}
+}
--- a/core/tackdispatch/gang.go
+++ b/core/tackdispatch/gang.go
@@ -116,7 +116,7 @@
 	if len(s.waiting) == 0 || s.running > 0 || s.ending > 0 || now < s.notBefore || !s.job.fresh && !d.EarlierLeasesEnded(now) {
 		return false
 	}
-	return !slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return !s.startable(now, i.index) })
+	return !slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return !s.unrestrained(now, i.index) || s.mayResolve(now, i.index) })
 }
 
 // needsIdleWorkers reports whether a gang may start only on workers that run nothing
@@ -159,6 +159,9 @@
 		all = append(all, w)
 		racks[w.rack()] = append(racks[w.rack()], w)
 	}
+	if len(s.held) > 0 {
+		return d.hostsWithHeld(s, all, room)
+	}
 	for _, name := range sortedRacks(racks, s.Affinity) {
 		if hosts := fillHosts(s, racks[name], room); hosts != nil {
 			return hosts
@@ -258,7 +261,7 @@
 		// does not enforce its limits would run what does not fit. A workspace's cap may
 		// have shrunk as well, the queue may have moved to another service, and a ticket may
 		// have expired.
-		if now > p.until || r.stopping || r.step.job.Service != w.service || !r.step.hasTicket(now, w) || !w.room().Fits(tackroom.Resources{}) || !r.step.job.account.WithinCap(now, r.step.Resources) {
+		if now > p.until || r.stopping || r.step.job.Service != w.service || !r.step.hasTicket(now, w) || !w.room().Fits(tackroom.Resources{}) || !r.step.unchargedFor(r.item, func() bool { return r.step.job.account.WithinCap(now, r.step.Resources) }) {
 			d.removeRun(now, r)
 			d.requeue(now, r)
 			d.withdrawDoubt(r)
--- a/core/tackdispatch/goodbye.go
+++ b/core/tackdispatch/goodbye.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) rejoinDeparted(w *worker) {
 	delete(d.departed, w.id)
 	w.left, w.draining = true, true
-	w.leaseUntil = d.earlierLeasesEnd
+	w.leaseUntil = max(w.leaseUntil, d.earlierLeasesEnd)
 }
 
 // endDeparture removes a worker that has said goodbye once nothing runs there and all its
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -23,6 +23,7 @@
 	w.reports++
 	w.refused = 0
 	d.hear(now, w, r)
+	d.confirm(now, w, r)
 	finished := d.processEnds(now, w, r.Ended)
 	d.processRunning(now, w, r)
 	d.clearItems(now, w)
@@ -54,14 +55,18 @@
 		return nil
 	}
 	if w == nil {
+		f := d.formers.byID[r.Worker]
 		_, left := d.departed[r.Worker]
-		if left && d.conflictingWorker(r) != nil {
+		if left && f == nil && d.conflictingWorker(r) != nil {
 			return nil // a later incarnation reports
 		}
 		w = d.join(now, r)
-		if left {
+		if left || f != nil && f.left {
 			d.rejoinDeparted(w)
 		}
+		if f != nil {
+			w.leaseUntil = max(w.leaseUntil, f.leaseUntil)
+		}
 	}
 	if r.Sequence <= w.sequence || r.Sequence < w.refusedSequence {
 		return nil
@@ -85,22 +90,25 @@
 	w.capacity, w.labels = r.Capacity, r.Labels
 }
 
-// join registers a new incarnation of a worker. A previous incarnation on the same VM or
-// under the same name is over, so what ran there may start elsewhere at once.
+// join registers an incarnation of a worker, in the place of one on the same VM or under
+// the same name. Which of them is the later one shows when one lists a run that was ordered
+// after the other was heard.
 func (d *Dispatcher) join(now tackclock.Time, r *Report) *worker {
 	if before := d.workersByName[r.Worker.Name()]; before != nil {
-		d.doubtRuns(now, before)
-		d.excuseRuns(now, before)
-		d.lose(now, before, "another process reported under its name")
+		d.replaceWorker(now, before, "another process reported under its name")
 	}
 	if r.VM != "" {
 		if before := d.workersByVM[r.VM]; before != nil {
-			d.doubtRuns(now, before)
-			d.excuseRuns(now, before)
-			d.lose(now, before, "another process reported from its VM")
+			d.replaceWorker(now, before, "another process reported from its VM")
 		}
+	}
+	returned := d.formers.byID[r.Worker]
+	if r.VM != "" && (returned != nil || !d.mayReport(now, r.VM)) {
 		d.resolveDoubts(now, r.VM, r.Worker)
 	}
+	if returned != nil {
+		d.forget(now, returned) // what it still runs is in its report
+	}
 	delete(d.pendingIncarnations, r.Worker)
 	w := &worker{
 		id: r.Worker, vm: r.VM, fixed: r.Fixed, service: r.Service, zone: r.Zone, jitterPhase: uint64(len(d.workers)),
@@ -108,14 +116,13 @@
 		ends: ends{pending: make(map[uint64]tackjob.End)},
 	}
 	w.heardAt, w.idleSince = now, now
-	delete(d.lapsed, w.id)
-	d.endLapsed(now, w.vm, w.id.Name())
+	w.unconfirmed = len(d.formers.of(w.vm, w.id.Name())) > 0
 	d.removeStandby(w.vm)
 	if m := d.moves[w.vm]; m != nil && m.incarnation != w.id {
 		delete(d.moves, w.vm)
 	}
 	w.leaving = d.endOrdered(w)
-	d.noteWorker(now, EventJoined, w, string(w.service))
+	d.noteJoined(now, w, r.Sequence, returned)
 	d.workers[w.id], d.workersByName[w.id.Name()] = w, w
 	if w.vm != "" {
 		d.workersByVM[w.vm] = w
--- a/core/tackdispatch/incarnation.go
+++ b/core/tackdispatch/incarnation.go
@@ -1,6 +1,7 @@
 package tackdispatch
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -10,8 +11,8 @@
 const (
 	// startSeparator separates a worker's name from the start time of its incarnation.
 	startSeparator = "@"
-	// maxFirstSequence is the highest sequence number by which a report is certain to be
-	// one of the first of its incarnation.
+	// maxFirstSequence is the highest sequence number of a report that is one of the first
+	// of its incarnation.
 	maxFirstSequence = 3
 	// confirmAfter is how long an incarnation must go on reporting before it replaces the
 	// known one although it says that it began earlier. What a partition delays arrives
@@ -72,25 +73,28 @@
 	return d.workersByVM[r.VM]
 }
 
-// acceptsIncarnation reports whether a report of an unknown incarnation should be
-// accepted as one of an incarnation that goes on.
+// acceptsIncarnation reports whether an incarnation that is not registered should be, in
+// the place of the one on its VM or under its name.
 //
 // A heartbeat that a partition delayed may arrive after its sender crashed and began
-// another incarnation, at a leader that never knew the former one. If it were accepted as
-// a new incarnation, the one that runs would be declared over, and its items would start
-// elsewhere a second time. A new incarnation is recognised by its first sequence numbers;
-// if those heartbeats are lost, it is accepted once the other incarnation is silent. Of
-// two incarnations of one name the later start time decides as well, except that a
-// worker's clock may have been set back in between: such an incarnation must keep
-// reporting for a while.
+// another incarnation, at a leader that never knew the former one. Its sequence number does
+// not tell which is the case, so an incarnation that was replaced may return; see former.
+// A report that is unlikely to come from a new incarnation is ignored while the other one
+// reports: one with a high sequence number, or of two incarnations of one name that with
+// the earlier start time. A worker's clock may have been set back in between, so such an
+// incarnation must keep reporting for a while.
 func (d *Dispatcher) acceptsIncarnation(now tackclock.Time, r *Report) bool {
-	if r.Sequence <= d.lapsed[r.Worker].sequence {
+	f := d.formers.byID[r.Worker]
+	if f != nil && r.Sequence <= f.sequence {
 		return false
 	}
 	other := d.conflictingWorker(r)
 	if other == nil {
 		return !d.laterIncarnationLapsed(r.Worker) || d.keepsReporting(now, r, nil)
 	}
+	if f != nil {
+		return true // no report has shown yet that the other one is the later one
+	}
 	switch name := other.id.Name(); {
 	case name == r.Worker.Name() && r.Worker.StartedAt() < other.id.StartedAt():
 		return d.keepsReporting(now, r, other)
@@ -103,12 +107,7 @@
 // laterIncarnationLapsed reports whether the lease of a later incarnation of the same
 // name ran out recently.
 func (d *Dispatcher) laterIncarnationLapsed(id WorkerID) bool {
-	for l := range d.lapsed {
-		if l.Name() == id.Name() && id.StartedAt() < l.StartedAt() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.formers.byName[id.Name()], func(f *former) bool { return id.StartedAt() < f.id.StartedAt() })
 }
 
 // keepsReporting reports whether an incarnation has gone on reporting for a while and the
--- a/core/tackdispatch/listen.go
+++ b/core/tackdispatch/listen.go
@@ -42,6 +42,7 @@
 	w.refused++
 	w.refusedAt = now
 	d.hear(now, w, r)
+	d.confirm(now, w, r)
 	finished := d.processEnds(now, w, r.Ended)
 	w.stops = nil // the next heartbeat lists their runs again
 	d.processRunning(now, w, r)
@@ -100,6 +101,11 @@
 // have sent before are read. The lease alone proves that nothing runs there any more, but
 // not that nothing has ended as done.
 func (d *Dispatcher) leaseOver(now tackclock.Time, w *worker) bool {
-	due := w.leaseOverAt()
+	return d.overSince(now, w.leaseOverAt())
+}
+
+// overSince reports whether a lease that ended when it was due is over, and all heartbeats
+// sent before are read.
+func (d *Dispatcher) overSince(now, due tackclock.Time) bool {
 	return now >= due && now >= min(d.listeningSince.Add(listenFor), due.Add(maxListening))
 }
--- a/core/tackdispatch/loss.go
+++ b/core/tackdispatch/loss.go
@@ -1,6 +1,8 @@
 package tackdispatch
 
 import (
+	"slices"
+
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 )
@@ -14,19 +16,18 @@
 		reason = "left"
 		d.departed[w.id] = now
 	}
+	f := d.newFormer(now, w)
 	d.remove(now, w, reason)
-	d.lapsed[w.id] = lapse{at: now, vm: w.vm, sequence: max(w.sequence, w.refusedSequence)}
+	d.formers.add(f)
 }
 
-// endLapsed records that lapsed incarnations on a VM, or under a name, are over, because
-// another has followed or the VM was taken down. Otherwise a heartbeat of theirs that a
-// partition delayed would be accepted as one of the next incarnation and end the one that
-// runs.
-func (d *Dispatcher) endLapsed(now tackclock.Time, vm tackid.VM, name string) {
-	for id, l := range d.lapsed {
-		if vm != "" && l.vm == vm || name != "" && id.Name() == name {
-			delete(d.lapsed, id)
-			d.endedIncarnations[id] = now
+// endFormers records that the former incarnations on a VM are over, because it was taken
+// down. Where the platform may have taken down an earlier incarnation instead, those whose
+// lease is not over may go on.
+func (d *Dispatcher) endFormers(now tackclock.Time, vm tackid.VM, certain bool) {
+	for _, f := range slices.Clone(d.formers.byVM[vm]) {
+		if certain || d.overSince(now, f.leaseOverAt) {
+			d.endFormer(now, f)
 		}
 	}
 }
@@ -84,8 +85,8 @@
 		d.depart(now, w)
 		return
 	}
-	if l, ok := d.lapsed[id]; ok {
-		d.resolveDoubts(now, l.vm, id)
+	if f := d.formers.byID[id]; f != nil && d.workersByVM[f.vm] == nil {
+		d.resolveDoubts(now, f.vm, id)
 	}
 	d.departed[id] = now
 }
@@ -104,9 +105,9 @@
 			delete(d.endedIncarnations, id)
 		}
 	}
-	for id, l := range d.lapsed {
-		if now.Sub(l.at) > endedIncarnationKept {
-			delete(d.lapsed, id)
+	for _, f := range d.formers.byID {
+		if now.Sub(f.at) > endedIncarnationKept {
+			d.forget(now, f)
 		}
 	}
 	for id, at := range d.departed {
--- a/core/tackdispatch/open.go
+++ b/core/tackdispatch/open.go
@@ -77,6 +77,8 @@
 		// dismissed.
 		unlogged  map[int32]int
 		dismissed map[uint64]bool
+		// held are the former incarnations that may still run each item.
+		held map[int32][]*former
 		// inherited says that an earlier leader may have started the items, and lost
 		// holds those of which this leader has lost a run with its worker, or may have.
 		inherited bool
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -243,6 +243,8 @@
 		if s.Speculative {
 			partition |= partitionCopied
 		}
+	} else if s.allHeld() {
+		partition |= partitionInherited
 	}
 	if partition&(partitionGang|confinedPartitions) == 0 && s.job.account.CapReached(now, s.Resources) {
 		partition |= partitionHeld
--- a/core/tackdispatch/pools.go
+++ b/core/tackdispatch/pools.go
@@ -251,7 +251,7 @@
 		if here {
 			d.lose(now, w, "moved to another pool")
 		}
-		d.endLapsed(now, vm, "")
+		d.endFormers(now, vm, true)
 		parked := d.standby[vm]
 		parked.VM, parked.Service, parked.Capacity, parked.Labels = vm, m.to, m.resources, m.labels
 		d.addStandby(parked)
--- a/core/tackdispatch/retry.go
+++ b/core/tackdispatch/retry.go
@@ -24,7 +24,7 @@
 // small pool, the leader would be busy with answers that order nothing. What matters to a
 // new item is how soon any of them asks.
 func (d *Dispatcher) retry(now tackclock.Time, w *worker) tackclock.Duration {
-	if len(w.planned) > 0 || d.awaitsListing(now, w) {
+	if len(w.planned) > 0 || d.asksSoon(w) || d.awaitsListing(now, w) {
 		return min(limitedPollInterval, d.cfg.Retry)
 	}
 	if len(w.ends.pending) > 0 {
--- a/core/tackdispatch/schedule_test.go
+++ b/core/tackdispatch/schedule_test.go
@@ -25,7 +25,7 @@
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "cancel", "crash", "cut", "heal", "leave", "leader", "hold", "release", "lost",
 		"hang", "fail", "reset", "upkeep", "delay", "arrive", "double", "relay", "foreign", "resize", "crasher", "caps", "restart",
-		"move", "other", "advised", "advisor", "refuse", "stall", "goodbye",
+		"move", "other", "advised", "advisor", "refuse", "stall", "goodbye", "unheard",
 	}).Draw(t, "act") {
 	case "submit":
 		w.submitRandom(t, jobs)
@@ -34,14 +34,12 @@
 			w.apply(tackwork.Change{Cancel: job(rapid.IntRange(1, *jobs).Draw(t, "job"))})
 		}
 	case "crash":
-		if m.early {
-			w.restart(m, 0)
-			return
-		}
 		m.dead = true
 		w.addWorker(m.vm, 0)
 	case "restart":
 		w.restartRandom(t, m)
+	case "unheard":
+		w.crashUnheardRandom(t, m)
 	case "cut":
 		m.cut = true
 	case "heal":
@@ -77,7 +75,7 @@
 	case "delay":
 		w.delayHeartbeat(m)
 	case "arrive":
-		w.deliverDelayed()
+		w.deliverFirst(rapid.IntRange(0, len(w.delayed)).Draw(t, "reports"))
 	case "double":
 		w.receive(w.delayHeartbeat(m))
 	case "relay":
@@ -109,7 +107,7 @@
 // which the worker gives up waiting for the answer. Another leader may take over before
 // or after the one that answers.
 func (w *world) relayRandom(t *rapid.T, m *modelWorker) {
-	if m.cut || m.dead || m.unanswered || m.startedAt == 0 && m.sequence < maxFirstSequence {
+	if m.cut || m.dead || m.unanswered {
 		return
 	}
 	const givenUp = 1000
@@ -188,20 +186,43 @@
 }
 
 // restartRandom restarts a worker under its name, at once or after its VM was down for a
-// while. The clock is not set back if a first heartbeat of the worker's incarnation is
-// delayed: a leader that knows of neither incarnation cannot tell them apart.
+// while. Its clock may be set back in between.
 func (w *world) restartRandom(t *rapid.T, m *modelWorker) {
 	if m.startedAt == 0 {
 		return
 	}
 	setBack := tackclock.Duration(0)
-	if !m.early && rapid.IntRange(0, 3).Draw(t, "clock") == 0 {
+	if rapid.IntRange(0, 3).Draw(t, "clock") == 0 {
 		setBack = tackclock.Duration(rapid.IntRange(1, 100_000).Draw(t, "set back"))
 	}
 	next := w.restart(m, setBack)
 	next.heartbeatAt = w.now.Add(tackclock.Duration(rapid.IntRange(0, 3000).Draw(t, "away")))
 }
 
+// crashUnheardRandom ends the worker. Up to three incarnations follow on its VM that crash while
+// their first heartbeats are on their way, and then one that goes on.
+func (w *world) crashUnheardRandom(t *rapid.T, m *modelWorker) {
+	begin := func() *modelWorker {
+		m.dead = true
+		if m.startedAt != 0 && rapid.Bool().Draw(t, "same name") {
+			return w.restart(m, 0)
+		}
+		next := w.addWorker(m.vm, 0)
+		next.rack, next.service = m.rack, m.service
+		return next
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "unheard") {
+		m = begin()
+		m.cut = true
+		for range rapid.IntRange(1, 5).Draw(t, "heartbeats") {
+			w.delayHeartbeat(m)
+			w.run(tackclock.Duration(rapid.IntRange(0, 1000).Draw(t, "between")))
+		}
+	}
+	m = begin()
+	m.cut = false
+}
+
 // putRandomCaps sets random caps, from nothing to unlimited.
 func (w *world) putRandomCaps(t *rapid.T) {
 	caps := make(map[tackid.Workspace]tackroom.Resources)
--- a/core/tackdispatch/start.go
+++ b/core/tackdispatch/start.go
@@ -39,6 +39,7 @@
 	if d.startExposed(now, p, w, sequence, o) || d.startStrandedCanary(now, p, w, sequence, o) {
 		return
 	}
+	d.startHeld(now, p, w, sequence, o)
 	held := d.startsHeld(now, p, w)
 	if d.startTrials(now, p, w, held) {
 		return
@@ -202,7 +203,7 @@
 func (s *openStep) popStartable(now tackclock.Time, w *worker) (waitingItem, bool) {
 	for i := len(s.waiting) - 1; i >= 0; i-- {
 		next := s.waiting[i]
-		if !s.restraints[next.index].isolated && s.startable(now, next.index) && w.runs[s.item(next.index)] == nil {
+		if !s.restraints[next.index].isolated && s.startableOn(now, w, next.index) && w.runs[s.item(next.index)] == nil {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
 			return next, true
 		}
--- a/core/tackdispatch/trial.go
+++ b/core/tackdispatch/trial.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"auburntack/core/tackclock"
+	"auburntack/core/tackcrash"
 	"auburntack/core/tackroom"
 )
 
@@ -84,8 +85,31 @@
 	}
 }
 
-// startable reports whether no restraint keeps the item from starting now.
+// startable reports whether the item may start now on any worker.
 func (s *openStep) startable(now tackclock.Time, index int32) bool {
+	return s.unrestrained(now, index) && len(s.held[index]) == 0
+}
+
+// startableOn reports whether the item may start now on the worker.
+func (s *openStep) startableOn(now tackclock.Time, w *worker, index int32) bool {
+	return s.unrestrained(now, index) && !s.mayResolve(now, index) &&
+		!slices.ContainsFunc(s.held[index], func(f *former) bool { return !f.sharesPlace(w) })
+}
+
+// mayResolve reports whether the next heartbeat of an incarnation that holds the item may
+// show that the item did not crash its worker at its start.
+func (s *openStep) mayResolve(now tackclock.Time, index int32) bool {
+	return slices.ContainsFunc(s.held[index], func(f *former) bool { return now <= f.overdueAt }) &&
+		slices.ContainsFunc(s.crashRecord(index).Doubts, func(x tackcrash.Doubt) bool { return x.BeforeReport })
+}
+
+// allHeld reports whether former incarnations hold all items that wait.
+func (s *openStep) allHeld() bool {
+	return len(s.held) > 0 && !slices.ContainsFunc(s.waiting, func(i waitingItem) bool { return len(s.held[i.index]) == 0 })
+}
+
+// unrestrained reports whether no restraint keeps the item from starting now.
+func (s *openStep) unrestrained(now tackclock.Time, index int32) bool {
 	return s.unlogged[index] == 0 && now >= s.restraints[index].heldUntil
 }
 
@@ -206,7 +230,7 @@
 // listed all its runs.
 func (d *Dispatcher) mayStartTrial(now tackclock.Time, p *pool, w *worker, s *openStep, i *waitingItem) bool {
 	x := s.restraints[i.index]
-	if !x.isolated || !s.startable(now, i.index) || w.runs[s.item(i.index)] != nil {
+	if !x.isolated || !s.startableOn(now, w, i.index) || w.runs[s.item(i.index)] != nil {
 		return false
 	}
 	if s.MaxPerWorker > 0 && w.steps[s.key()] >= s.MaxPerWorker {
@@ -217,6 +241,9 @@
 	if !x.alone {
 		return !crashedHere || waited > trialPatience
 	}
+	if crashedHere && len(s.held[i.index]) > 0 {
+		return false // it may soon start on other workers
+	}
 	// The worker must be idle and must not have crashed under the item before, unless no
 	// such worker is found in time.
 	switch {
--- a/core/tackdispatch/worker.go
+++ b/core/tackdispatch/worker.go
@@ -35,6 +35,8 @@
 	leaving    bool // a move or an upkeep that ends it was ordered
 	// left says that it has said goodbye, and may work on until its lease ends.
 	left bool
+	// unconfirmed says that a former incarnation of its VM or name may be the later one.
+	unconfirmed bool
 	// emptiedUntil is until when it gets nothing new, because its VM is to move.
 	emptiedUntil tackclock.Time
 	heardAt      tackclock.Time
--- a/core/tackdispatch/world_fault_test.go
+++ b/core/tackdispatch/world_fault_test.go
@@ -69,9 +69,6 @@
 		}
 		m := w.addWorker(r.before.vm, 0)
 		m.rack, m.capacity, m.service = r.before.rack, r.before.capacity, r.before.service
-		if r.before.early {
-			w.name(m, r.before, w.now)
-		}
 		return true
 	})
 }
@@ -143,25 +140,22 @@
 	}
 }
 
-// delayHeartbeat delays a heartbeat. A first heartbeat of an incarnation without a start
-// time is delivered, and the next one delayed instead: that such a late heartbeat is
-// accepted by a leader which does not know the incarnation is a limit listed in
-// docs/INCIDENTS.md.
+// delayHeartbeat delays a heartbeat.
 func (w *world) delayHeartbeat(m *modelWorker) *Report {
 	r := m.report(w)
-	for r.Sequence <= maxFirstSequence && m.startedAt == 0 {
-		w.receive(r)
-		r = m.report(w)
-	}
-	m.early = m.early || r.Sequence <= maxFirstSequence
 	w.delayed = append(w.delayed, r)
 	return r
 }
 
 // deliverDelayed delivers the delayed reports. Nobody waits for their answers any more.
 func (w *world) deliverDelayed() {
-	for _, r := range w.delayed {
+	w.deliverFirst(len(w.delayed))
+}
+
+// deliverFirst delivers the first n delayed reports.
+func (w *world) deliverFirst(n int) {
+	for _, r := range w.delayed[:n] {
 		w.receive(r)
 	}
-	w.delayed = nil
+	w.delayed = w.delayed[n:]
 }
--- a/core/tackdispatch/world_test.go
+++ b/core/tackdispatch/world_test.go
@@ -130,7 +130,6 @@
 		stalled    bool // items make no progress
 		failing    bool // items fail soon after they start
 		shrunk     bool // its capacity was at some time smaller than what ran there
-		early      bool // one of its first heartbeats is delayed
 		slow       int  // factor for the duration of items; 0 stands for 1
 	}
 
--- a/io/tackcontrol/events.go
+++ b/io/tackcontrol/events.go
@@ -60,6 +60,12 @@
 	if e.Kind == tackdispatch.EventRunLost {
 		fields["ran_ms"], fields["beside"] = int64(e.Ran), e.Beside
 	}
+	if e.Kind == tackdispatch.EventReleased {
+		fields["held"] = e.Beside
+	}
+	if e.Sequence > 0 {
+		fields["sequence"] = e.Sequence
+	}
 	if e.Refused > 0 {
 		fields["refused"], fields["refused_age_ms"] = e.Refused, int64(e.RefusedAge)
 	}
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -26,6 +26,7 @@
 	endedLate  metrics.Counter
 	runBeside  metrics.Counter
 	lost       metrics.Counter
+	returned   metrics.Counter
 	suspected  metrics.Counter
 	excused    metrics.Counter
 	held       metrics.Counter
@@ -80,6 +81,7 @@
 		endedLate:  counter("runs_ended_late"),
 		runBeside:  counter("runs_beside_another"),
 		lost:       counter("workers_lost"),
+		returned:   counter("workers_returned"),
 		suspected:  counter("items_suspected"),
 		excused:    counter("crashes_excused"),
 		held:       counter("steps_held_by_cap"),
@@ -119,6 +121,8 @@
 	switch e.Kind {
 	case tackdispatch.EventLost:
 		m.lost.Inc(1)
+	case tackdispatch.EventReturned:
+		m.returned.Inc(1)
 	case tackdispatch.EventRunLost:
 		m.runsLost.Inc(1)
 	case tackdispatch.EventEndedLate:
