--- a/core/tackdispatch/former_test.go
+++ b/core/tackdispatch/former_test.go
@@ -105,6 +105,18 @@
 		assertStartedOnce(t, w, job(1), 8)
 		assertKnown(t, w, next, true)
 	})
+	t.Run("after the lease of the later one has ended", func(t *testing.T) {
+		w, m := formerWorld(t, 1)
+		next := w.succeed(m, 500)
+		w.fillReplaced(t)
+		next.cut = true
+		w.run(5 * tackclock.Second)
+		w.deliverDelayed()
+		w.run(tackclock.Second)
+		next.cut = false
+		w.run(2 * tackclock.Second)
+		assertKnown(t, w, next, true)
+	})
 	t.Run("refused by a leader whose lease is out", func(t *testing.T) {
 		w, m := formerWorld(t, 1)
 		next := w.succeed(m, 500)
