tackdispatch: a table for the paths of a late heartbeat; a comment

The subtests of TestLateHeartbeatOfAFormerIncarnationEndsNoLaterOne differed in two lines each. The comment on partitionInherited lacked its second use.

--- a/core/tackdispatch/former_test.go
+++ b/core/tackdispatch/former_test.go
@@ -25,9 +25,9 @@
 }
 
 // succeed ends an incarnation, and begins the next one on its VM after a while.
-func (w *world) succeed(m *modelWorker, after tackclock.Duration) *modelWorker {
+func (w *world) succeed(m *modelWorker) *modelWorker {
 	m.dead = true
-	w.run(after)
+	w.run(500)
 	next := w.addWorker(m.vm, 1)
 	w.run(500)
 	return next
@@ -43,113 +43,80 @@
 	assertRuns(t, w, job(1), 8)
 }
 
-// assertStartedOnce fails the test unless every item of the job was started once.
-func assertStartedOnce(t *testing.T, w *world, id tackjob.ID, count int) {
-	t.Helper()
-	for i := range count {
-		assertStarts(t, w, tackjob.Item{Job: id, Index: int32(i)}, 1)
+// deliverOneByOne delivers the delayed reports with pauses in between.
+func (w *world) deliverOneByOne(pause tackclock.Duration) {
+	for len(w.delayed) > 0 {
+		w.deliverFirst(1)
+		w.run(pause)
 	}
 }
 
 // Guards against items that run twice: a heartbeat that was delayed, of an incarnation that is
 // over, ends the incarnation that runs on its VM.
 func TestLateHeartbeatOfAFormerIncarnationEndsNoLaterOne(t *testing.T) {
-	t.Run("its first one", func(t *testing.T) {
-		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		w.deliverDelayed()
-		w.run(8 * tackclock.Second) // the world fails the test where an item runs twice
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("several, one after the other", func(t *testing.T) {
-		w, m := formerWorld(t, 6)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		for range 6 {
+	for _, test := range []struct {
+		name string
+		late int
+		play func(w *world, next *modelWorker)
+		// endsRuns says that what runs there ends by the play, and starts again.
+		endsRuns bool
+	}{
+		{"its first one", 1, func(w *world, next *modelWorker) { w.deliverDelayed() }, false},
+		{"several, one after the other", 6, func(w *world, next *modelWorker) { w.deliverOneByOne(300) }, false},
+		{"while the later one is cut off", 2, func(w *world, next *modelWorker) {
+			next.cut = true
+			w.run(2 * tackclock.Second)
 			w.deliverFirst(1)
-			w.run(300)
-		}
-		w.run(8 * tackclock.Second)
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
+			w.run(1200)
+			w.deliverDelayed()
+			next.cut = false
+		}, false},
+		{"after the lease of the later one has ended", 1, func(w *world, next *modelWorker) {
+			next.cut = true
+			w.run(5 * tackclock.Second)
+			w.deliverDelayed()
+			w.run(tackclock.Second)
+			next.cut = false
+		}, true},
+		{"refused by a leader whose lease is out", 1, func(w *world, next *modelWorker) { w.d.Refused(w.now, w.delayed[0]) }, false},
+		{"at a new leader that knows the later one", 1, func(w *world, next *modelWorker) {
+			w.newLeader()
+			w.run(tackclock.Second)
+			w.deliverDelayed()
+		}, false},
+		{"at a new leader before it hears the later one", 1, func(w *world, next *modelWorker) {
+			w.newLeader()
+			w.deliverDelayed()
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w, m := formerWorld(t, test.late)
+			next := w.succeed(m)
+			w.fillReplaced(t)
+			test.play(w, next)
+			w.run(8 * tackclock.Second) // the world fails the test where an item runs twice
+			assertKnown(t, w, next, true)
+			if !test.endsRuns {
+				assertStartedOnce(t, w, job(1), 8)
+			}
+		})
+	}
 	t.Run("of several incarnations", func(t *testing.T) {
 		w, m := formerWorld(t, 2)
 		second := w.addWorker(replacedVM, 1)
 		second.cut, m.dead = true, true
 		w.delayHeartbeat(second)
 		w.delayHeartbeat(second)
-		next := w.succeed(second, 500)
-		w.fillReplaced(t)
-		for range 4 {
-			w.deliverFirst(1)
-			w.run(100)
-		}
-		w.run(8 * tackclock.Second)
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("while the later one is cut off", func(t *testing.T) {
-		w, m := formerWorld(t, 2)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		next.cut = true
-		w.run(2 * tackclock.Second)
-		w.deliverFirst(1)
-		w.run(1200)
-		w.deliverFirst(1)
-		next.cut = false
-		w.run(8 * tackclock.Second)
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("after the lease of the later one has ended", func(t *testing.T) {
-		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		next.cut = true
-		w.run(5 * tackclock.Second)
-		w.deliverDelayed()
-		w.run(tackclock.Second)
-		next.cut = false
-		w.run(2 * tackclock.Second)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("refused by a leader whose lease is out", func(t *testing.T) {
-		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		w.d.Refused(w.now, w.delayed[0])
-		w.run(8 * tackclock.Second)
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("at a new leader that knows the later one", func(t *testing.T) {
-		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
+		next := w.succeed(second)
 		w.fillReplaced(t)
-		w.newLeader()
-		w.run(tackclock.Second)
-		w.deliverDelayed()
-		w.run(8 * tackclock.Second)
-		assertStartedOnce(t, w, job(1), 8)
-		assertKnown(t, w, next, true)
-	})
-	t.Run("at a new leader before it hears the later one", func(t *testing.T) {
-		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
-		w.fillReplaced(t)
-		w.newLeader()
-		w.deliverDelayed()
+		w.deliverOneByOne(100)
 		w.run(8 * tackclock.Second)
 		assertStartedOnce(t, w, job(1), 8)
 		assertKnown(t, w, next, true)
 	})
 	t.Run("before the later one has work", func(t *testing.T) {
 		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
+		next := w.succeed(m)
 		w.deliverDelayed()
 		w.fillReplaced(t)
 		w.run(8 * tackclock.Second)
@@ -158,7 +125,7 @@
 	})
 	t.Run("after the later one said goodbye without an ack", func(t *testing.T) {
 		w, m := formerWorld(t, 1)
-		next := w.succeed(m, 500)
+		next := w.succeed(m)
 		w.fillReplaced(t)
 		next.draining = true
 		w.run(tackclock.Second)
@@ -168,6 +135,14 @@
 	})
 }
 
+// assertStartedOnce fails the test unless every item of the job was started once.
+func assertStartedOnce(t *testing.T, w *world, id tackjob.ID, count int) {
+	t.Helper()
+	for i := range count {
+		assertStarts(t, w, tackjob.Item{Job: id, Index: int32(i)}, 1)
+	}
+}
+
 // Guards against a workspace that runs more than its cap: what the later incarnation runs does
 // not count while a delayed heartbeat of the former one has replaced it.
 func TestCapCountsWhatAReplacedIncarnationRuns(t *testing.T) {
@@ -175,7 +150,7 @@
 	w.putCaps(map[tackid.Workspace]tackroom.Resources{"mairies": {MilliCores: 16_000}})
 	w.workers[0].draining, w.workers[1].draining = true, true
 	w.run(2 * tackclock.Second)
-	next := w.succeed(m, 500)
+	next := w.succeed(m)
 	w.submitFor("mairies", job(1), batch(16, 2, 20*tackclock.Second))
 	w.run(3 * tackclock.Second)
 	assertRuns(t, w, job(1), 8)
--- a/core/tackdispatch/pool.go
+++ b/core/tackdispatch/pool.go
@@ -23,7 +23,8 @@
 	// These bits make up the partition of a step in its pool's queue. partitionLabelled
 	// is set for steps that require a label, partitionLate for those whose job cannot
 	// finish in time, partitionInherited for those that an earlier leader may have
-	// started, and partitionCopied for those of them that may run in copies.
+	// started, or that former incarnations of workers hold, and partitionCopied for those
+	// of them that may run in copies.
 	// partitionGang is set for gangs, which placeGangs starts, and partitionUnproven for
 	// steps that wait for the canary of their job. partitionDistrusted is set as well
 	// for those of them whose job is most likely at fault, and by itself for those whose
