tackdispatch: late heartbeats of a former incarnation are no crashes

What callers would see: a sound job fails after a few late heartbeats.

Cause: while a late heartbeat has the former incarnation registered, what ran on the later one is ordered again in the answer, which nobody receives. When the later one returned, each of these orders was recorded as a start that may have crashed its worker (excused, but counted); four make an item at fault.

Why it works: an incarnation that returns shows that the one registered meanwhile was over, and has begun nothing since. So its doubts are dismissed (reasonReturned), and no new ones arise. One that crashes at a start of its own is replaced by an unknown incarnation, and counts as before.

Besides, an item that is no likely cause starts at once on a VM that has come back only if it has not crashed there twice: on a VM that goes down and up, all its crashes would be counted against the item.

--- a/core/tackdispatch/crash.go
+++ b/core/tackdispatch/crash.go
@@ -20,6 +20,9 @@
 	// at its only start to count in full: while VMs fail for their own reasons, sound
 	// items are started on one that is about to.
 	calmFor = 10 * tackclock.Second
+	// reasonReturned is why the silence of an incarnation is no crash: the one that it had
+	// replaced goes on, so its heartbeats were late.
+	reasonReturned = "a former incarnation reports from its VM"
 )
 
 // Findings returns what was found out about items since the last call, to be written to
@@ -170,7 +173,7 @@
 	dismissed, crashed := d.silences.Resolve(vm, string(incarnation), func(id string, heard tackclock.Time) bool {
 		reason := d.orderBehind(now, vm, WorkerID(id), heard)
 		if reason == "" && returned {
-			reason = "a former incarnation reports from its VM"
+			reason = reasonReturned
 		}
 		if reason != "" {
 			reasons[id] = reason
@@ -188,6 +191,10 @@
 			d.withdrawStartCrash(x.WorkerID)
 		}
 		d.noteExcused(now, x, reasons)
+		if reasons[x.WorkerID] == reasonReturned {
+			d.dismissDoubt(x)
+			continue
+		}
 		d.recordCrash(now, tackjob.Crash{Item: x.Item, Crash: x.Crash})
 	}
 }
--- a/core/tackdispatch/former.go
+++ b/core/tackdispatch/former.go
@@ -102,13 +102,15 @@
 	}
 }
 
-// replaceWorker removes a worker because another incarnation reported from its VM, or under
-// its name. Until that one proves to be the later one, or the lease of the replaced one
+// replaceWorker removes a worker because another incarnation, by, reported from its VM, or
+// under its name. Until that one proves to be the later one, or the lease of the replaced one
 // ends, what ran there may start only on an incarnation of the same VM: if the report was
 // delayed, its sender is over and such a start has no effect.
-func (d *Dispatcher) replaceWorker(now tackclock.Time, w *worker, reason string) {
-	d.doubtRuns(now, w)
-	d.excuseRuns(now, w)
+func (d *Dispatcher) replaceWorker(now tackclock.Time, w *worker, by WorkerID, reason string) {
+	if !w.unconfirmed || d.formers.byID[by] == nil {
+		d.doubtRuns(now, w)
+		d.excuseRuns(now, w)
+	} // else the one that it had replaced goes on, so nothing that was ordered here began
 	f := d.newFormer(now, w)
 	for _, r := range w.runsInOrder() {
 		if r.copyReason == "" && !r.step.Speculative {
@@ -247,8 +249,10 @@
 			}
 			at := s.position(item.Index)
 			if x := s.restraints[item.Index]; x.isolated {
-				// An item that is no likely cause need not wait for another VM.
-				if next := s.waiting[at]; w.idle() && (!x.alone || d.mayStartTrial(now, p, w, s, &next)) &&
+				// An item that is no likely cause need not wait for another VM, unless this one
+				// crashes again and again.
+				soon := !x.alone && s.crashesOn(item.Index, w.vm) <= 1
+				if next := s.waiting[at]; w.idle() && (soon || d.mayStartTrial(now, p, w, s, &next)) &&
 					s.unchargedFor(item, func() bool { return d.withinCap(now, s, 1) }) {
 					s.dropWaiting(next.index)
 					d.planTrial(now, w, s, next)
@@ -268,6 +272,17 @@
 	}
 }
 
+// crashesOn returns how many workers on the VM crashed under the item.
+func (s *openStep) crashesOn(index int32, vm tackid.VM) int {
+	n := 0
+	for _, c := range s.crashRecord(index).Crashes {
+		if c.VM == vm {
+			n++
+		}
+	}
+	return n
+}
+
 // asksSoon reports whether the worker should send its next heartbeat soon, so that what
 // former incarnations hold starts.
 func (d *Dispatcher) asksSoon(w *worker) bool {
--- a/core/tackdispatch/former_test.go
+++ b/core/tackdispatch/former_test.go
@@ -135,6 +135,34 @@
 	})
 }
 
+// Guards against a sound job that is given up: each late heartbeat has items ordered again that
+// nobody starts, and each of these orders counts as a start that crashed its worker.
+func TestLateHeartbeatsOfAFormerIncarnationAreNoCrashes(t *testing.T) {
+	for name, silent := range map[string]tackclock.Duration{"between two heartbeats of the later one": 50, "while it is cut off": 1500} {
+		t.Run(name, func(t *testing.T) {
+			w, m := formerWorld(t, 10)
+			next := w.succeed(m)
+			w.fillReplaced(t)
+			w.run(6 * tackclock.Second) // a crash says nothing about what has run for long
+			for len(w.delayed) > 0 {
+				next.cut = true
+				w.deliverFirst(1)
+				w.run(50)
+				w.deliverFirst(1) // its answer carries the starts that the log holds by now
+				w.run(silent)
+				next.cut = false
+				w.run(2 * tackclock.Second)
+			}
+			assertStartedOnce(t, w, job(1), 8)
+			for i := range 8 {
+				if r := w.state.Jobs.Get(job(1)).CrashesUnder(tackjob.Item{Job: job(1), Index: int32(i)}); !r.Empty() {
+					t.Errorf("item %d has the record %+v", i, r)
+				}
+			}
+		})
+	}
+}
+
 // assertStartedOnce fails the test unless every item of the job was started once.
 func assertStartedOnce(t *testing.T, w *world, id tackjob.ID, count int) {
 	t.Helper()
--- a/core/tackdispatch/heartbeat.go
+++ b/core/tackdispatch/heartbeat.go
@@ -95,11 +95,11 @@
 // after the other was heard.
 func (d *Dispatcher) join(now tackclock.Time, r *Report) *worker {
 	if before := d.workersByName[r.Worker.Name()]; before != nil {
-		d.replaceWorker(now, before, "another process reported under its name")
+		d.replaceWorker(now, before, r.Worker, "another process reported under its name")
 	}
 	if r.VM != "" {
 		if before := d.workersByVM[r.VM]; before != nil {
-			d.replaceWorker(now, before, "another process reported from its VM")
+			d.replaceWorker(now, before, r.Worker, "another process reported from its VM")
 		}
 	}
 	returned := d.formers.byID[r.Worker]
