Control VM: log how many voters hold the log, and requests to become a member

The logs could not tell why no leader is elected: too few voters left, folders that were lost and not accepted again, or leaders without processor time. A membership that had shrunk below what the tolerated losses need was nowhere to be seen, nor whether a request to become a member had reached the leader.

Now the leader logs and counts the voters that hold the log and respond; a VM without a leader logs to how many voters it is connected and whether it may vote; requests to join are logged by the VM that asks and by the one that is asked. The loop that asks moves to tackforward, where tests of control VMs use it as well. No decision has changed.

--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -102,6 +102,7 @@
 		waiters    map[tackid.Revision]waiter
 		snapshotAt tackid.Revision
 		members    members
+		redundancy redundancy
 		// tickedAt is the time of the last tick, and leaseOutSince is when the leader lease
 		// ran out, or zero if it holds or this VM does not lead.
 		tickedAt, leaseOutSince tackclock.Time
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -151,7 +151,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
 	group.Go(func() { _ = control.Serve(ctx) })
-	group.Go(func() { c.join(ctx, p, control) })
+	group.Go(func() { _ = c.client.KeepMember(ctx, control, p, "") })
 	c.running[p] = &runningVM{control: control, stop: func() {
 		cancel()
 		_ = server.Close()
@@ -159,23 +159,6 @@
 	}}
 }
 
-// join asks the seeds to add a VM as a member while it knows no leader.
-func (c *cluster) join(ctx context.Context, p tackid.Peer, control *tackcontrol.Control) {
-	for ctx.Err() == nil {
-		if !control.Member() {
-			for _, o := range control.JoinTargets() {
-				if known, err := c.client.Join(ctx, o, p, ""); err == nil {
-					control.AddPeers(known)
-				}
-			}
-		}
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
-		}
-	}
-}
-
 func (c *cluster) stop(p tackid.Peer) {
 	c.running[p].stop()
 	delete(c.running, p)
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -40,6 +40,7 @@
 // Join records that a control VM asks to become a member.
 func (c *Control) Join(p tackid.Peer, dc tackid.DataCentre) {
 	c.loop.Post(context.Background(), func() {
+		c.logJoin(p)
 		if c.members.joining == nil {
 			c.members.joining = make(map[tackid.Peer]tackreplica.Member)
 		}
@@ -111,13 +112,14 @@
 	}
 	c.members.checkAt = now.Add(memberCheckInterval)
 	s := c.status.Load()
+	if s.LeaderLease && !c.members.leading {
+		c.members.leadingSince = now
+	}
+	c.members.leading = s.LeaderLease
+	c.watchRedundancy(now, s)
 	if !s.LeaderLease {
-		c.members.leading = false
 		return
 	}
-	if !c.members.leading {
-		c.members.leading, c.members.leadingSince = true, now
-	}
 	next, why := c.nextMembers(now, s)
 	if next == nil {
 		return
--- a/io/tackcontrol/metrics.go
+++ b/io/tackcontrol/metrics.go
@@ -39,13 +39,16 @@
 	moves      metrics.Counter
 	upkeeps    metrics.Counter
 	leading    metrics.Gauge
-	parkAfter  metrics.Gauge
-	reserve    metrics.Gauge
-	jobs       metrics.Gauge
-	examined   metrics.Gauge
-	decided    metrics.Histogram
-	committed  metrics.Histogram
-	leaseGap   metrics.Histogram
+	// voters is the number of voters, currentVoters that of those that hold the log and respond.
+	voters, currentVoters metrics.Gauge
+
+	parkAfter metrics.Gauge
+	reserve   metrics.Gauge
+	jobs      metrics.Gauge
+	examined  metrics.Gauge
+	decided   metrics.Histogram
+	committed metrics.Histogram
+	leaseGap  metrics.Histogram
 
 	tickInterval metrics.Histogram
 
@@ -94,13 +97,17 @@
 		moves:      counter("vm_moves"),
 		upkeeps:    counter("vm_upkeeps"),
 		leading:    gauge("control_leads"),
-		parkAfter:  gauge("vm_rest_after_ms"),
-		reserve:    gauge("vm_reserve_millicores"),
-		jobs:       gauge("jobs_known"),
-		examined:   gauge("dispatch_looked"),
-		decided:    metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
-		committed:  metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
-		leaseGap:   metrics.GetOrRegisterHistogram("leader_lease_gap_ms", r, sample()),
+		voters:     gauge("control_voters"),
+
+		currentVoters: gauge("control_voters_current"),
+
+		parkAfter: gauge("vm_rest_after_ms"),
+		reserve:   gauge("vm_reserve_millicores"),
+		jobs:      gauge("jobs_known"),
+		examined:  gauge("dispatch_looked"),
+		decided:   metrics.GetOrRegisterHistogram("job_request_ms", r, sample()),
+		committed: metrics.GetOrRegisterHistogram("log_commit_ms", r, sample()),
+		leaseGap:  metrics.GetOrRegisterHistogram("leader_lease_gap_ms", r, sample()),
 
 		tickInterval: metrics.GetOrRegisterHistogram("control_tick_ms", r, sample()),
 
