--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -48,6 +48,8 @@
 		number int
 		folder string
 		seeds  []tackid.Peer
+		// seedsOf contains the seeds of VMs that have others.
+		seedsOf map[tackid.Peer][]tackid.Peer
 		// relayThreshold is the number of workers at and above which they report to relays;
 		// zero is the default.
 		relayThreshold int
@@ -109,7 +111,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, links: linksPort, number: int(clusters.Add(1)), folder: t.TempDir(),
-		running: make(map[tackid.Peer]*runningVM), disks: make(map[tackid.Peer]*fillingDisk), log: logrus.New(),
+		running: make(map[tackid.Peer]*runningVM), seedsOf: make(map[tackid.Peer][]tackid.Peer), disks: make(map[tackid.Peer]*fillingDisk), log: logrus.New(),
 	}
 	c.seeds = []tackid.Peer{c.peer(1), c.peer(2), c.peer(3)}
 	c.log.SetOutput(io.Discard)
@@ -131,12 +133,20 @@
 
 func (c *cluster) seedPeers() []tackid.Peer { return append([]tackid.Peer(nil), c.seeds...) }
 
+// seedsFor returns the seeds of a VM.
+func (c *cluster) seedsFor(p tackid.Peer) []tackid.Peer {
+	if own, ok := c.seedsOf[p]; ok {
+		return append([]tackid.Peer(nil), own...)
+	}
+	return c.seedPeers()
+}
+
 func (c *cluster) start(p tackid.Peer, bootstrap bool) {
 	c.t.Helper()
 	c.disks[p] = new(fillingDisk)
 	control, err := tackcontrol.New(tackcontrol.Config{
 		Files: c.disks[p], RelayThreshold: c.relayThreshold, Dispatch: c.dispatch,
-		Self: p, LinkPort: c.links, ForwardPort: c.links + 1, Seeds: c.seedPeers, Bootstrap: bootstrap, Voters: 3,
+		Self: p, LinkPort: c.links, ForwardPort: c.links + 1, Seeds: func() []tackid.Peer { return c.seedsFor(p) }, Bootstrap: bootstrap, Voters: 3,
 		Folder: filepath.Join(c.folder, string(p)), Cloud: noCloud{}, Clock: new(tackclock.Clock), Logger: c.log,
 	})
 	if err != nil {
@@ -306,6 +316,17 @@
 	return false
 }
 
+// voters returns the number of voters.
+func (c *cluster) voters() int {
+	n := 0
+	for _, m := range c.running[c.leader()].control.MemberStatuses() {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a system that stops with the next loss after a VM was lost permanently. An
 // empty VM at a new address asks to become a member, a voter is lost permanently, then
 // another one.
@@ -317,15 +338,7 @@
 	c.await("the new VM a member", func() bool { return c.running[added].control.Member() })
 	c.stop(c.leader())
 	c.await("the new VM a voter", func() bool { return c.votes(added) })
-	c.await("three voters", func() bool {
-		n := 0
-		for _, m := range c.running[c.leader()].control.MemberStatuses() {
-			if m.Voter {
-				n++
-			}
-		}
-		return n == 3
-	})
+	c.await("three voters", func() bool { return c.voters() == 3 })
 	c.stop(c.leader())
 	c.assertVerdict(tackwork.Lookup, jobA, tackwork.Done)
 }
