A new control VM follows the answers to the leader, which alone can add it

Cause: a new control VM asked its seeds, three at most, to add it as a member. Each VM that is asked keeps the request, but only the leader acts on it. If none of the seeds leads, the request has no effect, for as long as that is so. Each control VM that is replaced then takes one copy of the log away, and the next loss that the system is to bear takes the majority for good.

Why it works: the answer names the leader and the VMs that the answering one knows. The new VM now asks those as well, the leader first, until the leader itself was asked.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -226,17 +226,16 @@
 	return a, err
 }
 
-// Join asks a control VM to add self as a member, and returns the control VMs that it knows.
-func (c *Client) Join(ctx context.Context, p, self tackid.Peer, dc tackid.DataCentre) ([]tackid.Peer, error) {
+// join asks a control VM to add self as a member. The answer names the leader, if the VM knows
+// one, and the control VMs that it knows.
+func (c *Client) join(ctx context.Context, p, self tackid.Peer, dc tackid.DataCentre) (joined, error) {
+	var j joined
 	data, err := tackcbor.Marshal(join{Peer: self, DataCentre: dc})
 	if err != nil {
-		return nil, err
-	}
-	var j joined
-	if err := c.post(ctx, p, joinPath, data, &j); err != nil {
-		return nil, err
+		return j, err
 	}
-	return j.Control, nil
+	err = c.post(ctx, p, joinPath, data, &j)
+	return j, err
 }
 
 func (c *Client) post(ctx context.Context, p tackid.Peer, path string, data []byte, into any) error {
--- a/io/tackforward/join.go
+++ b/io/tackforward/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"auburntack/core/tackclock"
@@ -56,17 +57,29 @@
 	return ctx.Err()
 }
 
-// askToJoin asks each target once and returns those that answered.
+// askToJoin asks the targets, and the VMs named in their answers, until the leader was asked:
+// no other VM can add a member. It returns those that answered.
 func (c *Client) askToJoin(ctx context.Context, vm Joiner, self tackid.Peer, dc tackid.DataCentre) []tackid.Peer {
 	var answered []tackid.Peer
-	for _, p := range vm.JoinTargets() {
-		known, err := c.Join(ctx, p, self, dc)
+	asked := map[tackid.Peer]bool{self: true, "": true}
+	for queue := vm.JoinTargets(); len(queue) > 0 && ctx.Err() == nil; {
+		p := queue[0]
+		queue = queue[1:]
+		if asked[p] {
+			continue
+		}
+		asked[p] = true
+		j, err := c.join(ctx, p, self, dc)
 		if err != nil {
 			c.log.WithError(err).WithField("peer", p).Debug("join request failed")
 			continue
 		}
 		answered = append(answered, p)
-		vm.AddPeers(known)
+		vm.AddPeers(j.Control)
+		if j.Leader == p {
+			break
+		}
+		queue = slices.Concat([]tackid.Peer{j.Leader}, queue, j.Control)
 	}
 	return answered
 }
--- a/io/tackforward/server.go
+++ b/io/tackforward/server.go
@@ -41,8 +41,8 @@
 		DataCentre tackid.DataCentre `cbor:"2,keyasint"`
 	}
 
-	// joined is the answer to join. Control contains the control VMs that the answering one
-	// knows.
+	// joined is the answer to join. Leader is empty if the answering VM knows none; Control
+	// contains the control VMs that it knows.
 	joined struct {
 		Leader  tackid.Peer   `cbor:"1,keyasint,omitempty"`
 		Control []tackid.Peer `cbor:"2,keyasint"`
