Requests to become a member are forgotten with the leadership

Cause: every VM kept the requests that it was sent, also from the first seconds of the system, and acted on them once it led.

Why it works: a request is kept only by the VM that leads at that moment, and for its leadership.

--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -25,7 +25,7 @@
 // members is the membership state of the loop.
 type members struct {
 	checkAt tackclock.Time
-	// joining contains the VMs that asked to become members.
+	// joining contains the VMs that asked this one, while it led, to become members.
 	joining map[tackid.Peer]tackreplica.Member
 	// known contains control VMs that this one has learned of and that may not be members.
 	known        map[tackid.Peer]bool
@@ -37,10 +37,14 @@
 	return net.JoinHostPort(string(p), strconv.Itoa(port))
 }
 
-// Join records that a control VM asks to become a member.
+// Join records that a control VM asks to become a member. Another VM than the leader ignores
+// it: by the time it leads, the one that asked may be gone. Its answer names the leader.
 func (c *Control) Join(p tackid.Peer, dc tackid.DataCentre) {
 	c.loop.Post(context.Background(), func() {
 		c.logJoin(p)
+		if _, leads := c.leads(c.clock.Now()); !leads {
+			return
+		}
 		if c.members.joining == nil {
 			c.members.joining = make(map[tackid.Peer]tackreplica.Member)
 		}
@@ -118,6 +122,7 @@
 	c.members.leading = s.LeaderLease
 	c.watchRedundancy(now, s)
 	if !s.LeaderLease {
+		clear(c.members.joining)
 		return
 	}
 	next, why := c.nextMembers(now, s)
