A VM without its folder learns of the members that connect to it

What operators would see: a control VM that lost its folder never holds a copy of the log again if none of its seeds answers it with a member (they are gone, or lost their folders too). The next loss that is to be borne takes the majority, and entry VMs that have the same seeds and restart find no leader.

Cause: the members know its address and connect to it, but it refused connections of VMs that it did not know, and it knows only its seeds.

Why it works: such a connection is still refused, but a VM that is no member, or knows no leader, links with the address that it came from, so the next one is accepted and the leader can give it the log. It also passes on what it has learned, to entry VMs and to others that ask. Once a member it forgets this, and links with members and seeds.

--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -113,6 +113,8 @@
 		submissions submissions
 
 		status atomic.Pointer[tackreplica.Status]
+		// learnedOf contains the VMs in members.known, for other goroutines.
+		learnedOf atomic.Pointer[[]tackid.Peer]
 		// unanswered counts the heartbeats that came while the leader lease was out, and
 		// renewal notifies those that wait for it.
 		unanswered atomic.Int64
@@ -181,7 +183,7 @@
 	}
 	c.links = tackpeer.New(tackpeer.Config{
 		Self: cfg.Self, Listen: c.linkAddress(cfg.Self), Clock: cfg.Clock, Logger: cfg.Logger, Registry: cfg.Registry,
-		MaxBackoff: maxBackoff,
+		MaxBackoff: maxBackoff, OnUnknown: c.onUnknownPeer,
 	})
 	c.links.Handle(kindReplica, c.onReplica)
 	c.links.Handle(kindReports, c.onReports)
@@ -233,12 +235,3 @@
 func (c *Control) Leader() tackid.Peer {
 	return c.status.Load().Leader
 }
-
-// Peers returns all control VMs that this one knows.
-func (c *Control) Peers() []tackid.Peer {
-	var list []tackid.Peer
-	for _, m := range c.status.Load().Members {
-		list = append(list, m.Peer)
-	}
-	return list
-}
--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -158,7 +158,7 @@
 		return &StoppedError{What: "apply the log", Err: err}
 	}
 	if e.Kind == tackreplica.EntryMembership {
-		c.relink()
+		c.membersChanged()
 	}
 	c.deliver(e, out)
 	return nil
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -20,6 +21,8 @@
 	replaceAfter = 3 * tackclock.Second
 	// removeAfter is how long a learner must be silent before it is removed.
 	removeAfter = 60 * tackclock.Second
+	// maxKnown bounds the number of control VMs that one that is no member learns of.
+	maxKnown = 256
 )
 
 // members is the membership state of the loop.
@@ -60,17 +63,62 @@
 		}
 		changed := false
 		for _, p := range peers {
-			if !c.members.known[p] {
+			if !c.members.known[p] && len(c.members.known) < maxKnown {
 				c.members.known[p] = true
 				changed = true
 			}
 		}
 		if changed {
+			c.publishKnown()
 			c.relink()
 		}
 	})
 }
 
+// onUnknownPeer makes this VM link with a control VM that connects to it, unless it is a
+// member and so knows all of them. Members connect to a VM that lost its folder; its seeds may
+// be gone by then, so that it learns of nobody otherwise.
+func (c *Control) onUnknownPeer(p tackid.Peer, remote net.Addr) {
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil || host != string(p) || c.Member() {
+		return
+	}
+	c.AddPeers([]tackid.Peer{p})
+}
+
+// publishKnown publishes the VMs that this one has learned of. It is called by the loop.
+func (c *Control) publishKnown() {
+	list := slices.Sorted(maps.Keys(c.members.known))
+	c.learnedOf.Store(&list)
+}
+
+// membersChanged links this VM with the members of the log. If it is one of them it forgets what
+// it has learned of others. It is called by the loop.
+func (c *Control) membersChanged() {
+	if slices.ContainsFunc(c.node.Members(), func(m tackreplica.Member) bool { return m.Peer == c.cfg.Self }) {
+		c.members.known = nil
+		c.publishKnown()
+	}
+	c.relink()
+}
+
+// Peers returns the members. A VM that is none of them adds those that it has learned of, since
+// the members that it knows may be gone.
+func (c *Control) Peers() []tackid.Peer {
+	var list []tackid.Peer
+	for _, m := range c.status.Load().Members {
+		list = append(list, m.Peer)
+	}
+	if known := c.learnedOf.Load(); known != nil && !slices.Contains(list, c.cfg.Self) {
+		for _, p := range *known {
+			if !slices.Contains(list, p) {
+				list = append(list, p)
+			}
+		}
+	}
+	return list
+}
+
 // relink links this VM with all members, with the seeds, and with the VMs that it has learned
 // of.
 func (c *Control) relink() {
--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -160,13 +160,16 @@
 	if err != nil {
 		return nil, h, err
 	}
+	if h.To != l.cfg.Self {
+		return nil, h, &IdentityError{Want: h.To, Got: l.cfg.Self, Reason: "meant for another VM"}
+	}
 	k := l.link(h.From)
 	if k == nil {
+		if l.cfg.OnUnknown != nil {
+			l.cfg.OnUnknown(h.From, conn.RemoteAddr())
+		}
 		return nil, h, &UnknownPeerError{Peer: h.From}
 	}
-	if h.To != l.cfg.Self {
-		return nil, h, &IdentityError{Want: h.To, Got: l.cfg.Self, Reason: "meant for another VM"}
-	}
 	if err := k.verify(h, conn.RemoteAddr()); err != nil {
 		return nil, h, err
 	}
--- a/io/tackpeer/links.go
+++ b/io/tackpeer/links.go
@@ -60,6 +60,9 @@
 		Listen   string
 		Listener net.Listener
 		Peers    []Peer
+		// OnUnknown, unless it is nil, is called when a VM connects that is not among the
+		// peers. That connection is refused.
+		OnUnknown func(from tackid.Peer, remote net.Addr)
 		// Clock provides the times of LastHeard. If nil, a new clock is used.
 		Clock *tackclock.Clock
 		// Logger logs changes of links. If nil, nothing is logged.
