--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -142,6 +142,7 @@
 	c.snapshotAt = snap.Index
 	c.node.Applied(snap.Index)
 	c.deliverUpTo(snap.Index)
+	c.membersChanged()
 	return nil
 }
 
--- a/io/tackcontrol/members_test.go
+++ b/io/tackcontrol/members_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
+	"github.com/sirupsen/logrus"
+
+	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
+	"auburntack/core/tackwork"
 )
 
 func controlVM(n int) tackid.Peer {
@@ -53,3 +58,41 @@
 		}
 	}
 }
+
+// Guards against a VM that received the members with a snapshot and has no link to them, so
+// that it cannot answer one of them that leads later.
+func TestVMIsLinkedWithTheMembersOfASnapshot(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c, err := New(Config{
+		Self: controlVM(9), Seeds: func() []tackid.Peer { return []tackid.Peer{controlVM(0)} }, Voters: 3,
+		Folder: t.TempDir(), Clock: new(tackclock.Clock), Logger: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var state tackwork.State
+	data, err := state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := []tackreplica.Member{
+		{Peer: controlVM(0), Voter: true}, {Peer: controlVM(4), Voter: true}, {Peer: controlVM(5), Voter: true}, {Peer: controlVM(9)},
+	}
+	c.node.Step(c.clock.Now(), tackreplica.Message{
+		Kind: tackreplica.MessageChunk, From: controlVM(0), To: controlVM(9), Term: 2,
+		Chunk: &tackreplica.Chunk{Index: 10, Term: 1, Size: len(data), Data: data, Members: members},
+	})
+	if err := c.processAll(); err != nil {
+		t.Fatal(err)
+	}
+	linked := make(map[tackid.Peer]bool)
+	for _, l := range c.links.Status() {
+		linked[l.Peer] = true
+	}
+	for _, m := range members[:3] {
+		if !linked[m.Peer] {
+			t.Errorf("no link to %s, links to %v", m.Peer, linked)
+		}
+	}
+}
