A process starts without seeds

What callers would see: all machines lose power at once, so that no control VM serves when the settings files are written; the files name no seed, every process ends at its start, and the system never serves again.

Evidence: by reading; the platform's page says that a file names fewer than three if fewer serve. Members without seeds find each other, which a test shows now; they did before as well.

--- a/io/tackcontrol/join_test.go
+++ b/io/tackcontrol/join_test.go
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+// Guards against members that need their seeds: all VMs restart at the same time, and no
+// settings file names one.
+func TestMembersFindEachOtherWithoutSeeds(t *testing.T) {
+	c := newRunningCluster(t)
+	c.assertVerdict(tackwork.Submit, jobA, tackwork.Done)
+	for _, p := range c.seeds {
+		c.stop(p)
+		c.seedsOf[p] = nil
+	}
+	for _, p := range c.seeds {
+		c.start(p, false)
+	}
+	c.assertVerdict(tackwork.Lookup, jobA, tackwork.Done)
+}
