--- a/cmd/tacksoak/main.go
+++ b/cmd/tacksoak/main.go
@@ -49,6 +49,8 @@
 	f.IntVar(&cfg.Zones, "zones", 1, "zones of control VMs and workers")
 	f.BoolVar(&cfg.Upkeep, "upkeep", false, "inject upkeep waves and changes of leaders beside the other faults")
 	f.BoolVar(&cfg.LeaderChanges, "leader-changes", false, "inject only changes of leaders, with waves and moves under way")
+	f.BoolVar(&cfg.Losses, "losses", false, "inject only losses of folders, power and control VMs, and exchanges of the seeds")
+	f.IntVar(&cfg.Tolerance, "tolerance", 1, "control VMs that may be lost at once")
 	f.DurationVar(&cfg.EndDelay, "end-delay", 0, "how long processes on a VM go on at most after a call that ends them")
 	f.Uint8Var(&cfg.Network, "network", 60, "second byte of the loopback addresses")
 	return c
