tacksoak: losses begin with control VMs that are replaced while the leader is no seed

Now a run begins with the sequence of the incident: as many control VMs as may be lost are replaced, one after the other, by VMs none of whose seeds leads, then the oldest folders are lost and all lose power.

Two equal pieces of the test of the soak became one.

--- a/cmd/tacksoak/soak_test.go
+++ b/cmd/tacksoak/soak_test.go
@@ -31,35 +31,58 @@
 	return byte(80 + os.Getpid()%120)
 }
 
-func TestSoak(t *testing.T) {
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "auburntackd")
 	build := exec.Command("go", "build", "-o", binary, "auburntack/cmd/auburntackd")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	return binary
+}
+
+// assertHolds runs the soak and reports each violated guarantee.
+func assertHolds(t *testing.T, cfg tacksoak.Config) tacksoak.Result {
+	t.Helper()
+	var out bytes.Buffer
+	cfg.Folder, cfg.Network, cfg.Out = t.TempDir(), network(), &out
+	result, err := tacksoak.Run(t.Context(), cfg)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.Bytes())
+	}
+	for _, v := range result.Violations {
+		t.Errorf("seed %d: %s", cfg.Seed, v)
+	}
+	if result.Accepted == 0 || result.Starts == 0 {
+		t.Errorf("seed %d: no job was accepted or started: %+v", cfg.Seed, result)
+	}
+	if t.Failed() {
+		t.Logf("%s", out.Bytes())
+	}
+	return result
+}
+
+// Guards against a system without a leader: two control VMs are replaced while the leader is no
+// seed, then two others lose their folders, and all lose power.
+func TestSoakOfLosses(t *testing.T) {
+	result := assertHolds(t, tacksoak.Config{
+		Binary: buildDaemon(t), Seed: 711301, For: 12 * time.Second,
+		Controls: 6, Entries: 2, Workers: 6, Zones: 6, Losses: true, Tolerance: 2,
+	})
+	t.Logf("%d faults, %d accepted", result.Faults, result.Accepted)
+}
+
+func TestSoak(t *testing.T) {
+	binary := buildDaemon(t)
 	covered := make(map[bool]bool)
 	for _, s := range seeds {
 		covered[tacksoak.LoadControlled(s.seed)] = true
 		t.Run(fmt.Sprint(s.seed), func(t *testing.T) {
-			var out bytes.Buffer
-			result, err := tacksoak.Run(t.Context(), tacksoak.Config{
-				Binary: binary, Folder: t.TempDir(), Seed: s.seed, For: 6 * time.Second,
-				Controls: 3, Entries: 2, Workers: 6, Network: network(), Out: &out,
+			result := assertHolds(t, tacksoak.Config{
+				Binary: binary, Seed: s.seed, For: 6 * time.Second, Controls: 3, Entries: 2, Workers: 6,
 			})
-			if err != nil {
-				t.Fatalf("%v\n%s", err, out.Bytes())
-			}
-			for _, v := range result.Violations {
-				t.Errorf("seed %d: %s", s.seed, v)
-			}
-			if result.Accepted == 0 || result.Starts == 0 {
-				t.Errorf("seed %d: no job was accepted or started: %+v", s.seed, result)
-			}
 			t.Logf("seed %d, load control in force %t: %d accepted, %d refusals, %d moves",
 				s.seed, tacksoak.LoadControlled(s.seed), result.Accepted, result.Refused, result.Moves)
-			if t.Failed() {
-				t.Logf("%s", out.Bytes())
-			}
 		})
 	}
 	if len(covered) != 2 {
