A VM that reads the log from its beginning keeps what it has learned of others

What operators would see: a control VM without its folder, none of whose seeds was a member at the beginning, loses the link to the leader once it has read the first memberships, refuses its connections for about a second, and so on.

Cause: since a VM that is in the membership that it has read forgets what it has learned of others, though that membership may be long out of date.

Evidence: found when the change was read again, before landing; the test fails on the code before ('no link to the leader') and passes.

Why it works: nothing is forgotten, as before; the number is bounded.

--- a/io/tackcontrol/loop.go
+++ b/io/tackcontrol/loop.go
@@ -142,7 +142,7 @@
 	c.snapshotAt = snap.Index
 	c.node.Applied(snap.Index)
 	c.deliverUpTo(snap.Index)
-	c.membersChanged()
+	c.relink()
 	return nil
 }
 
@@ -159,7 +159,7 @@
 		return &StoppedError{What: "apply the log", Err: err}
 	}
 	if e.Kind == tackreplica.EntryMembership {
-		c.membersChanged()
+		c.relink()
 	}
 	c.deliver(e, out)
 	return nil
--- a/io/tackcontrol/members.go
+++ b/io/tackcontrol/members.go
@@ -92,16 +92,6 @@
 	c.learnedOf.Store(&list)
 }
 
-// membersChanged links this VM with the members of the log. If it is one of them it forgets what
-// it has learned of others. It is called by the loop.
-func (c *Control) membersChanged() {
-	if slices.ContainsFunc(c.node.Members(), func(m tackreplica.Member) bool { return m.Peer == c.cfg.Self }) {
-		c.members.known = nil
-		c.publishKnown()
-	}
-	c.relink()
-}
-
 // Peers returns the members. A VM that is none of them adds those that it has learned of, since
 // the members that it knows may be gone.
 func (c *Control) Peers() []tackid.Peer {
--- a/io/tackcontrol/members_test.go
+++ b/io/tackcontrol/members_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"auburntack/core/tackcbor"
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
 	"auburntack/core/tackreplica"
@@ -62,15 +63,7 @@
 // Guards against a VM that received the members with a snapshot and has no link to them, so
 // that it cannot answer one of them that leads later.
 func TestVMIsLinkedWithTheMembersOfASnapshot(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	c, err := New(Config{
-		Self: controlVM(9), Seeds: func() []tackid.Peer { return []tackid.Peer{controlVM(0)} }, Voters: 3,
-		Folder: t.TempDir(), Clock: new(tackclock.Clock), Logger: log,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := newTestControl(t, controlVM(0))
 	var state tackwork.State
 	data, err := state.Snapshot()
 	if err != nil {
@@ -86,13 +79,56 @@
 	if err := c.processAll(); err != nil {
 		t.Fatal(err)
 	}
-	linked := make(map[tackid.Peer]bool)
-	for _, l := range c.links.Status() {
-		linked[l.Peer] = true
-	}
+	linked := c.linked()
 	for _, m := range members[:3] {
 		if !linked[m.Peer] {
 			t.Errorf("no link to %s, links to %v", m.Peer, linked)
 		}
 	}
 }
+
+// Guards against a VM without its folder that ends its link to the leader while it reads the
+// log from the beginning: the first members do not include the present leader.
+func TestVMThatReadsOldMembersStaysLinkedWithTheLeader(t *testing.T) {
+	c := newTestControl(t, controlVM(0))
+	leader := controlVM(7)
+	data, err := tackcbor.Marshal([]tackreplica.Member{{Peer: controlVM(0), Voter: true}, {Peer: controlVM(9), Voter: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.members.known = map[tackid.Peer]bool{leader: true}
+	c.node.Step(c.clock.Now(), tackreplica.Message{
+		Kind: tackreplica.MessageAppend, From: leader, To: c.cfg.Self, Term: 2, Commit: 1,
+		Entries: []tackreplica.Entry{{Index: 1, Term: 1, Kind: tackreplica.EntryMembership, Data: data}},
+	})
+	if err := c.processAll(); err != nil {
+		t.Fatal(err)
+	}
+	if linked := c.linked(); !linked[leader] {
+		t.Errorf("no link to the leader, links to %v", linked)
+	}
+}
+
+// newTestControl returns a control VM that does not serve.
+func newTestControl(t *testing.T, seeds ...tackid.Peer) *Control {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c, err := New(Config{
+		Self: controlVM(9), Seeds: func() []tackid.Peer { return seeds }, Voters: 3,
+		Folder: t.TempDir(), Clock: new(tackclock.Clock), Logger: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// linked returns the VMs with which c is linked.
+func (c *Control) linked() map[tackid.Peer]bool {
+	linked := make(map[tackid.Peer]bool)
+	for _, l := range c.links.Status() {
+		linked[l.Peer] = true
+	}
+	return linked
+}
