tackport, tackintake: one budget for what clients make a process hold

The ports of a process each served clients without a bound on connections, descriptors, or the time and the memory of a body, and none knew of the others.

tackport owns the bounds of all of them. tackintake decides: connections and bytes come from the machine's memory and descriptors; every port has a reserve that the clients of other ports cannot take; a port that can get no more has its own connections make room, for a connection the one that has waited longest without a complete request, for memory the largest unfinished request. What was read whole is never ended. Bytes are charged as they arrive, in chunks, a header by its lines, since a field of five bytes takes some 150 in a map. A dropped body is taken from its reader at once, so what is counted as free is free.

Bodies have a time for all of it, which grows with what arrives; answers must be taken 64 KiB at a time; receive buffers take an eighth of the memory together; the rest of a body that no handler reads is waited for 250 ms. Counters by port and reason, five log lines a second. Settings: [clients].

Nothing uses it yet. Tests: a model of random clients (tackintake), and ports on loopback (tackport), among them a body of which a byte comes now and then, answers that are not read, and connections that are used again after a deadline.

--- /dev/null
+++ b/io/tackport/socket_other.go
@@ -0,0 +1,5 @@
+//go:build !linux
+
+package tackport
+
+func setReceiveBuffer(uintptr, int) {}
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -36,6 +36,7 @@
 		Log         Log
 		Replica     Replica
 		Caller      Caller
+		Clients     Clients
 		Burn        Burn
 		Job         Job
 		Move        Move
@@ -128,6 +129,17 @@
 		QueueLimit     int
 	}
 
+	// Clients limits what the clients of all ports together may make the process hold. Sizes
+	// are in bytes, BodyRate in bytes per second.
+	Clients struct {
+		MemoryPercent int
+		BodyTimeout   tackclock.Duration
+		BodyRate      int64
+		WriteTimeout  tackclock.Duration
+		HeaderLimit   int64
+		ReceiveBuffer int64
+	}
+
 	// Job holds the tunables of accepting jobs and starting their items.
 	Job struct {
 		Lease        tackclock.Duration
@@ -182,12 +194,12 @@
 	return r.settings, nil
 }
 
-// LoadTunables reads a file that may hold only the sections [job], [move], [load_control] and
-// [log], for a VM that gets all other settings from its platform. An empty file name stands for an
+// LoadTunables reads a file that may hold only the sections [clients], [job], [move],
+// [load_control] and [log], for a VM that gets all other settings from its platform. An empty file name stands for an
 // empty file. Log lines are JSON unless the file says otherwise. The error is a
 // *ProblemsError that lists every problem found.
 func LoadTunables(file string) (Settings, error) {
-	r := reader{settings: Default(), allowedSections: []string{"job", "move", "load_control", "log"}}
+	r := reader{settings: Default(), allowedSections: []string{"clients", "job", "move", "load_control", "log"}}
 	r.settings.Log.Format = LogJSON
 	if file == "" {
 		return r.settings, nil
