--- a/core/tackjob/job.go
+++ b/core/tackjob/job.go
@@ -31,8 +31,8 @@
 	// maxItems limits the items of one job over all steps and occurrences, so that one
 	// request cannot exhaust the memory of every replica.
 	maxItems = 100_000
-	// maxSteps limits the steps of one job.
-	maxSteps = 1000
+	// MaxSteps limits the steps of one job.
+	MaxSteps = 1000
 	idLength = 16
 )
 
@@ -213,8 +213,8 @@
 		return &InvalidError{Field: "id", Problem: "must be 16 hexadecimal digits"}
 	case len(s.Text) > MaxSpecBytes:
 		return &InvalidError{Field: "spec", Problem: fmt.Sprintf("longer than %d bytes", MaxSpecBytes)}
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
-		return &InvalidError{Field: "steps", Problem: fmt.Sprintf("must be 1 to %d", maxSteps)}
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
+		return &InvalidError{Field: "steps", Problem: fmt.Sprintf("must be 1 to %d", MaxSteps)}
 	case s.Repeats < 0 || s.Interval < 0 || s.First < 0:
 		return &InvalidError{Field: "repeats", Problem: "negative repeats or times"}
 	}
