The ports of the platform's processes share one budget for clients

Callers saw no answer: an entry or control VM ran out of memory or descriptors and ended. Cause: every port read what came, for as long as it came. A body was read whole by each handler with a buffer that doubles, also for GET and DELETE, which use none; a header could be 1 MiB; no port bounded connections; what a handler left unread was waited for without end; a body too large was refused after 1 MiB of it, while the rest waited in the socket; each reader of the configuration had a copy.

Bodies over the limit are refused by their header. What cannot be held gets 503 with Retry-After or is closed, and was not passed on. A decoded job and a configuration count until they are answered. A control VM decodes lists of at most 10,000 elements from entry VMs.

--- a/core/tackcbor/tackcbor.go
+++ b/core/tackcbor/tackcbor.go
@@ -16,13 +16,19 @@
 var (
 	encoding      = mustEncMode(cbor.EncOptions{})
 	deterministic = mustEncMode(cbor.CoreDetEncOptions())
-	decoding      = mustDecMode(cbor.DecOptions{
+	bounded       = mustDecMode(cbor.DecOptions{
+		UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+	})
+	decoding = mustDecMode(cbor.DecOptions{
 		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxArrayElements: math.MaxInt32,
 		MaxMapPairs:      math.MaxInt32,
 	})
 )
 
+// maxElements bounds the lists and maps that UnmarshalBounded decodes.
+const maxElements = 10_000
+
 // Marshal returns the encoding of v.
 func Marshal(v any) ([]byte, error) {
 	return encoding.Marshal(v)
@@ -38,6 +44,13 @@
 	return decoding.Unmarshal(data, v)
 }
 
+// UnmarshalBounded is like Unmarshal, but refuses lists and maps of more than 10,000 elements. A
+// sender that is not trusted could otherwise send a list that takes hundreds of times its size
+// when it is decoded.
+func UnmarshalBounded(data []byte, v any) error {
+	return bounded.Unmarshal(data, v)
+}
+
 // UnmarshalFirst decodes the first value of data into v and returns the rest of data.
 func UnmarshalFirst(data []byte, v any) (rest []byte, err error) {
 	return decoding.UnmarshalFirst(data, v)
--- a/core/tackcbor/tackcbor_test.go
+++ b/core/tackcbor/tackcbor_test.go
@@ -73,3 +73,19 @@
 		assertDecoded(t, message{Name: name, Labels: map[string]string{label: name}})
 	})
 }
+
+// Guards against a message of one byte for each element of a list, each of which takes hundreds of
+// bytes when it is decoded.
+func TestUnmarshalBounded(t *testing.T) {
+	type wide struct{ Text [64]string }
+	for _, n := range []int{maxElements, maxElements + 1} {
+		data, err := Marshal(make([]struct{}, n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var list []wide
+		if err := UnmarshalBounded(data, &list); (err == nil) != (n <= maxElements) {
+			t.Errorf("%d elements: %v", n, err)
+		}
+	}
+}
--- a/io/tackcontrol/control.go
+++ b/io/tackcontrol/control.go
@@ -24,6 +24,7 @@
 	"auburntack/io/tackdisk"
 	"auburntack/io/tackloop"
 	"auburntack/io/tackpeer"
+	"auburntack/io/tackport"
 )
 
 const (
@@ -47,6 +48,9 @@
 	Config struct {
 		Self       tackid.Peer
 		DataCentre tackid.DataCentre
+		// LinksPort bounds the connections that others make to the links; nil means that there
+		// are no bounds.
+		LinksPort *tackport.Port
 		// LinkPort is the port of the links between control VMs, ForwardPort that of the calls
 		// from entry VMs. They are the same on all control VMs.
 		LinkPort    int
@@ -183,7 +187,7 @@
 	}
 	c.links = tackpeer.New(tackpeer.Config{
 		Self: cfg.Self, Listen: c.linkAddress(cfg.Self), Clock: cfg.Clock, Logger: cfg.Logger, Registry: cfg.Registry,
-		MaxBackoff: maxBackoff, OnUnknown: c.onUnknownPeer,
+		MaxBackoff: maxBackoff, OnUnknown: c.onUnknownPeer, Port: cfg.LinksPort,
 	})
 	c.links.Handle(kindReplica, c.onReplica)
 	c.links.Handle(kindReports, c.onReports)
--- a/io/tackcontrol/control_test.go
+++ b/io/tackcontrol/control_test.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	server := &http.Server{Handler: tackforward.NewHandler(control, c.log)}
+	server := &http.Server{Handler: tackforward.NewHandler(control, nil, c.log)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
--- a/io/tackforward/server.go
+++ b/io/tackforward/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +12,7 @@
 	"auburntack/core/tackcbor"
 	"auburntack/core/tackid"
 	"auburntack/core/tackwork"
+	"auburntack/io/tackport"
 )
 
 const (
@@ -50,14 +50,15 @@
 
 	handler struct {
 		control Control
+		port    *tackport.Port
 		log     logrus.FieldLogger
 	}
 )
 
 // NewHandler returns the handler for calls from entry VMs, and from control VMs that want to
-// become members.
-func NewHandler(control Control, log logrus.FieldLogger) http.Handler {
-	h := &handler{control: control, log: log}
+// become members. It serves the port, which may be nil.
+func NewHandler(control Control, port *tackport.Port, log logrus.FieldLogger) http.Handler {
+	h := &handler{control: control, port: port, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+requestPath, h.request)
 	mux.HandleFunc("POST "+joinPath, h.join)
@@ -87,10 +88,12 @@
 }
 
 func (h *handler) read(w http.ResponseWriter, r *http.Request, into any) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err == nil {
-		err = tackcbor.Unmarshal(data, into)
+	data, err := h.port.ReadBody(w, r, maxBytes)
+	if err != nil {
+		w.WriteHeader(tackport.Status(err))
+		return false
 	}
+	h.port.Decode(len(data), func() { err = tackcbor.UnmarshalBounded(data, into) })
 	if err != nil {
 		h.log.WithError(err).WithField("remote", r.RemoteAddr).Warn("request cannot be decoded")
 		w.WriteHeader(http.StatusBadRequest)
--- a/io/tackforward/watch_test.go
+++ b/io/tackforward/watch_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: NewHandler(control, log)}
+	server := &http.Server{Handler: NewHandler(control, nil, log)}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	clock := new(tackclock.Clock)
--- a/io/tackpeer/accept.go
+++ b/io/tackpeer/accept.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"auburntack/core/tackclock"
+	"auburntack/io/tackport"
 )
 
 const (
@@ -57,10 +58,11 @@
 
 // wrapConn sets the socket options of a new connection and wraps it.
 func (l *Links) wrapConn(conn net.Conn) *countedConn {
-	if raw, ok := conn.(syscall.Conn); ok {
-		l.setOptions(raw)
+	raw := tackport.Unwrap(conn)
+	if options, ok := raw.(syscall.Conn); ok {
+		l.setOptions(options)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferBytes) // only reduces delays
 	}
 	return &countedConn{Conn: conn, clock: l.cfg.Clock}
@@ -103,10 +105,14 @@
 		IdleTimeout:       l.cfg.DialTimeout.Std(),
 		MaxHeaderBytes:    helloBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnState:         tackport.ConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
+			return context.WithValue(tackport.ConnContext(ctx, conn), connKey{}, conn)
 		},
 	}
+	if l.cfg.Port != nil {
+		listener, server.Handler = l.cfg.Port.Bound(listener), l.cfg.Port.Handler(mux)
+	}
 	defer server.Close()
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/io/tackpeer/conn.go
+++ b/io/tackpeer/conn.go
@@ -39,6 +39,9 @@
 	}
 )
 
+// NetConn returns the connection without the counters.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/io/tackpeer/links.go
+++ b/io/tackpeer/links.go
@@ -22,6 +22,7 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackid"
+	"auburntack/io/tackport"
 )
 
 const (
@@ -63,6 +64,9 @@
 		// OnUnknown, unless it is nil, is called when a VM connects that is not among the
 		// peers. That connection is refused.
 		OnUnknown func(from tackid.Peer, remote net.Addr)
+		// Port bounds the connections that are accepted, also from others than peers. If nil,
+		// there are no bounds.
+		Port *tackport.Port
 		// Clock provides the times of LastHeard. If nil, a new clock is used.
 		Clock *tackclock.Clock
 		// Logger logs changes of links. If nil, nothing is logged.
--- a/io/tackport/ports.go
+++ b/io/tackport/ports.go
@@ -115,7 +115,7 @@
 		cfg.Logger = quiet
 	}
 	s := &Ports{
-		limits: cfg.Limits.withDefaults(), clock: cfg.Clock, log: cfg.Logger, registry: cfg.Registry,
+		limits: cfg.Limits.WithDefaults(), clock: cfg.Clock, log: cfg.Logger, registry: cfg.Registry,
 		decodings: make(chan struct{}, runtime.GOMAXPROCS(0)),
 	}
 	s.budget.Limit = cfg.Machine.share(s.limits.MemoryPercent)
@@ -151,7 +151,9 @@
 	return min(max(m.MemoryBytes/part/kernelFactor/int64(connections), minReceiveBuffer), maxReceiveBuffer)
 }
 
-func (l Limits) withDefaults() Limits {
+// WithDefaults returns the limits with their defaults in place of zeros. That of ReceiveBuffer
+// depends on the machine.
+func (l Limits) WithDefaults() Limits {
 	orDefault(&l.MemoryPercent, DefaultMemoryPercent)
 	orDefault(&l.BodyTimeout, DefaultBodyTimeout)
 	orDefault(&l.BodyRate, DefaultBodyRate)
