An entry VM bounds its connections to the leader

A crowd of 1,500 clients with one complete request each made an entry VM open a connection to the leader for each request under way: 2,395 descriptors of 1,024 on, 1,102 with the clients' connections bounded. A process at the limit of its platform cannot accept, nor open its links.

Connections to each control VM are bounded to 15 % of the descriptors, beside the 75 % for clients. A request waits for one as it waits for a connection to be made; if it gets none in time it was not sent, and is answered 503.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -101,6 +101,15 @@
 	return &Client{port: port, seeds: seeds, clock: clock, log: log, http: &http.Client{Transport: transport}}
 }
 
+// SetMaxConnections bounds the connections to each control VM; zero means that there is no bound.
+// Requests wait for one as they wait for a connection to be made. It must be called before the
+// client is used.
+func (c *Client) SetMaxConnections(n int) {
+	if t, ok := c.http.Transport.(*http.Transport); ok {
+		t.MaxConnsPerHost = n
+	}
+}
+
 // Do sends the request to the leader. If no leader can be found the verdict is Unavailable,
 // or Unknown if the request may have been carried out.
 func (c *Client) Do(ctx context.Context, r *tackwork.Request) tackwork.Answer {
--- a/io/tackport/machine.go
+++ b/io/tackport/machine.go
@@ -21,6 +21,11 @@
 	minUsablePercent = 25
 )
 
+// outgoingPercent is the part of the machine's descriptors, in percent, for connections that the
+// process opens to one server. With descriptorPercent it leaves a tenth for other connections and
+// files.
+const outgoingPercent = 15
+
 // Machine is the machine of a process. A zero field means that it is not known, and then does not
 // limit clients.
 type Machine struct {
@@ -49,6 +54,15 @@
 	return m
 }
 
+// OutgoingConnections returns how many connections the process may open to one server on behalf
+// of its clients; zero means that there is no limit.
+func (m Machine) OutgoingConnections() int {
+	if m.Descriptors <= 0 {
+		return 0
+	}
+	return max(1, m.Descriptors*outgoingPercent/percent)
+}
+
 // LimitMemory has the garbage collector run more often when the process comes near the memory
 // of the machine.
 func (m Machine) LimitMemory() {
