A request that the control VM did not read for want of room is refused, not unknown

An entry VM took every status but 200 of a control VM for an attempt that may have been carried out, so the caller got 504 for a job that never runs, after all attempts. A control VM answers 503 only to a request that it has not read, so it counts as not sent: another control VM is tried, and the caller gets 503 with Retry-After.

TestRequestThatIsNotReadIsRefused fails before with `unknown`.

--- a/io/tackforward/client.go
+++ b/io/tackforward/client.go
@@ -273,6 +273,9 @@
 	if err != nil {
 		return err
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable { // the control VM did not read the request
+		return &unsentError{err: fmt.Errorf("tackforward: %s has no room for the request", p)}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("tackforward: %s answered %d", p, resp.StatusCode)
 	}
--- a/io/tackforward/client_test.go
+++ b/io/tackforward/client_test.go
@@ -145,3 +145,19 @@
 		})
 	}
 }
+
+// Guards against callers that are told that the outcome is unknown when the control VM had no
+// room for their request, so that it was not read.
+func TestRequestThatIsNotReadIsRefused(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	seeds := func() []tackid.Peer { return []tackid.Peer{controlPeer} }
+	c := NewClient(server.Listener.Addr().(*net.TCPAddr).Port, seeds, new(tackclock.Clock), log)
+	if a := c.Do(context.Background(), &tackwork.Request{Operation: tackwork.Submit, ID: "r"}); a.Verdict != tackwork.Unavailable {
+		t.Errorf("the verdict is %v, want unavailable", a.Verdict)
+	}
+}
