A daemon's operator and peer ports share a budget for clients

Operators' and peers' ports bounded a body and its time one by one, never all clients together: 400 unfinished commands of 64 KiB took 68 to 70 MB, 400 unfinished headers of 60 KiB 395 MB, on a machine of 64 MiB, and 1,500 connections all 1,024 descriptors, after which nothing was accepted until they ended (5 s for a header).

Both are ports of one budget now, whose size comes from /proc/meminfo, GOMEMLIMIT and the limit on open files. A daemon sets the collector's memory limit as processes on the platform do.

--- a/io/tackoperator/server.go
+++ b/io/tackoperator/server.go
@@ -4,11 +4,11 @@
 package tackoperator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"reflect"
 	"strconv"
@@ -22,6 +22,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackmember"
 	"auburntack/core/tackquery"
+	"auburntack/io/tackport"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -97,6 +98,7 @@
 
 	server struct {
 		system   System
+		port     *tackport.Port
 		registry metrics.Registry
 		log      *logrus.Entry
 	}
@@ -156,9 +158,9 @@
 }
 
 // NewServer returns an HTTP server of the operators' port that passes requests to
-// system.
-func NewServer(system System, registry metrics.Registry, log *logrus.Entry) *http.Server {
-	s := &server{system: system, registry: registry, log: log}
+// system. It must be served on a listener of the port.
+func NewServer(system System, port *tackport.Port, registry metrics.Registry, log *logrus.Entry) *http.Server {
+	s := &server{system: system, port: port, registry: registry, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /do", s.do)
 	mux.HandleFunc("POST /ask", s.ask)
@@ -168,17 +170,14 @@
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /report/burn", s.burn)
-	return &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    bodyLimit,
-	}
+	h := port.NewServer(mux)
+	h.ReadHeaderTimeout, h.ReadTimeout, h.IdleTimeout = headerTimeout, bodyTimeout, 2*time.Minute
+	h.MaxHeaderBytes = bodyLimit
+	return h
 }
 
 func (s *server) do(w http.ResponseWriter, r *http.Request) {
-	text, ok := readText(w, r)
+	text, ok := s.readText(w, r)
 	if !ok {
 		return
 	}
@@ -209,7 +208,7 @@
 }
 
 func (s *server) ask(w http.ResponseWriter, r *http.Request) {
-	text, ok := readText(w, r)
+	text, ok := s.readText(w, r)
 	if !ok {
 		return
 	}
@@ -232,7 +231,7 @@
 
 func (s *server) announce(w http.ResponseWriter, r *http.Request) {
 	var a tackmember.Announcement
-	if !readJSON(w, r, &a) {
+	if !s.readJSON(w, r, &a) {
 		return
 	}
 	reply, err := s.system.Announce(a)
@@ -245,7 +244,7 @@
 
 func (s *server) withdraw(w http.ResponseWriter, r *http.Request) {
 	var body withdrawal
-	if !readJSON(w, r, &body) {
+	if !s.readJSON(w, r, &body) {
 		return
 	}
 	writeJSON(w, http.StatusOK, announceBody{Accepted: s.system.Withdraw(body.BackendServer, body.Incarnation)})
@@ -275,8 +274,8 @@
 	writeJSON(w, http.StatusOK, s.system.Burn())
 }
 
-func readText(w http.ResponseWriter, r *http.Request) (string, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+func (s *server) readText(w http.ResponseWriter, r *http.Request) (string, bool) {
+	body, err := s.port.ReadBody(w, r, bodyLimit)
 	if err != nil {
 		writeBodyError(w, err)
 		return "", false
@@ -284,8 +283,11 @@
 	return string(body), true
 }
 
-func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(into)
+func (s *server) readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := s.port.ReadBody(w, r, bodyLimit)
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(body)).Decode(into)
+	}
 	if err == nil {
 		return true
 	}
@@ -320,14 +322,22 @@
 }
 
 func writeBodyError(w http.ResponseWriter, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var tooLarge *tackport.TooLargeError
+	switch {
+	case errors.As(err, &tooLarge):
 		writeError(w, http.StatusRequestEntityTooLarge, errorDetail{
 			Code:      "too_large",
 			Message:   fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit),
 			DidNotRun: true,
 		})
 		return
+	case errors.As(err, new(*tackport.SlowError)):
+		writeError(w, http.StatusRequestTimeout, errorDetail{Code: "slow_body", Message: err.Error(), DidNotRun: true})
+		return
+	case tackport.IsRefused(err):
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, errorDetail{Code: "overloaded", Message: err.Error(), DidNotRun: true})
+		return
 	}
 	writeError(w, http.StatusBadRequest, errorDetail{
 		Code:      "bad_request",
--- a/io/tackoperator/server_test.go
+++ b/io/tackoperator/server_test.go
@@ -16,6 +16,7 @@
 	"auburntack/core/tackid"
 	"auburntack/core/tackmember"
 	"auburntack/core/tackquery"
+	"auburntack/io/tackport"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -53,7 +54,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	w := httptest.NewRecorder()
-	NewServer(s, metrics.NewRegistry(), logrus.NewEntry(logger)).Handler.ServeHTTP(w, r)
+	NewServer(s, tackport.New(tackport.Config{}).Port("operator", tackport.Share{}), metrics.NewRegistry(), logrus.NewEntry(logger)).Handler.ServeHTTP(w, r)
 	var body errorBody
 	json.Unmarshal(w.Body.Bytes(), &body)
 	return w.Result(), body.Error
--- a/io/tackvm/run.go
+++ b/io/tackvm/run.go
@@ -13,6 +13,7 @@
 	"auburntack/io/tackhttp"
 	"auburntack/io/tackloop"
 	"auburntack/io/tackoperator"
+	"auburntack/io/tackport"
 	"auburntack/io/tackprofile"
 	"auburntack/io/tacksettings"
 
@@ -41,6 +42,7 @@
 // Run creates a VM and serves until ctx is done, then stops it gracefully. The error is
 // a *StoppedError if the VM could not start or continue.
 func Run(ctx context.Context, cfg tacksettings.Settings, logger *logrus.Logger) error {
+	tackport.ThisMachine().LimitMemory()
 	v, err := New(cfg, new(tackclock.Clock), logger)
 	if err != nil {
 		return err
@@ -61,7 +63,7 @@
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	operator := tackoperator.NewServer(v, v.registry, v.log)
+	operator := tackoperator.NewServer(v, v.operatorPort, v.registry, v.log)
 	if v.cfg.Log.Profiling {
 		operator.Handler = tackprofile.Handler(operator.Handler)
 	}
@@ -92,7 +94,7 @@
 	if ports.caller, err = caller.Listen(ctx, v.cfg.Listen.Caller); err != nil {
 		return ports, portError("caller", err)
 	}
-	if ports.operator, err = net.Listen("tcp", v.cfg.Listen.Operator); err != nil {
+	if ports.operator, err = v.operatorPort.Listen(ctx, v.cfg.Listen.Operator); err != nil {
 		ports.caller.Close()
 		return ports, portError("operator", err)
 	}
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -23,6 +23,7 @@
 	"auburntack/io/tackloop"
 	"auburntack/io/tackpeer"
 	"auburntack/io/tackplatform"
+	"auburntack/io/tackport"
 	"auburntack/io/tacksettings"
 	"auburntack/io/tackwait"
 
@@ -36,6 +37,10 @@
 	eventQueueSize = 1024
 	// snapshotInterval is the number of entries applied between two snapshots.
 	snapshotInterval = 1000
+	// operatorPercent and peerPercent are the parts of the process's budget for clients that are
+	// kept for the operators' port and for the links.
+	operatorPercent = 20
+	peerPercent     = 10
 )
 
 type (
@@ -52,6 +57,9 @@
 		platform *tackplatform.Client
 		caller   *tackhttp.Handler
 
+		ports        *tackport.Ports
+		operatorPort *tackport.Port
+
 		// loop runs events one at a time. Only the loop accesses node.
 		loop         *tackloop.Loop
 		node         *tackreplica.Node
@@ -128,6 +136,7 @@
 	if err := v.restore(stored); err != nil {
 		return nil, err
 	}
+	v.openPorts(logger)
 	v.connect(logger)
 	v.reconciler.planner = &tackwave.Planner{}
 	v.publishRoutes(clock.Now())
@@ -207,6 +216,14 @@
 	return members
 }
 
+// openPorts creates the budget that the clients of all ports share.
+func (v *VM) openPorts(logger *logrus.Logger) {
+	v.ports = tackport.New(tackport.Config{
+		Limits: v.cfg.Clients.Limits(), Machine: tackport.ThisMachine(), Clock: v.clock, Logger: logger, Registry: v.registry,
+	})
+	v.operatorPort = v.ports.Port("operator", tackport.Share{Percent: operatorPercent})
+}
+
 func (v *VM) connect(logger *logrus.Logger) {
 	v.links = tackpeer.New(tackpeer.Config{
 		Self:     v.cfg.VM.ID,
@@ -215,6 +232,7 @@
 		Clock:    v.clock,
 		Logger:   logger,
 		Registry: v.registry,
+		Port:     v.ports.Port("peer", tackport.Share{Percent: peerPercent}),
 	})
 	v.links.Handle(kindReplica, v.onReplica)
 	v.links.Handle(kindMember, v.onMember)
