The caller port takes memory for a body as it arrives

A chunked body took all that one may have, 1 MiB, from the 64 MiB for bodies before a byte of it had come, and a body with a length was allocated whole. 64 callers that stopped short made every other chunked request, and every one with a key, a 503, and a byte now and then started the body's time again. 400 unfinished bodies took 123 to 127 MB on a machine of 64 MiB, 400 unfinished headers 408 MB; beside announced bodies an ordinary request was served after half a minute, since those were streamed for want of memory and held the slots of the backend server.

Bodies come through the port's budget now, with caller.buffer_limit_bytes as its maximum: charged as they arrive, the largest unfinished one makes room. A body is streamed for want of memory only if requests that are being served hold it. A streamed one must have clients.body_rate_bytes a second, so that nobody holds a slot by a byte now and then.

--- a/io/tackhttp/body.go
+++ b/io/tackhttp/body.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"auburntack/core/tackclock"
+	"auburntack/io/tackport"
 )
 
 // readBody reads the request's body into memory if it is small enough. It
@@ -24,47 +25,32 @@
 		return c.tooLarge("the body is larger than this VM takes")
 	case length > limits.BufferBody && c.key != "":
 		return c.tooLarge("the body of a request with a key is larger than can be held")
-	case length > limits.BufferBody:
+	case length > limits.BufferBody || length > 0 && c.key == "" && !c.h.port.Fits(length):
 		c.streamed = true
 		return nil
 	}
-	reserve := length
-	if length < 0 {
-		reserve = limits.BufferBody
-	}
-	if !c.reserve(reserve) {
-		if length < 0 || c.key != "" {
-			return refusal(http.StatusServiceUnavailable, codeOverloaded, "too many bodies are held", tackclock.Second)
-		}
-		c.streamed = true
-		return nil
-	}
-	return c.bufferBody(length)
+	return c.bufferBody()
 }
 
-// bufferBody reads the body into memory. The length is -1 if it is unknown.
-func (c *call) bufferBody(length int64) *failure {
-	src := &deadlineReader{call: c, rc: http.NewResponseController(c.w)}
-	defer src.stop()
+// bufferBody reads the body into memory.
+func (c *call) bufferBody() *failure {
+	limits := &c.h.limits
 	var err error
-	if length >= 0 {
-		c.body = make([]byte, length)
-		_, err = io.ReadFull(src, c.body)
-	} else {
-		c.body, err = io.ReadAll(io.LimitReader(src, c.h.limits.BufferBody+1))
-	}
+	c.body, err = c.h.port.ReadBodyWithin(c.w, c.r, tackport.BodyLimits{
+		Bytes: limits.BufferBody, Idle: limits.BodyTimeout, Deadline: time.Now().Add(c.timeLeft().Std()),
+	})
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case err == nil:
+		return nil
+	case tackport.IsRefused(err):
+		return refusal(http.StatusServiceUnavailable, codeOverloaded, "too many bodies are held", tackclock.Second)
+	case errors.As(err, new(*tackport.SlowError)):
 		c.h.meters.slowCallers.Inc(1)
-		c.w.Header()["Connection"] = []string{"close"}
 		return refusal(http.StatusRequestTimeout, codeSlowBody, "the body did not come in time", noRetryAfter)
-	case err != nil:
-		c.w.Header()["Connection"] = []string{"close"}
-		return refusal(http.StatusBadRequest, codeBrokenBody, "the body broke off", noRetryAfter)
-	case int64(len(c.body)) > c.h.limits.BufferBody:
+	case errors.As(err, new(*tackport.TooLargeError)):
 		return c.tooLarge("a body this large must be announced by Content-Length")
 	}
-	return nil
+	return refusal(http.StatusBadRequest, codeBrokenBody, "the body broke off", noRetryAfter)
 }
 
 func (c *call) tooLarge(message string) *failure {
@@ -72,43 +58,6 @@
 	return refusal(http.StatusRequestEntityTooLarge, codeTooLarge, message, noRetryAfter)
 }
 
-// reserve reserves n bytes of the memory for buffered bodies, and reports
-// whether that many were available.
-func (c *call) reserve(n int64) bool {
-	if c.h.bufferedBytes.Add(n) > c.h.limits.BufferTotal {
-		c.h.bufferedBytes.Add(-n)
-		return false
-	}
-	c.reserved = n
-	return true
-}
-
-func (c *call) releaseBody() {
-	c.h.bufferedBytes.Add(-c.reserved)
-	c.reserved = 0
-}
-
-// deadlineReader reads the request's body. A read fails if the caller sends
-// nothing for too long, or at the deadline of the request; otherwise a caller
-// that stops sending would hold its memory indefinitely.
-type deadlineReader struct {
-	call *call
-	rc   *http.ResponseController
-}
-
-// Read implements io.Reader.
-func (s *deadlineReader) Read(p []byte) (int, error) {
-	wait := min(s.call.h.limits.BodyTimeout, s.call.timeLeft())
-	s.rc.SetReadDeadline(time.Now().Add(wait.Std()))
-	return s.call.r.Body.Read(p)
-}
-
-// stop clears the read deadline, which would otherwise stop net/http from
-// detecting that the caller closes the connection.
-func (s *deadlineReader) stop() {
-	s.rc.SetReadDeadline(time.Time{})
-}
-
 // streamReader passes a request body on without buffering it. The transport may
 // still read it after the answer was delivered, when the caller's connection
 // already carries the next request; end prevents such reads.
@@ -116,6 +65,7 @@
 	mu      sync.Mutex
 	attempt *attempt
 	rc      *http.ResponseController
+	began   time.Time
 	left    int64 // bytes still to be read
 	ended   bool
 }
@@ -126,7 +76,7 @@
 // that as an error, close the connection to the backend server and truncate the
 // answer.
 func newStreamReader(a *attempt) *streamReader {
-	s := &streamReader{attempt: a, rc: http.NewResponseController(a.call.w), left: a.call.r.ContentLength}
+	s := &streamReader{attempt: a, rc: http.NewResponseController(a.call.w), began: time.Now(), left: a.call.r.ContentLength}
 	s.rc.EnableFullDuplex()
 	return s
 }
@@ -145,7 +95,11 @@
 	c.bodyRead.Store(true)
 	wait := c.h.limits.BodyTimeout
 	s.attempt.resetTimer(2 * wait)
-	s.rc.SetReadDeadline(time.Now().Add(wait.Std()))
+	deadline := time.Now().Add(wait.Std())
+	if total := c.h.port.BodyDeadline(s.began, c.r.ContentLength-s.left); total.Before(deadline) {
+		deadline = total
+	}
+	s.rc.SetReadDeadline(deadline)
 	n, err := c.r.Body.Read(p)
 	s.left -= int64(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/io/tackhttp/call.go
+++ b/io/tackhttp/call.go
@@ -42,7 +42,6 @@
 	body     []byte      // unless it is streamed
 	streamed bool        // the body is not buffered, so the request can be sent only once
 	bodyRead atomic.Bool // some of a streamed body was read
-	reserved int64       // bytes of the body counted in Handler.bufferedBytes
 
 	retryGranted atomic.Bool // a retry was already granted
 	tries        int
@@ -63,7 +62,6 @@
 	if f := c.findService(); f != nil {
 		return f
 	}
-	defer c.releaseBody()
 	if f := c.readBody(); f != nil {
 		return f
 	}
--- a/io/tackhttp/callerconn.go
+++ b/io/tackhttp/callerconn.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net"
 	"net/http"
+
+	"auburntack/io/tackport"
 )
 
 // maxHead is how many bytes of a request's head are kept for
@@ -37,6 +39,9 @@
 	return &callerConn{Conn: conn, inHead: true}, nil
 }
 
+// NetConn returns the connection as it was accepted.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -67,6 +72,7 @@
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		c.startRequest()
 	}
+	tackport.ConnState(conn, state)
 }
 
 // lacksContentLength reports whether a chunked request certainly had no
--- a/io/tackhttp/handler.go
+++ b/io/tackhttp/handler.go
@@ -28,8 +28,12 @@
 	"auburntack/core/tacklimit"
 	"auburntack/core/tackretry"
 	"auburntack/core/tackroute"
+	"auburntack/io/tackport"
 )
 
+// portPercent is the part of the process's budget for clients that is kept for callers.
+const portPercent = 50
+
 type (
 	// Ledger stores the records of idempotency keys. Claim returns once the
 	// record is durable on a majority. After an error the claim may or may not
@@ -82,24 +86,27 @@
 		// stays true during the linger time of a planned stop.
 		Ready func() bool
 		Meter Meter
+		// Ports are the ports of the process, whose budget the caller port shares. If nil, the
+		// caller port has a budget of its own without limits on connections.
+		Ports *tackport.Ports
 	}
 
 	// Handler serves the caller port. It must be created by New.
 	Handler struct {
-		cfg           Config
-		limits        Limits
-		clock         *tackclock.Clock
-		log           logrus.FieldLogger
-		meters        meters
-		sender        sender
-		quotas        quotas
-		failing       failingJobs
-		instance      tackledger.InstanceID
-		prefix        string // of the request ids of this process
-		ids           atomic.Uint64
-		buffers       sync.Pool
-		bufferedBytes atomic.Int64 // bytes reserved for buffered request bodies
-		closeConns    atomic.Bool
+		cfg        Config
+		limits     Limits
+		clock      *tackclock.Clock
+		log        logrus.FieldLogger
+		meters     meters
+		sender     sender
+		quotas     quotas
+		failing    failingJobs
+		instance   tackledger.InstanceID
+		prefix     string // of the request ids of this process
+		ids        atomic.Uint64
+		buffers    sync.Pool
+		port       *tackport.Port
+		closeConns atomic.Bool
 
 		mu       sync.RWMutex
 		services map[tackid.Service]*service
@@ -136,6 +143,12 @@
 		services: make(map[tackid.Service]*service),
 		stop:     make(chan struct{}),
 	}
+	if cfg.Ports == nil {
+		cfg.Ports = tackport.New(tackport.Config{Clock: cfg.Clock, Logger: cfg.Logger, Registry: cfg.Registry})
+	}
+	h.port = cfg.Ports.Port("caller", tackport.Share{Percent: portPercent, MaxBytes: h.limits.BufferTotal})
+	// The kernel closes a connection whose caller does not read its answer.
+	h.port.Limits.WriteTimeout = 0
 	h.failing.seed = maphash.MakeSeed()
 	h.buffers.New = func() any { return new([bufferSize]byte) }
 	h.sender.init(h.limits, &h.meters)
--- a/io/tackhttp/server.go
+++ b/io/tackhttp/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"auburntack/core/tackclock"
+	"auburntack/io/tackport"
 )
 
 // writeMargin is added to maxTimeout for the server's write timeout, which
@@ -35,7 +36,7 @@
 func NewServer(h *Handler) *Server {
 	s := &Server{h: h}
 	s.http = http.Server{
-		Handler:           h,
+		Handler:           h.port.Handler(h),
 		ReadHeaderTimeout: h.limits.HeaderTimeout.Std(),
 		IdleTimeout:       h.limits.CallerIdleTimeout.Std(),
 		WriteTimeout:      (maxTimeout + writeMargin).Std(),
@@ -43,7 +44,7 @@
 		ErrorLog:          log.New(errorLogWriter{h.log}, "", 0),
 		ConnState:         connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerKey{}, c)
+			return context.WithValue(tackport.ConnContext(ctx, c), callerKey{}, c)
 		},
 	}
 	return s
@@ -59,6 +60,9 @@
 			Count:    3,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			if err := s.h.port.SetReceiveBuffer(raw); err != nil {
+				return err
+			}
 			return setUserTimeout(raw, s.h.limits.CallerWriteTimeout.Std())
 		},
 	}
@@ -72,7 +76,7 @@
 // Serve accepts connections from l until Shutdown is called, and then returns
 // nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(callerListener{l})
+	err := s.http.Serve(callerListener{s.h.port.Bound(l)})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/io/tackvm/caller.go
+++ b/io/tackvm/caller.go
@@ -39,6 +39,7 @@
 		Routes:    func() *tackroute.Table { return v.routes.Load() },
 		Ready:     func() bool { return v.serving.Load() },
 		Meter:     &v.meter,
+		Ports:     v.ports,
 	})
 }
 
