Answers that nobody reads wait in bounded buffers

A client that asks for the configuration and does not read it leaves the answer in the socket's send buffer, which the kernel lets grow to megabytes. 400 such clients held 910 MB for a control VM of 96 MB on (35 MB in the process): the tests counted what waits unread, not what waits unsent, and the clients' own buffers took most of it.

Send buffers are bounded like receive buffers: what fits the machine, 16 to 256 KiB. Both have a setting.

Tests: usage counts unsent bytes as well, clients of a crowd have a small receive buffer, and the crowds of the control plane attack the leader, since the other VMs redirect.

Besides: the limit of log lines about what others send is tacklog.LineLimit for both that had one, and the limits come from the settings in one place.

--- a/internal/tackcrowd/crowd_test.go
+++ b/internal/tackcrowd/crowd_test.go
@@ -29,8 +29,10 @@
 	// excess is what a client sends whose body is far over every limit.
 	excess = 5 << 19
 
-	dialTimeout    = 5 * time.Second
-	stallTimeout   = 5 * time.Second // after which a client gives up writing and only stays connected
+	dialTimeout  = 5 * time.Second
+	stallTimeout = 5 * time.Second // after which a client gives up writing and only stays connected
+	// readBuffer is the receive buffer of a client of a crowd.
+	readBuffer     = 4 << 10
 	sampleInterval = 50 * time.Millisecond
 	// answerTimeout is how long an ordinary client retries. It is no requirement on speed.
 	answerTimeout = 60 * time.Second
@@ -70,7 +72,7 @@
 
 	// usage is the highest usage of a process that was seen.
 	usage struct {
-		memory      int64 // bytes in memory and unread in its sockets, at one time
+		memory      int64 // bytes in memory, and unread and unsent in its sockets, at one time
 		resident    int64 // bytes in memory
 		descriptors int
 		samples     int
@@ -98,6 +100,7 @@
 				return // refusing it is allowed
 			}
 			connected.Add(1)
+			_ = conn.(*net.TCPConn).SetReadBuffer(readBuffer) // so that answers wait in the process
 			c.mu.Lock()
 			c.conns = append(c.conns, conn)
 			c.mu.Unlock()
@@ -164,7 +167,7 @@
 	}
 	u.samples++
 	u.resident = max(u.resident, peak)
-	u.memory = max(u.memory, peak, resident+unreadBytes(p.listens))
+	u.memory = max(u.memory, peak, resident+waitingBytes(p.listens))
 	u.descriptors = max(u.descriptors, len(files))
 }
 
@@ -190,8 +193,8 @@
 	return now, peak, now > 0
 }
 
-// unreadBytes returns the bytes that wait unread in the sockets of the given addresses.
-func unreadBytes(listens []string) int64 {
+// waitingBytes returns the bytes that wait unread, or unsent, in the sockets of the given addresses.
+func waitingBytes(listens []string) int64 {
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -207,9 +210,10 @@
 		if len(fields) <= queueColumn || !local[fields[localColumn]] || fields[stateColumn] == listening {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[queueColumn], ":")
-		n, _ := strconv.ParseInt(received, 16, 64)
-		total += n
+		for queue := range strings.SplitSeq(fields[queueColumn], ":") {
+			n, _ := strconv.ParseInt(queue, 16, 64)
+			total += n
+		}
 	}
 	return total
 }
@@ -240,7 +244,7 @@
 		t.Errorf("an ordinary request after the crowd: %v", err)
 	}
 	u := stop()
-	t.Logf("peak %.1f of %d MB, %.1f without unread bytes, %d of %d descriptors, %d samples",
+	t.Logf("peak %.1f of %d MB, %.1f without its sockets, %d of %d descriptors, %d samples",
 		float64(u.memory)/(1<<20), p.memoryMB, float64(u.resident)/(1<<20), u.descriptors, maxDescriptors, u.samples)
 	if !alive() || u.samples == 0 {
 		t.Error("the process has ended")
--- a/internal/tackcrowd/platform_test.go
+++ b/internal/tackcrowd/platform_test.go
@@ -53,9 +53,9 @@
 			t.Fatal(err)
 		}
 	}
-	d.control, d.entry = d.host.NodesByRole(true)[0], d.host.NodesByRole(false)[0]
+	d.entry = d.host.NodesByRole(false)[0]
 	config := configuration(routes)
-	if err := retry(func() error { return d.post(d.control.Address(), "/config/replace", config) }); err != nil {
+	if err := retry(func() error { return d.findLeader(config) }); err != nil {
 		t.Fatalf("no configuration was accepted: %v", err)
 	}
 	if err := retry(d.submit); err != nil {
@@ -64,6 +64,28 @@
 	return d
 }
 
+// findLeader sends a configuration to each control VM. The one that accepts it itself leads, and
+// is the one that crowds attack.
+func (d *deployment) findLeader(config string) error {
+	var err error
+	client := *d.client
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	for _, n := range d.host.NodesByRole(true) {
+		answer, postErr := client.Post("http://"+n.Address()+"/config/replace", "application/json", strings.NewReader(config))
+		if postErr != nil {
+			err = postErr
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			d.control = n
+			return nil
+		}
+		err = fmt.Errorf("%s answered %s", n.Name, answer.Status)
+	}
+	return err
+}
+
 // configuration returns a configuration with the queue of the tests and further routes.
 func configuration(routes int) string {
 	var list strings.Builder
--- a/io/tackhttp/server.go
+++ b/io/tackhttp/server.go
@@ -60,7 +60,7 @@
 			Count:    3,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			if err := s.h.port.SetReceiveBuffer(raw); err != nil {
+			if err := s.h.port.SetBuffers(raw); err != nil {
 				return err
 			}
 			return setUserTimeout(raw, s.h.limits.CallerWriteTimeout.Std())
--- a/io/tackport/conn.go
+++ b/io/tackport/conn.go
@@ -211,7 +211,7 @@
 
 // ConnState must be the ConnState hook of servers that are served on a listener of a port.
 func ConnState(nc net.Conn, state http.ConnState) {
-	c := unwrap(nc)
+	c := connIn(nc)
 	if c == nil {
 		return
 	}
@@ -230,14 +230,14 @@
 
 // ConnContext must be the ConnContext hook of such servers.
 func ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	if c := unwrap(nc); c != nil {
+	if c := connIn(nc); c != nil {
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	return ctx
 }
 
-// unwrap returns the connection of a port in nc, or nil if there is none.
-func unwrap(nc net.Conn) *conn {
+// connIn returns the connection of a port that nc is or wraps, or nil if there is none.
+func connIn(nc net.Conn) *conn {
 	for {
 		switch c := nc.(type) {
 		case *conn:
--- a/io/tackport/port_test.go
+++ b/io/tackport/port_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"auburntack/core/tackclock"
+	"auburntack/io/tacksettings"
 )
 
 // waitTimeout bounds waits for what happens sooner or later.
@@ -301,3 +302,11 @@
 		t.Errorf("total memory %d", got)
 	}
 }
+
+// TestDefaults checks that the defaults in docs/SETTINGS.md equal those of this package.
+func TestDefaults(t *testing.T) {
+	settings := tacksettings.Default()
+	if got, want := LimitsOf(&settings.Clients), (Limits{}).withDefaults(); got != want {
+		t.Errorf("the settings have %+v, want %+v", got, want)
+	}
+}
--- a/io/tackport/ports.go
+++ b/io/tackport/ports.go
@@ -20,6 +20,8 @@
 
 	"auburntack/core/tackclock"
 	"auburntack/core/tackintake"
+	"auburntack/io/tacklog"
+	"auburntack/io/tacksettings"
 )
 
 const (
@@ -36,9 +38,11 @@
 	// client can read why. Closing the connection at once could reset it before.
 	lingerTimeout = 250 * time.Millisecond
 	percent       = 100
-	// minReceiveBuffer and maxReceiveBuffer bound the receive buffer of a connection's socket.
+	// minReceiveBuffer and the others bound the buffers of a connection's socket.
 	minReceiveBuffer = 4 << 10
 	maxReceiveBuffer = 64 << 10
+	minSendBuffer    = 16 << 10
+	maxSendBuffer    = 256 << 10
 )
 
 const (
@@ -59,6 +63,7 @@
 		WriteTimeout  tackclock.Duration // for a client to take the next part of an answer; 20 s
 		HeaderBytes   int64              // bytes of a request's header; 32 KiB
 		ReceiveBuffer int64              // of a connection's socket, in bytes; what fits the machine
+		SendBuffer    int64              // the same for what waits to be sent
 	}
 
 	// Ports are the ports of one process. They must be created by New.
@@ -68,7 +73,7 @@
 		clock     *tackclock.Clock
 		log       logrus.FieldLogger
 		registry  metrics.Registry
-		lines     lineLimit
+		lines     tacklog.LineLimit
 		decodings chan struct{}
 	}
 
@@ -115,11 +120,13 @@
 		cfg.Logger = quiet
 	}
 	s := &Ports{
-		limits: cfg.Limits.WithDefaults(), clock: cfg.Clock, log: cfg.Logger, registry: cfg.Registry,
+		limits: cfg.Limits.withDefaults(), clock: cfg.Clock, log: cfg.Logger, registry: cfg.Registry,
 		decodings: make(chan struct{}, runtime.GOMAXPROCS(0)),
 	}
 	s.budget.Limit = cfg.Machine.share(s.limits.MemoryPercent)
-	orDefault(&s.limits.ReceiveBuffer, cfg.Machine.receiveBuffer(s.budget.Limit.Connections))
+	buffer := cfg.Machine.socketBuffer(s.budget.Limit.Connections)
+	orDefault(&s.limits.ReceiveBuffer, min(max(buffer, minReceiveBuffer), maxReceiveBuffer))
+	orDefault(&s.limits.SendBuffer, min(max(buffer, minSendBuffer), maxSendBuffer))
 	s.register()
 	return s
 }
@@ -141,19 +148,27 @@
 	return s
 }
 
-// receiveBuffer returns the size of the sockets' receive buffers with which what waits unread on
+// socketBuffer returns the size of the sockets' buffers with which what waits unread, or unsent, on
 // all connections takes an eighth of the memory. The kernel takes up to twice the size.
-func (m Machine) receiveBuffer(connections int) int64 {
+func (m Machine) socketBuffer(connections int) int64 {
 	const part, kernelFactor = 8, 2
 	if m.MemoryBytes == 0 || connections == 0 {
-		return maxReceiveBuffer
+		return math.MaxInt64
 	}
-	return min(max(m.MemoryBytes/part/kernelFactor/int64(connections), minReceiveBuffer), maxReceiveBuffer)
+	return m.MemoryBytes / part / kernelFactor / int64(connections)
 }
 
-// WithDefaults returns the limits with their defaults in place of zeros. That of ReceiveBuffer
-// depends on the machine.
-func (l Limits) WithDefaults() Limits {
+// LimitsOf returns the limits that the settings hold.
+func LimitsOf(c *tacksettings.Clients) Limits {
+	return Limits{
+		MemoryPercent: c.MemoryPercent, BodyTimeout: c.BodyTimeout, BodyRate: c.BodyRate,
+		WriteTimeout: c.WriteTimeout, HeaderBytes: c.HeaderLimit, ReceiveBuffer: c.ReceiveBuffer, SendBuffer: c.SendBuffer,
+	}
+}
+
+// withDefaults returns the limits with their defaults in place of zeros. Those of the buffers depend
+// on the machine.
+func (l Limits) withDefaults() Limits {
 	orDefault(&l.MemoryPercent, DefaultMemoryPercent)
 	orDefault(&l.BodyTimeout, DefaultBodyTimeout)
 	orDefault(&l.BodyRate, DefaultBodyRate)
@@ -181,7 +196,7 @@
 // Listen listens on an address. The clients' connections are bounded.
 func (p *Port) Listen(ctx context.Context, address string) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return p.SetReceiveBuffer(raw)
+		return p.SetBuffers(raw)
 	}}
 	l, err := cfg.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -190,10 +205,10 @@
 	return p.Bound(l), nil
 }
 
-// SetReceiveBuffer bounds what may wait unread in the sockets that a listener accepts. It must
+// SetBuffers bounds what may wait unread, or unsent, in the sockets that a listener accepts. It must
 // be called before the listener listens.
-func (p *Port) SetReceiveBuffer(raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) { setReceiveBuffer(fd, int(p.Limits.ReceiveBuffer)) })
+func (p *Port) SetBuffers(raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { setBuffers(fd, int(p.Limits.ReceiveBuffer), int(p.Limits.SendBuffer)) })
 }
 
 // Bound returns a listener with the bounds of the port.
--- a/io/tackport/record.go
+++ b/io/tackport/record.go
@@ -1,12 +1,9 @@
 package tackport
 
 import (
-	"sync"
-
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"auburntack/core/tackclock"
 	"auburntack/core/tackintake"
 )
 
@@ -19,30 +16,6 @@
 	reasonSlowAnswer  = "slow_answer"
 )
 
-// maxLines is the maximum number of log lines per second about refused clients. The counters
-// count all of them.
-const maxLines = 5
-
-// lineLimit limits log lines.
-type lineLimit struct {
-	mu    sync.Mutex
-	start tackclock.Time // of the current second
-	n     int
-}
-
-// allow reports whether a line may be written now, and how many were left out in the second
-// before.
-func (l *lineLimit) allow(now tackclock.Time) (write bool, leftOut int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.start) >= tackclock.Second {
-		leftOut = max(0, l.n-maxLines)
-		l.start, l.n = now, 0
-	}
-	l.n++
-	return l.n <= maxLines, leftOut
-}
-
 // register registers the gauges of what clients hold.
 func (s *Ports) register() {
 	gauge := func(name string, value func(tackintake.Share) int64) {
@@ -86,7 +59,7 @@
 
 // line returns the start of a log line unless there were too many.
 func (p *Port) line(c *conn) (*logrus.Entry, bool) {
-	write, leftOut := p.owner.lines.allow(p.owner.clock.Now())
+	write, leftOut := p.owner.lines.Allow(p.owner.clock.Now())
 	if !write {
 		return nil, false
 	}
--- a/io/tackport/socket_other.go
+++ b/io/tackport/socket_other.go
@@ -2,4 +2,4 @@
 
 package tackport
 
-func setReceiveBuffer(uintptr, int) {}
+func setBuffers(uintptr, int, int) {}
--- a/io/tacksettings/settings.go
+++ b/io/tacksettings/settings.go
@@ -138,6 +138,7 @@
 		WriteTimeout  tackclock.Duration
 		HeaderLimit   int64
 		ReceiveBuffer int64
+		SendBuffer    int64
 	}
 
 	// Job holds the tunables of accepting jobs and starting their items.
--- a/io/tacksettings/table.go
+++ b/io/tacksettings/table.go
@@ -170,7 +170,7 @@
 		field: func(s *Settings, _ *familySection) any { return &s.Caller.QueueLimit }},
 
 	{section: "clients", key: "memory_percent", kind: kindCount, defaultValue: "50", low: 1, high: 90,
-		doc:   "part of the machine's memory that the clients of all ports may make the process hold: connections, headers, bodies and what waits unread; unfinished requests make room for others, the largest first, and what finds none gets 503 or is closed",
+		doc:   "part of the machine's memory that the clients of all ports may make the process hold: connections, headers, bodies and what waits in sockets; unfinished requests make room for others, the largest first, and what finds none gets 503 or is closed",
 		field: func(s *Settings, _ *familySection) any { return &s.Clients.MemoryPercent }},
 	{section: "clients", key: "body_timeout_ms", kind: kindMillis, defaultValue: "10000", low: 100, high: hour,
 		doc:   "how long a body may take in all, beside the time that `body_rate_bytes` gives it; slower ones get 408",
@@ -187,6 +187,9 @@
 	{section: "clients", key: "receive_buffer_bytes", kind: kindBytes, defaultValue: "0", low: 0, high: 16 * mib,
 		doc:   "receive buffer of the socket of a client's connection, in which bytes wait unread; the kernel may take twice that; 0 stands for what lets all connections together take an eighth of the memory, 4 to 64 KiB",
 		field: func(s *Settings, _ *familySection) any { return &s.Clients.ReceiveBuffer }},
+	{section: "clients", key: "send_buffer_bytes", kind: kindBytes, defaultValue: "0", low: 0, high: 16 * mib,
+		doc:   "the same for what waits to be sent to a client; 0 stands for the same part of the memory, 16 to 256 KiB",
+		field: func(s *Settings, _ *familySection) any { return &s.Clients.SendBuffer }},
 
 	{section: "burn", key: "objective_percent", kind: kindPercent, defaultValue: "99.9", low: 50, high: 99.999,
 		doc:   "requests of a service that must be answered well and on time; the rest is its error budget",
--- a/io/tackvm/vm.go
+++ b/io/tackvm/vm.go
@@ -219,7 +219,7 @@
 // openPorts creates the budget that the clients of all ports share.
 func (v *VM) openPorts(logger *logrus.Logger) {
 	v.ports = tackport.New(tackport.Config{
-		Limits: v.cfg.Clients.Limits(), Machine: tackport.ThisMachine(), Clock: v.clock, Logger: logger, Registry: v.registry,
+		Limits: tackport.LimitsOf(&v.cfg.Clients), Machine: tackport.ThisMachine(), Clock: v.clock, Logger: logger, Registry: v.registry,
 	})
 	v.operatorPort = v.ports.Port("operator", tackport.Share{Percent: operatorPercent})
 }
