--- a/internal/tackcrowd/platform_test.go
+++ b/internal/tackcrowd/platform_test.go
@@ -203,6 +203,14 @@
 	return `{"steps":[` + steps + `{}]}`
 }
 
+// manyRuns returns a heartbeat of at most the given size that lists as many runs as fit.
+func manyRuns(size int) string {
+	const begin = `{"service":"crowd","addr":"10.0.0.2:80","zone":"z-1","version":"v1","slots":8,"state":"ready","cold_left_ms":0,` +
+		`"capacity":{"cpu":1,"mem_mb":1,"gpu":0},"labels":["a"],"clock_ms":1,"seq":1,"ended":[],"running":[`
+	const run = `["00000000000000aa.0.0.1",1,"",0],`
+	return begin + strings.TrimSuffix(strings.Repeat(run, (size-len(begin)-2)/len(run)), ",") + `]}`
+}
+
 // Guards against callers that end an entry VM.
 func TestFrontendSurvivesCrowds(t *testing.T) {
 	submit := head(http.MethodPost, jobPrefix+"00000000000000aa")
@@ -228,6 +236,7 @@
 	replace := head(http.MethodPost, "/config/replace")
 	cases := append(bodyCases(beat, legalBody), headerCases(beat)...)
 	cases = append(cases,
+		crowdCase{"whole heartbeats of many runs", crowdSize, sendWhole(beat, manyRuns(legalBody))},
 		crowdCase{"configurations without their last byte", crowdSize, sendAnnounced(replace, 1<<20, 1<<20)},
 		crowdCase{"whole configurations of many routes", crowdSize, sendWhole(replace, strings.Replace(manySteps(legalBody), "steps", "routes", 1))},
 		crowdCase{"configurations that are not read", crowdSize, sendRequests(head(http.MethodGet, "/config/read"), 4)},
--- a/io/tackport/port_test.go
+++ b/io/tackport/port_test.go
@@ -286,11 +286,11 @@
 }
 
 func TestMachineShares(t *testing.T) {
-	if got := (Machine{}).share(DefaultMemoryPercent); got.Connections != 0 || got.Bytes != 0 {
+	if got := (Machine{}).share(defaultMemoryPercent); got.Connections != 0 || got.Bytes != 0 {
 		t.Errorf("a machine that is not known limits clients: %+v", got)
 	}
 	for _, m := range []Machine{{MemoryBytes: 284 << 20, Descriptors: 3900}, {MemoryBytes: 184 << 20, Descriptors: 3900}, {MemoryBytes: 1 << 40, Descriptors: 1000}} {
-		got := m.share(DefaultMemoryPercent)
+		got := m.share(defaultMemoryPercent)
 		if held := got.Bytes + int64(got.Connections)*connBytes; held > m.MemoryBytes/2 || got.Bytes < 0 {
 			t.Errorf("%+v: %+v is more than half of the memory", m, got)
 		}
--- a/io/tackport/ports.go
+++ b/io/tackport/ports.go
@@ -45,13 +45,13 @@
 	maxSendBuffer    = 256 << 10
 )
 
+// Defaults of Limits.
 const (
-	// DefaultMemoryPercent and the others are the defaults of Limits.
-	DefaultMemoryPercent = 50
-	DefaultBodyTimeout   = 10 * tackclock.Second
-	DefaultBodyRate      = 4 << 10
-	DefaultWriteTimeout  = 20 * tackclock.Second
-	DefaultHeaderBytes   = 32 << 10
+	defaultMemoryPercent = 50
+	defaultBodyTimeout   = 10 * tackclock.Second
+	defaultBodyRate      = 4 << 10
+	defaultWriteTimeout  = 20 * tackclock.Second
+	defaultHeaderBytes   = 32 << 10
 )
 
 type (
@@ -169,11 +169,11 @@
 // withDefaults returns the limits with their defaults in place of zeros. Those of the buffers depend
 // on the machine.
 func (l Limits) withDefaults() Limits {
-	orDefault(&l.MemoryPercent, DefaultMemoryPercent)
-	orDefault(&l.BodyTimeout, DefaultBodyTimeout)
-	orDefault(&l.BodyRate, DefaultBodyRate)
-	orDefault(&l.WriteTimeout, DefaultWriteTimeout)
-	orDefault(&l.HeaderBytes, DefaultHeaderBytes)
+	orDefault(&l.MemoryPercent, defaultMemoryPercent)
+	orDefault(&l.BodyTimeout, defaultBodyTimeout)
+	orDefault(&l.BodyRate, defaultBodyRate)
+	orDefault(&l.WriteTimeout, defaultWriteTimeout)
+	orDefault(&l.HeaderBytes, defaultHeaderBytes)
 	return l
 }
 
@@ -220,7 +220,7 @@
 // the port.
 func (p *Port) NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: p.Handler(handler), MaxHeaderBytes: int(p.Limits.HeaderBytes), ConnState: ConnState, ConnContext: ConnContext,
+		Handler: p.Handler(closeUnread(handler)), MaxHeaderBytes: int(p.Limits.HeaderBytes), ConnState: ConnState, ConnContext: ConnContext,
 	}
 }
 
@@ -233,9 +233,6 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodDelete {
-			w.Header().Set("Connection", "close")
-		}
 		c.bodyRead.Store(false)
 		r = r.WithContext(r.Context()) // net/http uses the body of the original
 		r.Body = endReader{ReadCloser: r.Body, end: &c.bodyRead}
@@ -251,6 +248,20 @@
 	return began.Add(allowed.Std())
 }
 
+// closeUnread returns a handler that does not use the bodies of GET, HEAD and DELETE requests. The
+// connection is closed after such a request: net/http would read the body before it writes an
+// answer.
+func closeUnread(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.ContentLength == 0:
+		case r.Method == http.MethodGet, r.Method == http.MethodHead, r.Method == http.MethodDelete:
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Decode calls f, which decodes a body of n bytes. Large bodies are decoded one at a time on
 // each processor, since a body takes several times its size while it is decoded.
 func (p *Port) Decode(n int, f func()) {
