--- a/internal/tackcrowd/daemon_test.go
+++ b/internal/tackcrowd/daemon_test.go
@@ -77,10 +77,10 @@
 
 // ordinary has a request served, runs a command, and asks whether the VM is ready.
 func (d *daemon) ordinary() error {
-	if err := d.call(http.MethodPost, "http://"+d.Caller+"/"+service+"/x", "body"); err != nil {
+	if err := d.call(http.MethodPost, "http://"+d.Caller+"/"+service+"/x", strings.NewReader("body")); err != nil {
 		return err
 	}
-	if err := d.call(http.MethodGet, "http://"+d.Operator+"/readyz", ""); err != nil {
+	if err := d.call(http.MethodGet, "http://"+d.Operator+"/readyz", nil); err != nil {
 		return err
 	}
 	reply, err := d.Do("set config colour red", "")
@@ -90,8 +90,8 @@
 	return err
 }
 
-func (d *daemon) call(method, url, body string) error {
-	r, err := http.NewRequest(method, url, strings.NewReader(body))
+func (d *daemon) call(method, url string, body io.Reader) error {
+	r, err := http.NewRequest(method, url, body)
 	if err != nil {
 		return err
 	}
@@ -131,3 +131,16 @@
 		}
 	}
 }
+
+// Guards against limits that refuse the largest request that a daemon holds in memory.
+func TestLargestRequestIsServed(t *testing.T) {
+	d := newDaemon(t)
+	body := strings.Repeat("x", daemonBody)
+	url := "http://" + d.Caller + "/" + service + "/x"
+	if err := d.call(http.MethodPost, url, strings.NewReader(body)); err != nil {
+		t.Errorf("announced: %v", err)
+	}
+	if err := d.call(http.MethodPost, url, io.MultiReader(strings.NewReader(body))); err != nil {
+		t.Errorf("chunked: %v", err)
+	}
+}
--- a/io/tacksettings/page.go
+++ b/io/tacksettings/page.go
@@ -33,6 +33,23 @@
 - ` + "`replica.lease_ms`" + ` is below ` + "`replica.election_ms`" + ` and at least twice ` + "`replica.heartbeat_ms`" + `; all
   three are the same on every VM.
 - ` + "`stop.linger_ms`" + ` is below ` + "`stop.deadline_ms`" + `.
+
+## Limits of clients without a setting
+
+| limit | value | beyond it |
+| --- | --- | --- |
+| connections of clients, all ports together | 75 % of the descriptors, and at 32 KiB each 60 % of what ` + "`clients.memory_percent`" + ` gives | another connection is closed, or the new one |
+| connections of clients of the readiness and the metrics port on the users' platform | 64 each | the same |
+| connections to the links of a control VM on the users' platform | 256 | the same |
+| connections of an entry VM to each control VM | 15 % of the descriptors | requests wait for one; 503 if they get none in time |
+| time of a client of the readiness and metrics ports for an answer | 3 s, or ` + "`clients.write_timeout_ms`" + ` if that is less | the connection is closed |
+| time for the rest of a body that is not read | 250 ms | the connection is closed |
+| body of a job | 1 MiB | 413 |
+| steps of a job, and names in ` + "`after`" + ` | 1,000 each | 400 |
+| body of a heartbeat; of a configuration or a wave | 2 MiB; 8 MiB | 413 |
+| routes, services, workspaces and keys of a configuration | 50,000, 10,000, 20,000 and 100,000 | 400 |
+| body of a command or an announcement | 64 KiB | 413 |
+| message of an entry VM, and elements of a list in it | 4 MiB, 10,000 | 413, 400 |
 `
 
 // WritePage writes all settings with unit, default and range in Markdown.
