Test of hand-overs: each attempt is made with the VM that leads then

An attempt that hands leadership over with nothing to apply, or a lease lost under load, leaves a VM that does not lead, whose every further attempt fails. By reading; the failing run was not traced further.

What is checked after the hand-over is as it was.

--- a/io/tackcontrol/handover_test.go
+++ b/io/tackcontrol/handover_test.go
@@ -7,18 +7,20 @@
 	"testing"
 
 	"auburntack/core/tackdispatch"
+	"auburntack/core/tackid"
 	"auburntack/core/tackroom"
 	"auburntack/core/tackwork"
 	"auburntack/io/tackcontrol"
 )
 
 // handOverBeforeApply hands leadership over and returns the former leader, which applies
-// nothing until unlock is called.
+// nothing until unlock is called. Each attempt is made with the VM that leads then.
 func (c *cluster) handOverBeforeApply() (former *tackcontrol.Control, unlock func()) {
 	c.t.Helper()
-	leader := c.leader()
-	former = c.running[leader].control
+	var leader tackid.Peer
 	c.await("a hand-over", func() (ok bool) {
+		leader = c.leader()
+		former = c.running[leader].control
 		unlock, ok = former.HandOverBeforeApply()
 		return ok
 	})
