--- a/io/tackport/machine.go
+++ b/io/tackport/machine.go
@@ -22,8 +22,8 @@
 )
 
 // outgoingPercent is the part of the machine's descriptors, in percent, for connections that the
-// process opens to one server. With descriptorPercent it leaves a tenth for other connections and
-// files.
+// process opens to one server. With descriptorPercent it leaves a twentieth for other connections
+// and files.
 const outgoingPercent = 15
 
 // Machine is the machine of a process. A zero field means that it is not known, and then does not
--- a/io/tackport/ports.go
+++ b/io/tackport/ports.go
@@ -27,13 +27,13 @@
 const (
 	// connBytes is the memory of one connection without its request: a goroutine and the buffers
 	// of net/http.
-	connBytes = 32 << 10
+	connBytes = 24 << 10
 	// connPercent is the part of the clients' memory, in percent, that connections without their
 	// requests may take.
 	connPercent = 60
 	// descriptorPercent is the part of the machine's descriptors, in percent, for clients. The
 	// others are for files and for connections that the process opens itself.
-	descriptorPercent = 75
+	descriptorPercent = 80
 	// lingerTimeout is how long the rest of a request that is not read is waited for, so that the
 	// client can read why. Closing the connection at once could reset it before.
 	lingerTimeout = 250 * time.Millisecond
--- a/io/tacksettings/page.go
+++ b/io/tacksettings/page.go
@@ -38,7 +38,7 @@
 
 | limit | value | beyond it |
 | --- | --- | --- |
-| connections of clients, all ports together | 75 % of the descriptors, and at 32 KiB each 60 % of what ` + "`clients.memory_percent`" + ` gives | another connection is closed, or the new one |
+| connections of clients, all ports together | 80 % of the descriptors, and at 24 KiB each 60 % of what ` + "`clients.memory_percent`" + ` gives | another connection is closed, or the new one |
 | connections of clients of the readiness and the metrics port on the users' platform | 64 each | the same |
 | connections to the links of a control VM on the users' platform | 256 | the same |
 | connections of an entry VM to each control VM | 15 % of the descriptors | requests wait for one; 503 if they get none in time |
